Trust idle connections to servers no longer than servers are seen to keep them

Symptom: releases fail and calls end as resets, 13 to 24 in each 5 s between 3 and 22 s; 903 connections to servers are opened for 560 requests.

Evidence: with a line at each end of a connection, 461 idle connections were closed by servers, most after 0.3 to 1.1 s idle and some within 25 ms of an answer, though the settings state 60 s.

Ruled out: the node's own closes (only the module's CloseIdle, 308), connection limits (66 open at once), and answers that ask for a close (none).

Faulty lines: Upstream.send took any idle connection that was not yet readable, and _idle_limit_ms rested on the stated limit alone. The module's own guard estimates idle time per server and only while it has nothing out there, so it rarely learned.

Now the pool trusts half the idle time after which a server ended a connection, and grows that by a quarter a second up to the stated limit.

--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -21,6 +21,8 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 IDLE_SHARE = 0.5  # of the servers' idle limit: a request that crosses their close ends as a reset
+TRUST_GROWTH = 1.25  # a sweep: how soon idle connections are trusted for longer again
+LEAST_TRUST_MS = 1.0  # what it grows from
 SWEEP_S = 1.0  # how often connections that have idled too long are looked for
 
 
@@ -95,9 +97,10 @@
     def __init__(self, pool: Upstream, server: int, address: Address) -> None:
         self.server, self.address, self.idle_since = server, address, 0.0
         self._pool = pool
+        self._idled_ms: float | None = None  # how long before what it carries; None: it is new
         self._transport: asyncio.Transport
         self._attempt: Attempt | None = None
-        self._paused = self._lost = False
+        self._paused = self._lost = self._closed = False
         self._start_answer()
 
     def _start_answer(self) -> None:
@@ -145,15 +148,19 @@
         return None  # closes, and `connection_lost` reports
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._lost = True
+        closed_here, self._lost = self._closed, True
         self._pool.forget(self)
+        if self._attempt is None and not closed_here:
+            self._pool.closed_early(now_ms() - self.idle_since)
+        elif self._attempt is not None and self._idled_ms is not None and not self._head:
+            self._pool.closed_early(self._idled_ms)
         if self._attempt is not None:
             self._end(Result.RESET if self._attempt.written else Result.UNREACHABLE, reuse=False)
 
     def close(self) -> None:
         """Close now, whatever it carries."""
         self._pool.forget(self)
-        self._attempt = None
+        self._attempt, self._closed = None, True
         self._transport.abort()
 
     # Attempts
@@ -173,6 +180,7 @@
     def carry(self, attempt: Attempt) -> None:
         """Write an attempt's request and wait for its answer."""
         self._attempt = attempt
+        self._idled_ms = now_ms() - self.idle_since if self.idle_since else None
         self._start_answer()
         attempt.carried_by(self.close)
         self._transport.write(attempt.message)
@@ -252,7 +260,7 @@
     ) -> None:
         self._loop, self._room = loop, room
         self._connect_timeout_s = connect_timeout_ms / 1000.0
-        self._idle_limit_ms = keepalive_ms * IDLE_SHARE
+        self._idle_limit_ms = self._trusted_ms = keepalive_ms * IDLE_SHARE
         self._idle: dict[int, list[Connection]] = {}
         self._open: set[Connection] = set()
         self._dials: set[asyncio.Task[None]] = set()
@@ -277,7 +285,10 @@
         idle = self._idle.get(server, [])
         while idle:
             connection = idle.pop()  # the most recently used, so that the rest can grow old and go
-            if connection.usable() and connection.address == address:
+            idled_ms = now_ms() - connection.idle_since
+            if not connection.usable():
+                self.closed_early(idled_ms)
+            elif connection.address == address and idled_ms <= self._trusted_ms:
                 connection.carry(attempt)
                 return attempt
             connection.close()
@@ -308,6 +319,14 @@
         else:
             connection.carry(attempt)
 
+    def closed_early(self, idled_ms: float) -> None:
+        """Trust idle connections for less: one was ended by its server after so long.
+
+        The stated limit is the latest. Servers, and what lies between, also close sooner; a request
+        written meanwhile ends as a reset that may have run, which costs far more than a handshake.
+        """
+        self._trusted_ms = max(LEAST_TRUST_MS, min(self._trusted_ms, IDLE_SHARE * idled_ms))
+
     def put_back(self, connection: Connection) -> None:
         """Keep a connection that carries nothing for the next attempt."""
         connection.idle_since = now_ms()
@@ -334,7 +353,8 @@
 
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_S, self._sweep)
-        before = now_ms() - self._idle_limit_ms
+        before = now_ms() - self._trusted_ms
+        self._trusted_ms = min(self._idle_limit_ms, self._trusted_ms * TRUST_GROWTH)
         for server, idle in list(self._idle.items()):
             while idle and idle[0].idle_since < before:
                 idle[0].close()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -12,6 +12,7 @@
 import pytest
 
 from nickelbridge.interface import Result
+from orchidferry import upstream
 from orchidferry.config import Address
 from orchidferry.upstream import Answer, Connection, Upstream, read_report
 from tests.peers import CLOSE, HANG, LIMIT_S, RESET, Server, answer, request, run, until, world
@@ -252,6 +253,48 @@
     run(test())
 
 
+@pytest.mark.parametrize("told", [True, False], ids=["closed", "reset"])
+def test_idle_connections_are_trusted_no_longer_than_servers_keep_them(
+    told: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Stated is a minute, but after 2 s the server has closed, or resets what is written then."""
+    clock = [1000.0]
+    monkeypatch.setattr(upstream, "now_ms", lambda: clock[0])
+    monkeypatch.setattr(upstream, "SWEEP_S", 3600.0)
+
+    async def test() -> None:
+        server = Server(answer(), *([] if told else [RESET]))
+        await server.start()
+        attempts = Attempts(server.address)
+        connections: list[int] = []
+
+        async def ask(idle_ms: float) -> Result:
+            clock[0] += idle_ms
+            attempts.send(f"{len(attempts.results)}")
+            result = await attempts.result(len(attempts.results) + 1)
+            connections.append(server.seen[-1].connection)
+            return result
+
+        assert await ask(0.0) is Result.SERVED
+        if told:
+            clock[0] += 2000.0
+            server.hang_up()
+            await until(lambda: not attempts.upstream.count())
+        else:
+            assert await ask(2000.0) is Result.RESET
+        connections.clear()
+        for idle_ms in (0.0, 900.0, 1100.0, 900.0):  # trusted for half of 2 s
+            assert await ask(idle_ms) is Result.SERVED
+        assert connections == [2, 2, 3, 3]
+        for _ in range(20):
+            attempts.upstream._sweep()
+        await ask(20_000.0)  # without further evidence the trust returns
+        assert connections[-1] == 3
+        await server.stop()
+
+    run(test())
+
+
 def test_the_most_recently_used_connection_comes_first_and_idle_ones_can_be_closed() -> None:
     async def test() -> None:
         server = Server()
