Pass a server over once it holds its part, not its part and one call more

Symptom: first sends are refused, 20 to 50 in 100, while the delay is under the target.

Ruled out by switching them off one at a time: pace, slices, the crowd rule, shedding, the window, patience; each alone made things worse or changed nothing. Reading the reported inflight as a queue made things worse too.

Faulty line: in _candidates, 'room' added a whole call to each server's part. A copy has only a few calls out on each server, so one more is as much again, and turns go on to a server that is stuck or slow.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -27,7 +27,7 @@
 HOLD_SHARES = (0.08, 0.5)  # of its aim: how long a call may wait for room; deeper, giving up wastes more
 SAMPLES, FEW_SAMPLES = 20.0, 4.0  # answers measured; fewer show their error in part, as one may be chance
 RETRY_WAIT_MS, RETRY_WAIT_SHARE = 500.0, 0.2  # T1, or less by aim, doubling with each attempt, with jitter
-CROWD = 1.2  # a server holding so many times its part of what is outstanding, and one more, is passed over
+CROWD = 1.2  # a server holding so many times its part of what is outstanding, and a call, is passed over
 LIMIT_CUT = 0.9  # what a server may hold from here after it has turned an attempt away
 SLOW_FROM, SLOW_POWER = 1.5, 4.0  # times its peers' delay: a weight falls, so steeply that it gets rest
 REPORT_MS = 5_000.0  # the time in which a reported queue fades, by whose cube its weight is divided
@@ -358,7 +358,7 @@
             weight *= server.pace(now, self._share)
             total += weight
             # A slow or stuck server shows first by what it holds: passed over till its peers hold alike.
-            room = server.inflight < min(server.limit, 1.0 + fair * weight)
+            room = server.inflight < min(server.limit, max(1.0, fair * weight))
             (found if room and now >= server.shut_ms else crowded).append((server, weight))
         self._weight = total if call.ran_ms is None else self._weight
         found = found or [(server, weight) for server, weight in crowded if server.inflight < server.limit]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -150,6 +150,15 @@
     assert picked.count(2) == 20
 
 
+def test_a_server_that_holds_its_part_waits_for_the_others() -> None:
+    """big-1: with a call more than its part allowed, some held four calls while others had none."""
+    node = Node(servers=4)
+    node.ask("a")
+    node.ask("b")
+    holding = {node.sent["a"][0], node.sent["b"][0]}
+    assert holding.isdisjoint(node.serve(20, gap_ms=0.0, delay_ms=0.0))
+
+
 def test_a_stuck_server_is_passed_over() -> None:
     # akl big-2: two choked servers of fifty held up the whole tier.
     node = Node(servers=4)
