Size the window of first sends by the delay that the loop targets

Evidence: in those stretches the loop's error is positive (delay under the target), the probability of a retry is 1, and still the calls outstanding stand at the window, 8 of 8. The window was sized for 0.3 of the aim and the target is 0.4, so the window refuses what the loop would bear, the answer rate falls, and the window with it.

Faulty lines: WINDOW_SHARE and its use in DelayController.window. It is gone; the window now rests on TARGET_SHARE.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -16,8 +16,8 @@
 from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Group, Health, ListKind, Repeat, Result
 
-TARGET_SHARE = 0.4  # tau0, the target round trip delay, as a share of the aim of what was answered
-WINDOW_SHARE = 0.3  # of the aim: the delay that first sends may reach, by Little's law,
+TARGET_SHARE = 0.4  # tau0, the target round trip delay, as a share of the aim of what was answered;
+# by Little's law it sets the window of first sends too: a smaller one refuses what meets the target,
 ADDED = 2.0  # with so many calls a server of this copy's part added, so that copies' windows grow alike
 FEW = 3.0  # while the loop allows retries a window opens to so many calls, as a copy's few calls bunch
 SHED_MOST = 0.8  # of first sends may be shed for delay: the rest keeps the measurement going
@@ -100,7 +100,7 @@
             return START * part + self.answers.events
         self.answers.count(0.0, now)
         # i35d8eb: with nothing added it spirals down where the normal delay is over its share of the aim.
-        usual = ADDED * part + self.answers.per_s() * WINDOW_SHARE * self._aim_s / self._samples
+        usual = ADDED * part + self.answers.per_s() * TARGET_SHARE * self._aim_s / self._samples
         return usual + max(0.0, FEW - usual) * self.allowed_rate / (self.tuned_rate or 1.0)
 
     def retry_probability(self, now: float) -> float:
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from nickelbridge.logic import ADDED, PHASE_MARGIN, START, WINDOW_SHARE, DelayController
+from nickelbridge.logic import ADDED, PHASE_MARGIN, START, TARGET_SHARE, DelayController
 
 
 def steady(controller: DelayController, delay_ms: float, count: int, gap_ms: float = 100.0) -> float:
@@ -110,7 +110,15 @@
         now += 50.0
         controller.answered(600.0, 4000.0, now, True)
     added = ADDED * 4.0
-    assert controller.window(4.0, now) - added > 0.9 * 20 * WINDOW_SHARE * 4.0  # nu1 20 a second, aim 4 s
+    assert controller.window(4.0, now) - added > 0.9 * 20 * TARGET_SHARE * 4.0  # nu1 20 a second, aim 4 s
+
+
+def test_the_window_bears_what_meets_the_target() -> None:
+    """case2553: a window for three quarters of the target refused calls while the loop had no error."""
+    controller, delay_ms = DelayController(), 0.99 * TARGET_SHARE * 1000.0
+    now = steady(controller, delay_ms, 300, gap_ms=10.0)
+    assert controller.shed(now) == 0.0
+    assert controller.window(0.0, now) >= 0.95 * 100.0 * delay_ms / 1000.0  # nu1 100 a second
 
 
 def test_the_window_does_not_spiral_down_where_the_normal_delay_is_over_the_target() -> None:
