Keep running on SIGHUP and follow discovery to its new address

Evidence: 129 is 128 plus SIGHUP; __main__ handled SIGTERM alone, so the default action ended the process the moment the platform announced a changed configuration file.

Now the node reads the file again, ends its call to the old address and starts at the new one with the whole list. A file that is no good is logged and changes nothing.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -1,4 +1,7 @@
-"""Starts a node from the file that NODE_CONFIG names; SIGTERM ends it once all it holds is answered."""
+"""Starts a node from the file that NODE_CONFIG names; SIGTERM ends it once all it holds is answered.
+
+SIGHUP has it read the file again and go on with discovery where the file says.
+"""
 
 from __future__ import annotations
 
@@ -34,6 +37,7 @@
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     node = Node(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, reload, node, path)
     try:
         host, port = await node.frontend.listen(loop, config.listen)
     except OSError as problem:
@@ -55,6 +59,17 @@
     return 0
 
 
+def reload(node: Node, path: str) -> None:
+    """Read the file again; one that is no good changes nothing."""
+    try:
+        config = read_config(path)
+    except BadConfig as problem:
+        log.warning("the configuration stays as it was: %s", problem)
+    else:
+        node.reload(config)
+        log.info("configuration read again, discovery at %s:%d", *config.discovery)
+
+
 def watch_lag(loop: asyncio.AbstractEventLoop, due_s: float) -> None:
     """Log when the event loop ran late: too little CPU shows here first."""
     late_s = loop.time() - due_s
--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -86,6 +86,14 @@
         if self._asking is None:
             self._ask(whole=False)
 
+    def move(self, address: Address) -> None:
+        """Go on at another address, from its whole list: the old one takes no calls any more."""
+        if address != self._address:
+            self._end_call()
+            self._drop()
+            self._address = address
+            self._ask(whole=True)
+
     def close(self) -> None:
         """Stop for good."""
         self._end_call()
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -83,6 +83,10 @@
         if not self._config.settings.follow_list:
             self._discovery.subscribe()
 
+    def reload(self, config: Config) -> None:
+        """Take over what may change while the node runs: where discovery is."""
+        self._discovery.move(config.discovery)
+
     async def stop(self) -> None:
         """Finish all that is held and close."""
         await self.frontend.wind_up()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
 from tests.peers import (
     CLOSE,
     LIMIT_S,
+    Registry,
     Server,
     World,
     answer,
@@ -389,6 +390,13 @@
                 scene.address = address(line.decode().split()[-1])
                 return program
 
+    async def logs(self, words: bytes) -> None:
+        """Wait for a line with these words."""
+        assert self.process.stderr is not None
+        async with asyncio.timeout(LIMIT_S):
+            while words not in await self.process.stderr.readline():
+                assert not self.process.stderr.at_eof(), "ended without the line"
+
     async def refuses(self) -> None:
         """Wait until the listener is closed."""
         async with asyncio.timeout(LIMIT_S):
@@ -408,6 +416,37 @@
     )  # fmt: skip
 
 
+def test_sighup_moves_discovery_and_disturbs_no_request(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = Server(name="old"), Server(name="new")
+        old.gate.clear()
+        registry = Registry()
+        for peer in (registry, new):
+            await peer.start()
+        registry.index, registry.whole = 7, [new.entry()]
+        async with world(tmp_path, old, start=False) as scene:
+            program = await Program.start(scene)
+            held = asyncio.ensure_future(scene.ask("held"))
+            await until(lambda: len(old.seen) == 1)
+            scene.path.write_text("{")  # no good: all stays as it was
+            program.process.send_signal(signal.SIGHUP)
+            await program.logs(b"stays as it was")
+            scene.path.write_text(json.dumps(scene.config | {"discovery": registry.address}))
+            program.process.send_signal(signal.SIGHUP)
+            await until(lambda: len(registry.seen) == 2)  # the list, and a watch from there on
+            assert "index=7" in registry.seen[1].target
+            assert (await scene.ask("after")).status == 200
+            assert [seen.id for seen in new.seen] == ["after"]
+            old.gate.set()
+            assert (await held).status == 200
+            program.process.terminate()
+            assert await program.process.wait() == 0
+        for peer in (registry, new):
+            await peer.stop()
+
+    run(test())
+
+
 def test_sigterm_finishes_what_is_held_and_exits_0(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server()
