Deal out half of all turns whatever the pace, so that load does not chase one server

Lines on each request show what sets in at 8 s: one of a copy's four servers holds calls of 1.0 to 1.4 s, its pace falls to 0.01; the load moves, the next two slow down and fall to 0.05 and 0.2, and at 10.7 s the fourth holds eight calls while the others have weights of 0.01 to 0.14. It then slows down in turn, and the loop sheds.

Ruled out: the network code. No answer came in pieces, no write to a caller waited, and connections were few (228).

Faulty lines: pace() in _candidates, a fourth power against an average that lags, with nothing to hold it when most servers lose weight at once. Ejection for errors has such a bound (EJECT_SHARE), pace had none.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -30,6 +30,7 @@
 CROWD = 1.2  # a server holding so many times its part of what is outstanding, and a call, is passed over
 LIMIT_CUT = 0.9  # what a server may hold from here after it has turned an attempt away
 SLOW_FROM, SLOW_POWER = 1.5, 4.0  # times its peers' delay: a weight falls, so steeply that it gets rest
+PACED_LEAST = 0.5  # of the weight stays in turns, whatever their pace
 REPORT_MS = 5_000.0  # the time in which a reported queue fades, by whose cube its weight is divided
 OVERDUE = 1.5  # a call out for so many times the usual delay makes its server look as slow as one answer
 SLOW_MOST = 10.0  # times its peers' delay that one answer may count for at most
@@ -345,9 +346,8 @@
 
     def _candidates(self, call: Call, now: float) -> list[tuple[Server, float]]:
         """The servers that may get the call's next attempt, with their weights."""
-        found: list[tuple[Server, float]] = []
-        crowded, total = found[:], 0.0
-        fair = CROWD * self.inflight / self._weight if self._weight else math.inf
+        paced: list[tuple[Server, float, float]] = []
+        full = total = 0.0
         for server in self.fleet.ready if call.ran_ms is None else self.fleet.group(call):
             weight = server.part
             if server.started_ms is not None:
@@ -355,8 +355,17 @@
                 if warmth < 1.0 and self._cold_budget(server, warmth, now) < 1.0:
                     continue
                 weight *= warmth
-            weight *= server.pace(now, self._share)
-            total += weight
+            pace = server.pace(now, self._share)
+            paced.append((server, weight, pace))
+            full, total = full + weight, total + weight * pace
+        # Where most look slow the tier is: whoever answered last would get it all, and be the next to choke.
+        even = max(0.0, PACED_LEAST * full - total) / (full - total) if full > total else 0.0
+        total += even * (full - total)
+        found: list[tuple[Server, float]] = []
+        crowded = found[:]
+        fair = CROWD * self.inflight / self._weight if self._weight else math.inf
+        for server, weight, pace in paced:
+            weight *= pace + even * (1.0 - pace)
             # A slow or stuck server shows first by what it holds: passed over till its peers hold alike.
             room = server.inflight < min(server.limit, max(1.0, fair * weight))
             (found if room and now >= server.shut_ms else crowded).append((server, weight))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -186,6 +186,17 @@
     assert slow.pace(node.now + 60_000.0, 0.0) == pytest.approx(1.0)
 
 
+def test_when_most_servers_look_slow_the_last_good_one_does_not_get_it_all() -> None:
+    """case7198: of four servers three looked slow for a moment; the fourth got eight calls and choked."""
+    node = Node(servers=4)
+    *slow, good = node.balancer.fleet.ready
+    for server in slow:
+        server.slowness, server.slow_ms = 10.0, node.now
+    picked = node.serve(60, gap_ms=0.0, delay_ms=0.0)
+    assert picked.count(good.id) == pytest.approx(30, abs=2)
+    assert {picked.count(server.id) for server in slow} == {10}
+
+
 def test_a_server_that_fails_fast_is_ejected_and_returns() -> None:
     node = Node(servers=4)
     node.serve(100)
