Part within 3 s with peers that never send a whole request

Faulty lines: Caller had no clock at all. A peer that connected and sent nothing, or half a request, kept its socket until all were in use and the oldest idle caller had to go; peers are owed an error or a close within 3 s.

Ruled out: clients, who use a third of the descriptors at most, and servers (87 at once).

Now a request must be whole 2 s after it began, the first 2 s after its connection came: 408 where part of it is there, else a close. A pause between requests may last 60 s, and a peer that does not take its last answer is cut off after 2 s.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -1,7 +1,7 @@
 """The callers' side: HTTP in, exactly one answer to each request out.
 
-Whatever a caller sends, only its own connection suffers. Requests that can't be served are turned
-away here as errors, never as refusals (429, 503): those are the module's to give.
+Whatever a caller sends or fails to send, only its own connection suffers. Requests that can't be
+served are turned away here as errors, never as refusals (429, 503): those are the module's to give.
 """
 
 from __future__ import annotations
@@ -18,11 +18,15 @@
 
 import httptools
 
-from orchidferry.config import Address
+from orchidferry.config import Address, now_ms
 from orchidferry.upstream import MAX_BODY, MAX_HEAD
 
 BACKLOG = 1024
 MOST_BUDGET_S = 3600.0  # a caller that says it waits longer has made a mistake
+READ_MS = 2_000.0  # for a request to come whole, the first from when its connection came: 3 s are allowed
+IDLE_MS = 60_000.0  # between requests: a caller that has gone without a word holds no socket for ever
+CLOSE_MS = 2_000.0  # for a peer to take the answer that its connection ends with
+SWEEP_S = 0.25  # how often connections are looked at for these
 MOST_PIPELINED = 8  # requests sent ahead on one connection; the protocol says none
 READY_PATH = b"/-/ready"
 OWN_PATHS = b"/-/"
@@ -91,6 +95,8 @@
         self._owed: Owed | None = None  # the one that the node has
         self._busy = self._closing = self._deaf = False
         self._reading = self._completed = False
+        self._asked = False  # a whole request has come
+        self._since_ms = 0.0  # when what is waited for began: a request, a pause between two, or the close
         self._start_message()
 
     def _start_message(self) -> None:
@@ -104,6 +110,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is none by class
+        self._since_ms = now_ms()
         self._frontend.opened(self)
 
     def data_received(self, data: bytes) -> None:
@@ -138,16 +145,36 @@
         """Nothing is owed on it, and nothing is half read."""
         return not self._busy and not self._reading and not self._queue
 
+    def check(self, now: float) -> None:
+        """Part with a peer that keeps its connection waiting."""
+        waited_ms = now - self._since_ms
+        if self._transport.is_closing():
+            if waited_ms > CLOSE_MS:
+                self._transport.abort()
+        elif self._busy:
+            return
+        elif self._reading and waited_ms > READ_MS:
+            self._reject(408, "the request is not whole")
+            self._serve_next()
+        elif not self._reading and waited_ms > (IDLE_MS if self._asked else READ_MS):
+            self._close()
+
+    def _close(self) -> None:
+        self._since_ms = now_ms()
+        self._transport.close()
+
     def wind_up(self) -> None:
         """Close after what is under way; at once if nothing is."""
         self._closing = True
         if self.idle():
-            self._transport.close()
+            self._close()
 
     # The parser's calls. An exception in one of them would count as malformed HTTP.
 
     def on_message_begin(self) -> None:
         self._reading = True
+        if self._asked:  # the first one's time runs from the start: a peer may dawdle before it, too
+            self._since_ms = now_ms()
         self._start_message()
 
     def on_url(self, url: bytes) -> None:
@@ -176,7 +203,7 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
-        self._reading, self._completed = False, True
+        self._reading, self._completed, self._asked = False, True, True
         if self._deaf:
             return
         if not self._parser.should_keep_alive():
@@ -249,7 +276,9 @@
         close = self._closing and not self._queue and not self._reading
         self._transport.write(render(reply, close))
         if close:
-            self._transport.close()
+            self._close()
+        elif not self._reading:
+            self._since_ms = now_ms()
 
 
 class Frontend:
@@ -273,9 +302,16 @@
         """Accept callers from now on; the address, with the port that port 0 stands for."""
         server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
         self._server = server
+        self._sweep(loop)
         host, port = server.sockets[0].getsockname()[:2]
         return host, port
 
+    def _sweep(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.call_later(SWEEP_S, self._sweep, loop)
+        now = now_ms()
+        for caller in list(self._callers):
+            caller.check(now)
+
     def count(self) -> int:
         """Callers' connections that are open."""
         return len(self._callers)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,7 @@
 
 from nickelbridge import interface as api
 from nickelbridge.logic import Balancer
+from orchidferry import frontend
 from orchidferry.config import address, server_id
 from tests.peers import (
     CLOSE,
@@ -313,6 +314,35 @@
     run(test())
 
 
+@pytest.mark.parametrize("sent", [b"", b"GET /re", request("x", "pay", body=b"abc")[:-1], b"\r\n"])
+def test_a_peer_that_never_sends_a_whole_request_is_let_go(
+    sent: bytes, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Owed an error or a close within 3 s of connecting, whenever in that time it began."""
+    clock = [1000.0]
+    monkeypatch.setattr(frontend, "now_ms", lambda: clock[0])
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            assert scene.node is not None
+            good, bad = await scene.caller(), await scene.caller()
+            assert (await good.ask("before")).status == 200
+            await until(lambda: scene.node is not None and scene.node.frontend.count() == 2)
+            clock[0] += 1900.0
+            bad.write(sent)
+            await good.ask("between")  # the node has read what was written before
+            clock[0] += 300.0
+            ending = await asyncio.wait_for(bad.reader.read(), LIMIT_S)
+            assert ending == b"" or ending.startswith(b"HTTP/1.1 408")
+            assert (await good.ask("after")).status == 200  # a pause between requests is no fault
+            assert [seen.id for seen in server.seen] == ["before", "between", "after"]
+            clock[0] += 61_000.0
+            assert await good.closed()
+
+    run(test())
+
+
 def test_an_id_that_is_open_is_turned_away_without_harm_to_its_owner(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server()
