Keep the trust in idle connections per server, and drop it with the server

Evidence: a release of the servers ends one every 2.5 s. A process that ends closes its idle connections whatever their age, and each such close cut the trust in all others.

The new test fails with the shared trust.

--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -241,4 +241,4 @@
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
         self._addresses.pop(server, None)
-        self._upstream.close_idle(server)
+        self._upstream.forget_server(server)
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -151,9 +151,9 @@
         closed_here, self._lost = self._closed, True
         self._pool.forget(self)
         if self._attempt is None and not closed_here:
-            self._pool.closed_early(now_ms() - self.idle_since)
+            self._pool.closed_early(self.server, now_ms() - self.idle_since)
         elif self._attempt is not None and self._idled_ms is not None and not self._head:
-            self._pool.closed_early(self._idled_ms)
+            self._pool.closed_early(self.server, self._idled_ms)
         if self._attempt is not None:
             self._end(Result.RESET if self._attempt.written else Result.UNREACHABLE, reuse=False)
 
@@ -260,7 +260,8 @@
     ) -> None:
         self._loop, self._room = loop, room
         self._connect_timeout_s = connect_timeout_ms / 1000.0
-        self._idle_limit_ms = self._trusted_ms = keepalive_ms * IDLE_SHARE
+        self._idle_limit_ms = keepalive_ms * IDLE_SHARE
+        self._trust_ms: dict[int, float] = {}  # less than that, for servers that closed earlier
         self._idle: dict[int, list[Connection]] = {}
         self._open: set[Connection] = set()
         self._dials: set[asyncio.Task[None]] = set()
@@ -287,8 +288,8 @@
             connection = idle.pop()  # the most recently used, so that the rest can grow old and go
             idled_ms = now_ms() - connection.idle_since
             if not connection.usable():
-                self.closed_early(idled_ms)
-            elif connection.address == address and idled_ms <= self._trusted_ms:
+                self.closed_early(server, idled_ms)
+            elif connection.address == address and idled_ms <= self._trusted(server):
                 connection.carry(attempt)
                 return attempt
             connection.close()
@@ -319,13 +320,16 @@
         else:
             connection.carry(attempt)
 
-    def closed_early(self, idled_ms: float) -> None:
-        """Trust idle connections for less: one was ended by its server after so long.
+    def closed_early(self, server: int, idled_ms: float) -> None:
+        """Trust a server's idle connections for less: it ended one after so long.
 
         The stated limit is the latest. Servers, and what lies between, also close sooner; a request
         written meanwhile ends as a reset that may have run, which costs far more than a handshake.
         """
-        self._trusted_ms = max(LEAST_TRUST_MS, min(self._trusted_ms, IDLE_SHARE * idled_ms))
+        self._trust_ms[server] = max(LEAST_TRUST_MS, min(self._trusted(server), IDLE_SHARE * idled_ms))
+
+    def _trusted(self, server: int) -> float:
+        return self._trust_ms.get(server, self._idle_limit_ms)
 
     def put_back(self, connection: Connection) -> None:
         """Keep a connection that carries nothing for the next attempt."""
@@ -344,6 +348,11 @@
         for connection in self._idle.pop(server, []):
             connection.close()
 
+    def forget_server(self, server: int) -> None:
+        """Keep nothing of a server that is gone: what it closed when it ended tells nothing of the next."""
+        self.close_idle(server)
+        self._trust_ms.pop(server, None)
+
     def close_oldest_idle(self) -> bool:
         """Give back a socket, if one carries nothing."""
         oldest = min((idle[0] for idle in self._idle.values() if idle), key=_age, default=None)
@@ -353,9 +362,10 @@
 
     def _sweep(self) -> None:
         self._loop.call_later(SWEEP_S, self._sweep)
-        before = now_ms() - self._trusted_ms
-        self._trusted_ms = min(self._idle_limit_ms, self._trusted_ms * TRUST_GROWTH)
+        grown = {server: trust_ms * TRUST_GROWTH for server, trust_ms in self._trust_ms.items()}
+        self._trust_ms = {server: ms for server, ms in grown.items() if ms < self._idle_limit_ms}
         for server, idle in list(self._idle.items()):
+            before = now_ms() - self._trusted(server)
             while idle and idle[0].idle_since < before:
                 idle[0].close()
             if not idle:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -140,12 +140,12 @@
         self.address: Address = (host, int(port))
         self.results: list[Result] = []
 
-    def send(self, id: str, alive: list[bool] | None = None) -> None:
+    def send(self, id: str, alive: list[bool] | None = None, server: int = 1) -> None:
         def ended(result: Result, answer: Answer | None) -> None:
             self.results.append(result)
 
         self.upstream.send(
-            1, self.address, request(id), 20_000.0, lambda: alive is None or alive[0], ended
+            server, self.address, request(id), 20_000.0, lambda: alive is None or alive[0], ended
         )  # fmt: skip
 
     async def result(self, count: int) -> Result:
@@ -295,6 +295,39 @@
     run(test())
 
 
+def test_a_server_that_ends_costs_others_no_trust_and_its_successor_none(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """case2060: in a release of the servers, each that ended had all connections opened anew."""
+    clock = [1000.0]
+    monkeypatch.setattr(upstream, "now_ms", lambda: clock[0])
+    monkeypatch.setattr(upstream, "SWEEP_S", 3600.0)
+
+    async def test() -> None:
+        server = Server()
+        await server.start()
+        attempts = Attempts(server.address)
+        attempts.send("a", server=1)
+        await attempts.result(1)
+        server.hang_up()
+        await until(lambda: not attempts.upstream.count())
+        connections = {}
+        for n, name in enumerate((2, 2, 1, 1, 3, 3)):
+            if n == 4:
+                attempts.upstream.forget_server(1)
+            number = 1 if name == 3 else name
+            clock[0] += 5000.0
+            attempts.send(f"{n}", server=number)
+            await attempts.result(n + 2)
+            connections[name, n % 2] = server.seen[-1].connection
+        assert connections[2, 0] == connections[2, 1]  # another server's
+        assert connections[1, 0] != connections[1, 1]  # its own
+        assert connections[3, 0] == connections[3, 1]  # after it was listed as gone
+        await server.stop()
+
+    run(test())
+
+
 def test_the_most_recently_used_connection_comes_first_and_idle_ones_can_be_closed() -> None:
     async def test() -> None:
         server = Server()
