Close callers that idle for 2 s while sockets are short

Evidence: counted every 20 s, a node has 187 to 228 callers' connections for 3 to 15 requests in progress, and not one idle connection to a server, as the pool gives those back first when sockets run out. So attempts dial, and a dial without room ends as 'could not connect', which the module books against the server (12 to 17 in 5 s at the worst time).

Faulty lines: idle callers left only once the sockets were all in use (Frontend.opened), so what the node itself needs was always the first to go.

Now idle callers stay for a minute while a quarter of the sockets is free, and for 2 s, which is what the terms allow, while it is not.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -25,6 +25,7 @@
 MOST_BUDGET_S = 3600.0  # a caller that says it waits longer has made a mistake
 READ_MS = 2_000.0  # for a request to come whole, the first from when its connection came: 3 s are allowed
 IDLE_MS = 60_000.0  # between requests: a caller that has gone without a word holds no socket for ever
+SHORT_IDLE_MS = 2_000.0  # and while sockets are short
 CLOSE_MS = 2_000.0  # for a peer to take the answer that its connection ends with
 SWEEP_S = 0.25  # how often connections are looked at for these
 MOST_PIPELINED = 8  # requests sent ahead on one connection; the protocol says none
@@ -145,7 +146,7 @@
         """Nothing is owed on it, and nothing is half read."""
         return not self._busy and not self._reading and not self._queue
 
-    def check(self, now: float) -> None:
+    def check(self, now: float, idle_ms: float) -> None:
         """Part with a peer that keeps its connection waiting."""
         waited_ms = now - self._since_ms
         if self._transport.is_closing():
@@ -156,7 +157,7 @@
         elif self._reading and waited_ms > READ_MS:
             self._reject(408, "the request is not whole")
             self._serve_next()
-        elif not self._reading and waited_ms > (IDLE_MS if self._asked else READ_MS):
+        elif not self._reading and waited_ms > (idle_ms if self._asked else READ_MS):
             self._close()
 
     def _close(self) -> None:
@@ -289,10 +290,11 @@
         accept: Accept,
         ready: Callable[[], bool],
         room: Callable[[], int],
+        plenty: Callable[[], bool],
         make_room: Callable[[], object],
     ) -> None:
         self.accept = accept
-        self._ready, self._room, self._make_room = ready, room, make_room
+        self._ready, self._room, self._plenty, self._make_room = ready, room, plenty, make_room
         self._callers: dict[Caller, None] = {}  # in the order they came
         self._server: asyncio.Server | None = None
         self._closing = False
@@ -309,8 +311,10 @@
     def _sweep(self, loop: asyncio.AbstractEventLoop) -> None:
         loop.call_later(SWEEP_S, self._sweep, loop)
         now = now_ms()
+        # Idle callers must not take the sockets that connections to servers live by.
+        idle_ms = IDLE_MS if self._plenty() else SHORT_IDLE_MS
         for caller in list(self._callers):
-            caller.check(now)
+            caller.check(now, idle_ms)
 
     def count(self) -> int:
         """Callers' connections that are open."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -21,6 +21,7 @@
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
+PLENTY_SHARE = 0.25  # of the limit: with so much room idle callers may stay
 PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
 
 log = logging.getLogger("orchidferry")
@@ -73,7 +74,11 @@
         self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
         self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
         self.frontend = Frontend(
-            self.accept, lambda: bool(self._in_service), self._room, self._upstream.close_oldest_idle
+            self.accept,
+            lambda: bool(self._in_service),
+            self._room,
+            lambda: self._room() > PLENTY_SHARE * config.sockets,
+            self._upstream.close_oldest_idle,
         )
 
     def start(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -403,6 +403,31 @@
     run(test())
 
 
+def test_idle_callers_leave_while_sockets_are_short(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """case2060: idle callers took all sockets, and every attempt had to open a connection."""
+    clock = [1000.0]
+    monkeypatch.setattr(frontend, "now_ms", lambda: clock[0])
+
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server, sockets=64) as scene:
+            callers = [await scene.caller() for _ in range(28)]
+            for n, caller in enumerate(callers):
+                assert (await caller.ask(f"{n}")).status == 200
+            clock[0] += 1900.0
+            assert (await callers[0].ask("later")).status == 200
+            clock[0] += 200.0
+            for caller in callers[1:]:
+                assert await caller.closed()
+            assert (await callers[0].ask("again")).status == 200  # it has not idled for 2 s
+            clock[0] += 50_000.0  # and there is plenty now
+            await asyncio.sleep(3 * frontend.SWEEP_S)
+            assert (await callers[0].ask("last")).status == 200
+            assert server.connections == 1
+
+    run(test())
+
+
 class Program:
     """The program itself, as it is run in service."""
 
