Take no close right after an answer for an idle limit, and regain trust slowly

Ruled out: the module's CloseIdle and the release itself.

Faulty lines: Connection.connection_lost and Upstream.send counted any close by a server. Now closes within 50 ms of an answer do not count, resets on reuse still do, and as what is left is sound evidence, trust grows by 5 in 100 a second instead of 25.

--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -21,8 +21,9 @@
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
 IDLE_SHARE = 0.5  # of the servers' idle limit: a request that crosses their close ends as a reset
-TRUST_GROWTH = 1.25  # a sweep: how soon idle connections are trusted for longer again
+TRUST_GROWTH = 1.05  # a sweep: how soon idle connections are trusted for longer again
 LEAST_TRUST_MS = 1.0  # what it grows from
+AFTER_ANSWER_MS = 50.0  # a close that soon after an answer is the server's way to end that exchange
 SWEEP_S = 1.0  # how often connections that have idled too long are looked for
 
 
@@ -160,8 +161,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         closed_here, self._lost = self._closed, True
         self._pool.forget(self)
-        if self._attempt is None and not closed_here:
-            self._pool.closed_early(self.server, now_ms() - self.idle_since)
+        idled_ms = now_ms() - self.idle_since
+        if self._attempt is None and not closed_here and idled_ms > AFTER_ANSWER_MS:
+            self._pool.closed_early(self.server, idled_ms)
         elif self._attempt is not None and self._idled_ms is not None and not self._head:
             self._pool.closed_early(self.server, self._idled_ms)
         if self._attempt is not None:
@@ -299,7 +301,8 @@
             connection = idle.pop()  # the most recently used, so that the rest can grow old and go
             idled_ms = now_ms() - connection.idle_since
             if not connection.usable():
-                self.closed_early(server, idled_ms)
+                if idled_ms > AFTER_ANSWER_MS:
+                    self.closed_early(server, idled_ms)
             elif connection.address == address and idled_ms <= self._trusted(server):
                 connection.carry(attempt)
                 return attempt
