Let sliding counts forget when they grow, not only when they are read

Faulty lines: SlidingCount pruned in count() alone, and without a stated budget nobody reads _further; _taken is read at retries only (753 times kept at 240 s).

--- a/nickelbridge/averages.py
+++ b/nickelbridge/averages.py
@@ -43,6 +43,7 @@
         self._times: deque[float] = deque()
 
     def add(self, now: float) -> None:
+        self.count(now)  # where nobody asks for it, the past must go all the same
         self._times.append(now)
 
     def count(self, now: float) -> int:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -8,6 +8,7 @@
 
 from nickelbridge import interface as api
 from nickelbridge import logic
+from nickelbridge.averages import SlidingCount
 from nickelbridge.interface import Result
 from tests.helpers import Node, ends, entries, sends, timers
 
@@ -492,6 +493,15 @@
     assert further(8) == 2  # the first have left it, and nine taken earn none
 
 
+def test_a_sliding_count_that_nobody_reads_forgets_all_the_same() -> None:
+    """case2060: a node kept a time for each of 1,025 retries, and more with every minute."""
+    count = SlidingCount(1000.0)
+    for n in range(500):
+        count.add(100.0 * n)
+    assert len(count._times) == 11
+    assert count.count(100.0 * 499) == 11
+
+
 def test_without_a_stated_budget_further_attempts_are_not_counted() -> None:
     node = Node(8)
     for n in range(20):
