Give up silent watches of discovery within 2 s instead of 21.5, and out of step

A trace of every event at every node shows no list news at any of the first tier's nodes between the start and 22.0 s; then one change brings a whole release: 8 of 10 servers gone, 8 new. All 17 watches had fallen silent. Discovery had the first drain at 9.4 s. The nodes went on with ejected and vanished servers, and held and refused what these could not take.

Ruled out: the policy. The agent does answer new calls, so it is not down; only open watches are lost.

At fault: `WATCH_MS` and `GRACE_MS` in orchidferry/discovery.py, which let a lost watch stand for 21.5 s. Polls each second cost the agent nothing, as the protocol says. What a silent watch had to tell counts as told 2 s after its wait, so wait, grace and pause before the next call now end before that; a call for the whole list gets 1 s in place of 5. The pause after a failure, the same 0.5 s at every node, has jitter now: watches fail at all nodes in one moment. That part is not measured on its own.

--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -15,9 +15,9 @@
 from nickelbridge.settings import Malformed
 from orchidferry.config import Address, Listing, read_listing
 
-WATCH_MS = 20_000  # how long discovery may keep a watch open
-GRACE_MS = 1_500  # what it gets beyond that: 2 s after the wait its news counts as told
-CALL_MS = 5_000  # for a call that need not wait for news
+WATCH_MS = 1_000  # how long discovery may keep a watch open: one that falls silent is noticed no sooner
+GRACE_MS = 500  # what it gets beyond that: 2 s after the wait its news counts as told
+CALL_MS = 1_000  # for a call that need not wait for news: the agent is on the node's own machine
 MAX_LIST = 8 * 1024 * 1024
 
 
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import random
 from collections import deque
 from collections.abc import Callable
 
@@ -22,7 +23,7 @@
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 PLENTY_SHARE = 0.25  # of the limit: with so much room idle callers may stay
-PUSHED_RETRY_S = 0.5  # after a failure of the node's own agent, where lists come unasked
+PUSHED_RETRY_S = 0.5  # on average after a failure of the node's own agent, where lists come unasked
 
 log = logging.getLogger("orchidferry")
 
@@ -65,6 +66,7 @@
         self._config, self._loop = config, loop
         settings = config.settings
         self._balancer = Balancer(settings, config.seed)
+        self._rng = random.Random(config.seed)
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._live: dict[str, Live] = {}
@@ -226,7 +228,11 @@
         if self._config.settings.follow_list:
             self._handle(api.ServerList(api.ListKind.FAILED))
         else:
-            self._loop.call_later(PUSHED_RETRY_S, self._discovery.subscribe)
+            self._loop.call_later(self.pause_s(), self._discovery.subscribe)
+
+    def pause_s(self) -> float:
+        """With jitter: what fails at one node often fails at all of them in the same moment."""
+        return PUSHED_RETRY_S * (0.5 + self._rng.random())
 
     def _take_listing(self, listing: Listing, kind: api.ListKind) -> None:
         if kind is not api.ListKind.CHANGES:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -17,10 +17,10 @@
 
 from nickelbridge import interface as api
 from nickelbridge.logic import Balancer
-from orchidferry import frontend
+from orchidferry import discovery, frontend
 from orchidferry.config import address, server_id
 from orchidferry.frontend import Caller
-from orchidferry.node import Live
+from orchidferry.node import PUSHED_RETRY_S, Live
 from orchidferry.upstream import Attempt
 from tests.peers import (
     CLOSE,
@@ -38,6 +38,15 @@
 )
 from tests.test_wire import ROOT
 
+MOST_RETRY_MS = 1.5 * PUSHED_RETRY_S * 1000.0  # with all its jitter
+WATCH_MS, GRACE_MS, CALL_MS = discovery.WATCH_MS, discovery.GRACE_MS, discovery.CALL_MS
+
+
+@pytest.fixture(autouse=True)
+def patient_watches(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Peers here speak when a test tells them to: on a slow machine no watch may run out meanwhile."""
+    monkeypatch.setattr(discovery, "WATCH_MS", 60_000)
+
 
 def test_a_keyed_request_that_may_have_run_stays_within_its_group(tmp_path: Path) -> None:
     async def test() -> None:
@@ -164,6 +173,43 @@
     run(test())
 
 
+def test_a_watch_that_falls_silent_is_given_up_before_its_news_counts_as_told(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """disco+vast: watches of all nodes fell silent, and a whole release went unseen for 21.5 s."""
+    assert GRACE_MS + MOST_RETRY_MS < 2_000.0 and CALL_MS + MOST_RETRY_MS < 4_000.0
+    assert WATCH_MS + GRACE_MS + MOST_RETRY_MS < 4_000.0  # servers drain for some seconds, and are gone
+    monkeypatch.setattr(discovery, "WATCH_MS", 0)
+    monkeypatch.setattr(discovery, "GRACE_MS", 50)
+
+    async def test() -> None:
+        server, other = Server(name="old"), Server(name="new")
+        await other.start()
+        async with world(tmp_path, server) as scene:
+            await until(lambda: len(scene.registry.seen) >= 2)  # the first watch is never answered
+            monkeypatch.setattr(discovery, "GRACE_MS", 60_000)
+            assert all("index=1&" in seen.target for seen in scene.registry.seen)
+            for _ in scene.registry.seen:  # those given up wait for news as well
+                scene.registry.tell(server.entry(status="left"), other.entry(), index=2)
+            await until(lambda: any("index=2&" in seen.target for seen in scene.registry.seen))
+            assert (await scene.ask("a")).status == 200
+            assert [seen.id for seen in other.seen] == ["a"]
+        await other.stop()
+
+    run(test())
+
+
+def test_failures_at_all_nodes_in_one_moment_are_asked_about_again_out_of_step(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path) as scene:
+            assert scene.node is not None
+            waits = [scene.node.pause_s() for _ in range(100)]
+            assert len(set(waits)) > 90
+            assert all(0.5 * PUSHED_RETRY_S <= s <= 1.5 * PUSHED_RETRY_S for s in waits)
+
+    run(test())
+
+
 def test_changes_from_before_the_list_bring_the_whole_list(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server()
