Leave calls stuck at silent servers out of the window of first sends

A trace of every event counts 900 of the refusals to calls held for the window. At 7 to 11 s a node's window is 9 to 10 calls; 9 are out, and 4.5 to 5 of these for over a second: they hang at the lost zone, where connections stay open and silent until each time-out, 3.1 s on average. What is left of the window serves half of what came before.

Ruled out: no server to be had (no call was held for that), quotas, retries denied (under 10 a second). Each front node sees about ten requests a second, so five hanging calls are half of its window; a busy copy would lose the same five from a window of a hundred.

At fault: `Balancer._crowded` compared all of `inflight` with the window. By Little's law the window is what the answering servers bear; a call at a server that says nothing loads none of them. Such calls no longer count: a server is silent once it holds calls and has given no sign of life for three times the usual delay, as long as no more than half of the servers are (else the tier is slow).

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -32,6 +32,8 @@
 SLOW_FROM, SLOW_POWER = 1.5, 4.0  # times its peers' delay: a weight falls, so steeply that it gets rest
 PACED_LEAST = 0.5  # of the weight stays in turns, whatever their pace
 REPORT_MS = 5_000.0  # the time in which a reported queue fades, by whose cube its weight is divided
+LOST_SHARE = 0.5  # of the servers may be taken for lost: where more are silent, the tier is slow
+SILENT = 3.0  # times the usual delay without a word: what a server holds is taken for lost
 OVERDUE = 1.5  # a call out for so many times the usual delay makes its server look as slow as one answer
 SLOW_MOST = 10.0  # times its peers' delay that one answer may count for at most
 SLOW_SAMPLES, SLOW_MS = 3.0, 10_000.0  # answers a server's delay is averaged over; how soon that fades
@@ -121,6 +123,7 @@
         self.slowness, self.slow_ms = 1.0, now  # its delay over its peers', averaged
         self.shut_ms, self.shuts = -math.inf, 0  # ejected until then; how often in a row
         self.used_ms = now  # when a connection to it was last in use
+        self.heard_ms = now  # when it last gave a sign of life
         self.suspicion = 0.0  # log odds that it fails much more often than its peers
         self.limit = math.inf  # how much it may hold from here, once it has turned an attempt away
         self.budget = Bucket(rng.random(), now)  # while cold; random, as all copies learn of it at once
@@ -154,6 +157,11 @@
         slowness = max(self._slowness_at(now), overdue, SLOW_FROM)
         return math.pow(SLOW_FROM / slowness, SLOW_POWER) / (1.0 + queue) ** 3
 
+    def silent(self, now: float, usual_share: float) -> bool:
+        """Whether it holds calls and has said nothing for so long that it is taken for lost."""
+        sent_ms, aim_ms = next(iter(self.out.values()), (now, 1.0))
+        return now - max(sent_ms, self.heard_ms) > SILENT * usual_share * aim_ms > 0.0
+
     def eject(self, now: float, rng: random.Random) -> None:
         """Keep away for a while, longer each time in a row, with jitter; it then returns by itself."""
         if now >= self.shut_ms:
@@ -260,6 +268,7 @@
         self._never_ran = NEVER_RAN - ({Result.REFUSED} if settings.full_may_have_run else set())
         self._calls: dict[str, Call] = {}
         self._waiting: dict[int, Call] = {}  # by timer token
+        self._stuck: set[str] = set()  # calls out at servers that fell silent: they load no other
         self._idle_ms = self._lost_ms = math.inf  # idle time from which a connection is closed; last loss
         self._token = 0  # that of the last timer; 0 itself is the one to ask for the list
         self._actions: list[api.Action] = []
@@ -308,8 +317,17 @@
         room = self.controller.window(self.fleet.slice, now)
         if self.settings.tier or self.inflight < (1.0 - RESERVE) * room:
             return False  # deeper, a refusal wastes work done above
+        self._miss(now)
+        inflight = self.inflight - len(self._stuck)
+        if inflight < (1.0 - RESERVE) * room: return False
         best = max(self._value(name, False) for name in self.classes)
-        return self.inflight >= room or self._value(call.cls.name, call.over_share) < best
+        return inflight >= room or self._value(call.cls.name, call.over_share) < best
+
+    def _miss(self, now: float) -> None:
+        """Note which calls are stuck at servers that fell silent while most of the others answer."""
+        silent = [server for server in self.fleet.servers.values() if server.silent(now, self._share)]
+        if len(silent) <= LOST_SHARE * len(self.fleet.ready):
+            for server in silent: self._stuck.update(server.out)
 
     def _hold(self, call: Call, now: float) -> None:
         """Keep a call back while an answer within its aim is still possible."""
@@ -454,7 +472,10 @@
     def _on_ended(self, event: api.AttemptEnded, now: float) -> None:
         call, server = self._calls.get(event.id), self.fleet.servers.get(event.server)
         self.inflight -= 1
+        self._stuck.discard(event.id)
         if server is not None:
+            if event.result not in (Result.TIMEOUT, Result.UNREACHABLE, Result.CANCELLED, Result.MOOT):
+                server.heard_ms = now
             if event.report:
                 server.queue, server.report_ms = event.report.get("queue", 0.0), now
             server.inflight = max(0, server.inflight - 1)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -295,6 +295,32 @@
     return n
 
 
+def lose(node: Node, lost: set[int]) -> list[str]:
+    """Fill the window, then let these servers fall silent; the calls that stay out there."""
+    ids = [f"fill{n}" for n in range(fill(node))]
+    for n in range(20):
+        ids.append(f"lose{n}")
+        node.ask(ids[-1])
+        for id in [id for id in ids if id in node.sent and node.sent[id][0] not in lost]:
+            ids.remove(id)
+            node.end(id, Result.SERVED, 25.0)
+    return [id for id in ids if id in node.sent]
+
+
+@pytest.mark.parametrize(("lost", "left_out"), [({0}, True), ({0, 1}, True), ({0, 1, 2}, False)])
+def test_calls_stuck_at_silent_servers_leave_the_window_to_others(lost: set[int], left_out: bool) -> None:
+    """zone+vast: over half of each window was calls to a lost zone; half of all requests were refused."""
+    node = Node(servers=4)
+    node.serve(200)
+    stuck = len(lose(node, lost))
+    room = node.balancer.controller.window(node.balancer.fleet.slice, node.now)
+    out = 0
+    while not timers(node.ask(f"more{out}")):
+        out += 1
+    whole = math.ceil((1.0 - logic.RESERVE) * room)
+    assert stuck >= 2 and out == whole if left_out else out <= whole - stuck
+
+
 def test_held_requests_of_most_worth_go_first() -> None:
     node = Node(servers=2)
     node.serve(200)
