Take time-outs at silent servers for lost servers, not for delay samples of the tier

A trace of the loop at each front node: from 12 to 21 s it sheds 0.35 to 0.58 of first sends with 3 to 5 calls out and room for 7.5; nothing waits. The mean error of its samples is -0.2 to -0.33 s, though answers take 0.4 s as before.

Ruled out: the window (not reached), slow servers (median 0.39 s), deeper tiers (they don't shed). The samples are time-outs of calls that hung at the lost zone, 3.1 s each on average. At 7 answers a second the 20 samples of the average last for seconds, and the integral fed by them fades in five more. A busy copy forgets the same few time-outs at once.

At fault: `Balancer._on_ended` gave every time-out to the loop, and to the usual delay that others are measured by. A time-out says how slow the tier is only where its server was still answering; at a silent one it says that the server is lost, which the rotation learns from it as before.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -472,6 +472,8 @@
     def _on_ended(self, event: api.AttemptEnded, now: float) -> None:
         call, server = self._calls.get(event.id), self.fleet.servers.get(event.server)
         self.inflight -= 1
+        if event.result is Result.TIMEOUT: self._miss(now)
+        stuck = event.id in self._stuck
         self._stuck.discard(event.id)
         if server is not None:
             if event.result not in (Result.TIMEOUT, Result.UNREACHABLE, Result.CANCELLED, Result.MOOT):
@@ -485,11 +487,12 @@
             self._learn(server, event.result, now)
         if call is not None and event.result in (Result.SERVED, Result.TIMEOUT):
             share = event.duration_ms / call.cls.aim_ms
-            self._seen = min(self._seen + 1.0, PEER_SAMPLES)
-            self._share += (share - self._share) / self._seen
-            if server is not None and self._share:
-                server.judge(share / self._share, now)
-            self.controller.answered(event.duration_ms, call.cls.aim_ms, now, event.result is Result.SERVED)
+            if not stuck:  # else it says that its server is lost, and nothing of the tier
+                self._seen = min(self._seen + 1.0, PEER_SAMPLES)
+                self._share += (share - self._share) / self._seen
+                served = event.result is Result.SERVED
+                self.controller.answered(event.duration_ms, call.cls.aim_ms, now, served)
+            if server is not None and self._share: server.judge(share / self._share, now)
         elif call is not None and event.result is Result.REFUSED:  # full is as slow as a server gets
             self.controller.answered(call.cls.aim_ms, call.cls.aim_ms, now, False)
         if call is not None and event.settled:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -321,6 +321,22 @@
     assert stuck >= 2 and out == whole if left_out else out <= whole - stuck
 
 
+def test_time_outs_at_silent_servers_say_nothing_of_the_tier() -> None:
+    """zone+vast: for 10 s after a zone was back the loop shed half of what came, with few calls out."""
+    node = Node(servers=4)
+    node.serve(200)
+    usual = node.balancer.controller.shed(node.now)
+    for id in lose(node, {0}):
+        node.end(id, Result.TIMEOUT, 2000.0)
+    assert node.balancer.controller.shed(node.now) == usual == 0.0
+    slow = [f"slow{n}" for n in range(8)]
+    for id in slow:
+        node.ask(id)
+    for n, id in enumerate(slow):  # all of them slow: that is the tier's delay
+        node.end(id, (Result.SERVED, Result.TIMEOUT)[n % 2], 800.0)
+    assert node.balancer.controller.shed(node.now) > 0.0
+
+
 def test_held_requests_of_most_worth_go_first() -> None:
     node = Node(servers=2)
     node.serve(200)
