Hold the delay target over the tier's own delay, where a share of the aim lies below it

The target is 0.4 of the aim.

Ruled out: a crowded tier (front servers hold 4 calls, half of them waiting for the core tier), chance in few samples (the error is constant), the late list (news came in time).

At fault: `TARGET_SHARE` as the only measure of the target in `DelayController`. The target is now at least a quarter over the least mean delay that the copy has measured, up to 0.6 of the aim; where that is under 0.4 nothing changes.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -18,6 +18,7 @@
 
 TARGET_SHARE = 0.4  # tau0, the target round trip delay, as a share of the aim of what was answered;
 # by Little's law it sets the window of first sends too: a smaller one refuses what meets the target,
+TARGET_OVER, TARGET_MOST = 1.25, 0.6  # times the least mean delay measured, where that is more; a bound
 ADDED = 2.0  # with so many calls a server of this copy's part added, so that copies' windows grow alike
 FEW = 3.0  # while the loop allows retries a window opens to so many calls, as a copy's few calls bunch,
 BUNCH = 1.0  # and by so many standard deviations of what is out by chance, its root
@@ -67,6 +68,7 @@
         self._last_ms = math.inf  # and when the last was taken
         # nu10, the answer rate that the gains are tuned to; KI times the integral of the error, a rate; r
         self.tuned_rate = self.integral = self.allowed_rate = 0.0
+        self.target_share = TARGET_SHARE  # tau0 over the aim: more where the tier's own delay is close to it
         self._excess = self._shed = 0.0  # integral for first sends, by nu1; the share of them to shed
 
     def answered(self, delay_ms: float, aim_ms: float, now: float, served: bool) -> None:
@@ -80,7 +82,7 @@
         kept = min(1.0 - 1.0 / SAMPLES, faded)
         self._samples = self._samples * kept + 1.0
         self._aim_s = self._aim_s * kept + aim_ms / 1000.0
-        excess_s = (TARGET_SHARE * aim_ms - delay_ms) / 1000.0
+        excess_s = (self.target_share * aim_ms - delay_ms) / 1000.0
         self._excess_s = self._excess_s * kept + excess_s
         self._square_s = self._square_s * kept + excess_s**2
         rate = self.answers.per_s()
@@ -109,7 +111,7 @@
             return START * part + self.answers.events
         self.answers.count(0.0, now)
         # i35d8eb: with nothing added it spirals down where the normal delay is over its share of the aim.
-        usual = ADDED * part + self.answers.per_s() * TARGET_SHARE * self._aim_s / self._samples
+        usual = ADDED * part + self.answers.per_s() * self.target_share * self._aim_s / self._samples
         bunched = max(FEW, usual + BUNCH * math.sqrt(usual))
         return usual + max(0.0, bunched - usual) * self.allowed_rate / (self.tuned_rate or 1.0)
 
@@ -262,6 +264,7 @@
         self.controller = DelayController()
         self.inflight, self._weight = 0, 0.0  # attempts out; weight of all ready servers
         self._errors = self._share = self._seen = 0.0  # recent errors; mean delay over its aim, of how many
+        self._least = math.inf  # the least that mean delay has been: of a tier where little waits
         self._borne = 0.0  # the capacity that the recent answers came from
         self._held: dict[tuple[str, bool], deque[Call]] = {}  # first sends that wait for the window
         self.record = ClassRecord(settings.classes, PEER_SAMPLES)
@@ -509,6 +512,10 @@
             if not stuck:  # else it says that its server is lost, and nothing of the tier
                 self._seen = min(self._seen + 1.0, PEER_SAMPLES)
                 self._share += (share - self._share) / self._seen
+                if self._seen >= SAMPLES:
+                    self._least = min(self._least, self._share)
+                    target = max(TARGET_SHARE, TARGET_OVER * self._least)
+                    self.controller.target_share = min(target, TARGET_MOST)
                 served = event.result is Result.SERVED
                 self.controller.answered(event.duration_ms, call.cls.aim_ms, now, served)
             if server is not None and self._share: server.judge(share / self._share, now)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -357,6 +357,33 @@
     assert left == pytest.approx(warm * whole, abs=1.0)
 
 
+def load(node: Node, count: int, delay_ms: float) -> None:
+    """Ask so many times, and serve what is sent."""
+    for _ in range(count):
+        id = f"load-{node.now}"
+        node.ask(id)
+        if id in node.sent:
+            node.end(id, Result.SERVED, delay_ms)
+        node.now += 10.0
+
+
+@pytest.mark.parametrize(("own_ms", "delay_ms", "sheds"), [(450.0, 450.0, False), (250.0, 480.0, True)])
+def test_the_target_lies_over_the_tiers_own_delay(own_ms: float, delay_ms: float, sheds: bool) -> None:
+    """disco+vast: with a normal delay of 0.41 to 0.45 of the aim, all copies shed for a target of 0.4."""
+    node = Node(servers=4)
+    load(node, 100, own_ms)
+    load(node, 60, delay_ms)
+    assert (node.balancer.controller.shed(node.now) > 0.0) is sheds
+    assert (node.balancer.controller.target_share > logic.TARGET_SHARE) is not sheds
+
+
+def test_a_tier_that_is_slow_from_the_start_is_not_taken_for_a_target_without_bound() -> None:
+    node = Node(servers=4)
+    load(node, 1000, 900.0)
+    assert node.balancer.controller.target_share == logic.TARGET_MOST
+    assert node.balancer.controller.shed(node.now) > 0.0
+
+
 def test_with_all_servers_out_of_reach_a_call_is_still_tried() -> None:
     node = Node(servers=2)
     node.serve(100)
