Refuse a whole list older than the one held until discovery tells it again

A node would go back to servers that are gone and forget new ones. `Discovery.answered` compared indexes for changes only.

Such a list is now a failed call: the node asks again after its pause with jitter, from what it holds. Told a second time it is taken, as discovery may have begun to count anew; after a move to another address it is taken at once.

--- a/orchidferry/discovery.py
+++ b/orchidferry/discovery.py
@@ -76,7 +76,7 @@
         news: Callable[[Listing | None, str], None],
     ) -> None:
         self._loop, self._address, self._news = loop, address, news
-        self._index = index
+        self._index, self._doubted = index, False  # whether the last list was older than that
         self._channel: _Channel | None = None
         self._asking: _Channel | asyncio.Task[None] | None = None  # what the call that is out runs on
         self._timer: asyncio.TimerHandle | None = None
@@ -91,7 +91,7 @@
         if address != self._address:
             self._end_call()
             self._drop()
-            self._address = address
+            self._address, self._doubted = address, True  # it may count from anew
             self._ask(whole=True)
 
     def close(self) -> None:
@@ -167,9 +167,13 @@
         self._end_call()
         if not keep:
             self._drop()
-        if not listing.whole and listing.index < self._index:  # changes to a list we don't hold
+        stale, doubted = listing.index < self._index, self._doubted
+        self._doubted = stale
+        if stale and not listing.whole:  # changes to a list we don't hold
             return self._ask(whole=True)
-        self._index = listing.index
+        if stale and not doubted:  # told twice, it is true: discovery has begun anew
+            return self._fail("a list older than the one held")
+        self._index, self._doubted = listing.index, False
         # A watch goes on only if the next call comes within 200 ms.
         self._ask(whole=False)
         if listing.whole or listing.entries:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -223,6 +223,28 @@
     run(test())
 
 
+def test_a_whole_list_older_than_the_one_held_is_refused_until_told_again(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = Server(name="old"), Server(name="new")
+        await old.start()
+        async with world(tmp_path, new) as scene:
+            scene.registry.tell(index=7)
+            await until(lambda: len(scene.registry.seen) == 2)
+            scene.registry.tell(old.entry(), index=3, snapshot=True)
+            await until(lambda: len(scene.registry.seen) == 3)  # after a pause, and from what is held
+            assert "index=7&" in scene.registry.seen[2].target
+            assert (await scene.ask("a")).status == 200
+            assert [seen.id for seen in new.seen] == ["a"]
+            scene.registry.tell(old.entry(), index=3, snapshot=True)  # discovery did begin anew
+            await until(lambda: len(scene.registry.seen) == 4)
+            assert "index=3&" in scene.registry.seen[3].target
+            assert (await scene.ask("b")).status == 200
+            assert [seen.id for seen in old.seen] == ["b"]
+        await old.stop()
+
+    run(test())
+
+
 def test_the_next_watch_goes_on_from_the_last_answer_on_the_same_connection(tmp_path: Path) -> None:
     async def test() -> None:
         server = Server()
