--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -296,6 +296,12 @@
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
         return self._actions
 
+    def avoided(self, now: float) -> int:
+        """How many listed servers get nothing new now: ejected, fallen silent, or told to drain."""
+        lost = self._lost(now)
+        servers = self.fleet.servers.values()
+        return sum(now < s.shut_ms or s in lost or not s.in_service for s in servers)
+
     def _on_request(self, event: api.Request, now: float) -> None:
         call = self._calls[event.id] = Call(event, self.classes[event.cls], now)
         self.record.asked(event.cls)
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -38,12 +38,14 @@
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
     node = Node(config, loop)
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
+    address = config.listen
     try:
         host, port = await node.frontend.listen(loop, config.listen)
+        if config.management is not None:
+            address = config.management
+            await node.door.listen(address)
     except OSError as problem:
-        print(
-            f"orchidferry: can't listen on {config.listen[0]}:{config.listen[1]}: {problem}", file=sys.stderr
-        )
+        print(f"orchidferry: can't listen on {address[0]}:{address[1]}: {problem}", file=sys.stderr)
         return 2
     node.start()
     # What was made at the start lives to the end: full collections need not look at it.
@@ -64,6 +66,7 @@
     try:
         config = read_config(path)
     except BadConfig as problem:
+        node.figures.reconfig_failed += 1
         log.warning("the configuration stays as it was: %s", problem)
     else:
         node.reload(config)
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -7,6 +7,7 @@
 
 import hashlib
 import json
+import os
 import re
 import time
 from dataclasses import dataclass
@@ -45,6 +46,7 @@
     listen: Address
     discovery: Address
     seed: int
+    management: Address | None  # where the operators' staff call; None: nowhere
     sockets: int
     known: Listing
     settings: api.Settings
@@ -114,11 +116,13 @@
         raise BadConfig(f"{path}: must be an object")
     try:
         limits = opt(obj, "limits", dict, {})
+        management = os.environ.get("NODE_MANAGEMENT") or opt(obj, "management", str, None)
         return Config(
             name=get(obj, "name", str),
             listen=address(get(obj, "listen", str)),
             discovery=address(get(obj, "discovery", str)),
             seed=hex_digits(get(obj, "seed", str)),
+            management=address(management) if management else None,
             sockets=opt(limits, "sockets", int, 1024),
             known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
             settings=read_settings(get(obj, "settings", dict)),
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import math
+import select
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,7 +28,9 @@
 IDLE_MS = 60_000.0  # between requests: a caller that has gone without a word holds no socket for ever
 SHORT_IDLE_MS = 2_000.0  # and while sockets are short
 CLOSE_MS = 2_000.0  # for a peer to take the answer that its connection ends with
-SWEEP_S = 0.25  # how often connections are looked at for these
+SWEEP_S = 0.1  # how often connections are looked at for these
+PART_MS = 450.0  # after the word to drain: connections go on coming for up to 0.3 s, and then none does
+NO_MORE_MS = 1_900.0  # and from then on nothing new is taken: by 4 s no request of the last 2 s may be held
 MOST_PIPELINED = 8  # requests sent ahead on one connection; the protocol says none
 READY_PATH = b"/-/ready"
 OWN_PATHS = b"/-/"
@@ -168,9 +171,23 @@
     def wind_up(self) -> None:
         """Close after what is under way; at once if nothing is."""
         self._closing = True
-        if self.idle():
+        if self.idle() and not self._unread():
             self._close()
 
+    def _unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: that may be a request."""
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def part(self, drained_ms: float) -> None:
+        """Leave a node that drains: once idle, and in the end whatever it is about to send."""
+        if drained_ms > NO_MORE_MS and self._reading:
+            self._reject(503, "draining")
+            self._serve_next()
+        elif (self._asked or drained_ms > NO_MORE_MS) and not self._transport.is_closing():
+            self.wind_up()
+
     # The parser's calls. An exception in one of them would count as malformed HTTP.
 
     def on_message_begin(self) -> None:
@@ -258,6 +275,9 @@
                 self._write(item)
 
     def _take(self, message: Message) -> None:
+        if self._frontend.refusing():
+            self._frontend.turned_away(message.cls)
+            return self._write(Reply(503, b"draining"))
         self._busy = True
         try:
             owed = self._frontend.accept(message, self._answer)
@@ -275,7 +295,7 @@
             self._serve_next()
 
     def _write(self, reply: Reply) -> None:
-        close = self._closing and not self._queue and not self._reading
+        close = (self._closing or self._frontend.draining()) and not self._queue and not self._reading
         self._transport.write(render(reply, close))
         if close:
             self._close()
@@ -293,12 +313,14 @@
         room: Callable[[], int],
         plenty: Callable[[], bool],
         make_room: Callable[[], object],
+        turned_away: Callable[[str], None],
     ) -> None:
-        self.accept = accept
+        self.accept, self.turned_away = accept, turned_away
         self._ready, self._room, self._plenty, self._make_room = ready, room, plenty, make_room
         self._callers: dict[Caller, None] = {}  # in the order they came
         self._server: asyncio.Server | None = None
         self._closing = False
+        self._drain_ms: float | None = None  # since when it drains
         self._empty = asyncio.Event()
 
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
@@ -314,8 +336,11 @@
         now = now_ms()
         # Idle callers must not take the sockets that connections to servers live by.
         idle_ms = IDLE_MS if self._plenty() else SHORT_IDLE_MS
+        drained_ms = now - self._drain_ms if self._drain_ms is not None else 0.0
         for caller in list(self._callers):
             caller.check(now, idle_ms)
+            if drained_ms > PART_MS:
+                caller.part(drained_ms)
 
     def count(self) -> int:
         """Callers' connections that are open."""
@@ -326,7 +351,28 @@
         if path != READY_PATH:
             return Reply(404, b"no such path")
         # Not 503, which would be a refusal: this answers no request, but whoever asks may not know.
-        return Reply(200, b"ready") if self._ready() and not self._closing else Reply(500, b"not ready")
+        return Reply(200, b"ready") if self.ready() else Reply(500, b"not ready")
+
+    def ready(self) -> bool:
+        """Whether callers should come."""
+        return self._ready() and not self._closing and not self.draining()
+
+    def draining(self) -> bool:
+        """Whether callers are to leave."""
+        return self._drain_ms is not None
+
+    def refusing(self) -> bool:
+        """Whether the drain has come so far that nothing new is taken."""
+        return self._drain_ms is not None and now_ms() - self._drain_ms > NO_MORE_MS
+
+    def quiesce(self) -> None:
+        """Empty the node, from the first call on; the listener stays."""
+        if self._drain_ms is None:
+            self._drain_ms = now_ms()
+
+    def resume(self) -> None:
+        """End the drain; connections told to close still close."""
+        self._drain_ms = None
 
     def opened(self, caller: Caller) -> None:
         """Count a caller in; with all sockets in use, one that asks nothing has to go for it."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -11,13 +11,16 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
+from orchidferry.figures import Figures
 from orchidferry.frontend import Frontend, Message, Reply, Unacceptable
+from orchidferry.management import MOST_CALLERS, Door
 from orchidferry.upstream import Answer, Attempt, Upstream
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
@@ -73,7 +76,13 @@
         self._attempts: dict[tuple[str, int], Attempt] = {}  # those that are out
         self._addresses: dict[int, Address] = {}
         self._in_service: set[int] = set()
-        self._upstream = Upstream(loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room)
+        self.figures = Figures(self._balancer.classes)
+        self.figures.gauge("inflight", lambda: len(self._live))
+        self.figures.gauge("hosts_listed", lambda: len(self._addresses))
+        self.figures.gauge("hosts_down", lambda: self._balancer.avoided(now_ms()))
+        self._upstream = Upstream(
+            loop, settings.connect_timeout_ms, settings.keepalive_ms, self._room, self.figures.written
+        )
         self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
         self.frontend = Frontend(
             self.accept,
@@ -81,7 +90,18 @@
             self._room,
             lambda: self._room() > PLENTY_SHARE * config.sockets,
             self._upstream.close_oldest_idle,
+            lambda cls: self.figures.ended(cls, 503),
+        )
+        self.door = Door(
+            loop,
+            {
+                "/admin/health": ("GET", self._health),
+                "/admin/stats": ("GET", lambda: (200, self.figures.read())),
+                "/admin/quiesce": ("POST", self._quiesce),
+                "/admin/resume": ("POST", self._resume),
+            },
         )
+        self._reserved = SPARE_SOCKETS + (MOST_CALLERS if config.management is not None else 0)
 
     def start(self) -> None:
         """Let the module begin, with the list as this node last had it."""
@@ -92,15 +112,31 @@
 
     def reload(self, config: Config) -> None:
         """Take over what may change while the node runs: where discovery is."""
+        self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
     async def stop(self) -> None:
         """Finish all that is held and close."""
         await self.frontend.wind_up()
         self._discovery.close()
+        self.door.close()
+
+    def _health(self) -> tuple[int, dict[str, Any]]:
+        ready = self.frontend.ready()
+        return (200 if ready else 503), {"ready": ready, "draining": self.frontend.draining()}
+
+    def _quiesce(self) -> tuple[int, dict[str, Any]]:
+        log.info("draining")
+        self.frontend.quiesce()
+        return 200, {"draining": True}
+
+    def _resume(self) -> tuple[int, dict[str, Any]]:
+        log.info("the drain ends")
+        self.frontend.resume()
+        return 200, {"draining": False}
 
     def _room(self) -> int:
-        return self._config.sockets - SPARE_SOCKETS - self.frontend.count() - self._upstream.count()
+        return self._config.sockets - self._reserved - self.frontend.count() - self._upstream.count()
 
     # Requests
 
@@ -135,6 +171,7 @@
     def _finish(self, id: str, reply: Reply) -> None:
         live = self._live.get(id)
         if live is not None and self._drop(live):
+            self.figures.ended(live.message.cls, reply.status)
             live.answer(reply)
 
     def _overdue(self, live: Live) -> None:
@@ -144,6 +181,7 @@
             live.backstop = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
         elif self._drop(live):
             log.warning("request %s was not ended by its deadline", live.message.id)
+            self.figures.ended(live.message.cls, 504)
             live.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.message.id))
 
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -136,7 +136,13 @@
     def resume_writing(self) -> None:
         self._paused = False
         if self._attempt is not None:
-            self._attempt.written = True
+            self._written(self._attempt)
+
+    def _written(self, attempt: Attempt) -> None:
+        """Its last byte is out: from now on it may run."""
+        if not attempt.written:
+            attempt.written = True
+            self._pool.written()
 
     def data_received(self, data: bytes) -> None:
         if self._attempt is None:  # nobody asked: the next answer on it could be somebody else's
@@ -199,8 +205,8 @@
         self._transport.write(attempt.message)
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
-        else:
-            attempt.written = not self._paused
+        elif not self._paused:
+            self._written(attempt)
 
     def _answered(self) -> None:
         body = b"".join(self._body)
@@ -270,8 +276,9 @@
         connect_timeout_ms: float,
         keepalive_ms: float,
         room: Callable[[], int],
+        written: Callable[[], None],
     ) -> None:
-        self._loop, self._room = loop, room
+        self._loop, self._room, self.written = loop, room, written
         self._connect_timeout_s = connect_timeout_ms / 1000.0
         self._idle_limit_ms = keepalive_ms * IDLE_SHARE
         self._trust_ms: dict[int, float] = {}  # less than that, for servers that closed earlier
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,208 @@
+"""The operators' door, the figures it shows and the drain it starts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from orchidferry import frontend, management
+from orchidferry.config import read_config
+from orchidferry.figures import Figures
+from tests.peers import Caller, Server, World, answer, request, run, until, world
+
+
+async def door(scene: World) -> tuple[str, int]:
+    """Open the node's door; its address."""
+    assert scene.node is not None
+    return await scene.node.door.listen(("127.0.0.1", 0))
+
+
+async def call(address: tuple[str, int], data: bytes) -> tuple[int, dict[str, Any]]:
+    reader, writer = await asyncio.open_connection(*address)
+    caller = Caller(reader, writer)
+    caller.write(data)
+    seen = await caller.read()
+    assert seen.headers["connection"] == "close" and await caller.closed()
+    writer.close()
+    return seen.status, json.loads(seen.body)
+
+
+async def get(address: tuple[str, int], path: str, method: str = "GET") -> tuple[int, dict[str, Any]]:
+    return await call(address, f"{method} {path} HTTP/1.1\r\nHost: n0\r\n\r\n".encode())
+
+
+def test_each_call_has_its_method_and_rubbish_gets_an_error(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            address = await door(scene)
+            assert (await get(address, "/admin/health"))[0] == 200
+            assert (await get(address, "/admin/health", "POST"))[0] == 405
+            assert (await get(address, "/admin/quiesce"))[0] == 405
+            assert (await get(address, "/admin/else"))[0] == 404
+            assert (await call(address, b"\x00rubbish\r\n\r\n"))[0] == 400
+            long = b"POST /admin/quiesce HTTP/1.1\r\nContent-Length: 99999\r\n\r\n" + b"x" * 20_000
+            assert (await call(address, long))[0] == 413
+            assert (await get(address, "/admin/health"))[0] == 200, "the long call must not have counted"
+
+    run(test())
+
+
+def test_silent_callers_delay_nobody_and_have_to_go(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(management, "MOST_CALLERS", 3)
+        async with world(tmp_path, Server()) as scene:
+            address = await door(scene)
+            silent = [Caller(*await asyncio.open_connection(*address)) for _ in range(5)]
+            silent[4].write(b"GET /admin/st")
+            assert (await get(address, "/admin/stats"))[0] == 200
+            for caller in silent[:2]:  # those that came first made room
+                assert (await caller.read()).status == 408
+            for caller in silent:
+                caller.writer.close()
+
+    run(test())
+
+
+def test_a_silent_caller_is_let_go_in_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(management, "WAIT_S", 0.05)
+        async with world(tmp_path, Server()) as scene:
+            caller = Caller(*await asyncio.open_connection(*await door(scene)))
+            assert (await caller.read()).status == 408 and await caller.closed()
+            caller.writer.close()
+
+    run(test())
+
+
+def test_the_door_is_open_only_where_the_configuration_names_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv("NODE_MANAGEMENT", raising=False)
+    path = tmp_path / "config.json"
+    config = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ab"}
+
+    async def test() -> None:
+        async with world(tmp_path, start=False) as scene:
+            path.write_text(json.dumps(scene.config | config))
+            assert read_config(str(path)).management is None
+            path.write_text(json.dumps(scene.config | config | {"management": "127.0.0.1:7"}))
+            assert read_config(str(path)).management == ("127.0.0.1", 7)
+            monkeypatch.setenv("NODE_MANAGEMENT", "127.0.0.1:8")
+            assert read_config(str(path)).management == ("127.0.0.1", 8)
+
+    run(test())
+
+
+def test_the_figures_count_each_outcome_once_where_it_happens(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server(answer(), answer(500, b"no"), answer(503, b"", "X-Rejected: 1\r\n"), name="s")
+        async with world(tmp_path, server, permissions={"max_attempts": 1}) as scene:
+            address = await door(scene)
+            assert (await scene.ask("a", "save")).status == 200
+            assert (await scene.ask("b", "save")).status == 502
+            assert (await scene.ask("c", "pay")).status == 503
+            server.gate.clear()
+            caller = await scene.caller()
+            caller.write(request("d", "read"))
+            await until(lambda: len(server.seen) == 4)
+            _, figures = await get(address, "/admin/stats")
+            assert figures["calls"]["save"] == {"success": 1, "busy": 0, "failure": 1}
+            assert figures["calls"]["pay"] == {"success": 0, "busy": 1, "failure": 0}
+            assert figures["calls"]["read"] == {"success": 0, "busy": 0, "failure": 0}
+            assert (figures["inflight"], figures["backend_calls"]) == (1, 4)
+            assert figures["hosts_listed"] == 1
+            assert (figures["reconfig_ok"], figures["reconfig_failed"]) == (0, 0)
+            scene.registry.tell(server.entry(name="t", address="127.0.0.1:1"), server.entry(status="leaving"))
+            server.gate.set()
+            assert (await caller.read()).status == 200
+            await until(lambda: len(scene.node._addresses) == 2)  # type: ignore[union-attr]
+            _, figures = await get(address, "/admin/stats")
+            assert (figures["hosts_listed"], figures["hosts_down"]) == (2, 1)
+            assert figures["calls"]["read"]["success"] == 1 and figures["inflight"] == 0
+
+    run(test())
+
+
+def test_a_class_that_vanishes_keeps_its_figures() -> None:
+    figures = Figures(["old"])
+    figures.ended("old", 200)
+    figures.know(["new"])
+    figures.ended("old", 502)
+    figures.ended("unknown", 200)
+    assert figures.read()["calls"] == {
+        "old": {"success": 1, "busy": 0, "failure": 1},
+        "new": {"success": 0, "busy": 0, "failure": 0},
+    }
+
+
+def test_a_drain_says_no_parts_with_callers_and_takes_nothing_more(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            address = await door(scene)
+            idle, held, late = [await scene.caller() for _ in range(3)]
+            assert (await idle.ask("idle")).status == 200
+            server.gate.clear()
+            held.write(request("held", "pay"))
+            await until(lambda: len(server.seen) == 2)
+            assert (await get(address, "/admin/quiesce", "POST"))[0] == 200
+            assert (await get(address, "/admin/quiesce", "POST"))[0] == 200
+            assert (await get(address, "/admin/health"))[0] == 503
+            probe = await scene.caller()
+            probe.write(b"GET /-/ready HTTP/1.1\r\nHost: n0\r\n\r\n")
+            assert (await probe.read()).status == 500 and await probe.closed()
+            assert await idle.closed()
+            server.gate.set()
+            reply = await held.read()
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            reply = await scene.ask("early")  # the front still brings some
+            assert (reply.status, reply.headers["connection"]) == (200, "close")
+            monkeypatch.setattr(frontend, "NO_MORE_MS", 0.0)
+            seen = len(server.seen)
+            late.write(request("late"))
+            with_answer = not await late.closed()
+            assert not with_answer or len(server.seen) == seen
+            assert (await get(address, "/admin/resume", "POST"))[0] == 200
+            assert (await get(address, "/admin/health"))[0] == 200
+            again = await scene.caller()
+            reply = await again.ask("again")
+            assert reply.status == 200 and "connection" not in reply.headers
+            assert (await again.ask("and again")).status == 200
+
+    run(test())
+
+
+def test_a_request_that_comes_late_in_a_drain_is_refused_and_counted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        monkeypatch.setattr(frontend, "NO_MORE_MS", -1.0)
+        monkeypatch.setattr(frontend, "PART_MS", 1e9)
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            address = await door(scene)
+            await get(address, "/admin/quiesce", "POST")
+            reply = await scene.ask("late", "pay")
+            assert (reply.status, reply.headers["connection"]) == (503, "close")
+            assert (await get(address, "/admin/stats"))[1]["calls"]["pay"]["busy"] == 1
+            assert not server.seen
+
+    run(test())
+
+
+def test_resume_without_a_drain_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with world(tmp_path, Server()) as scene:
+            address = await door(scene)
+            caller = await scene.caller()
+            assert (await caller.ask("a")).status == 200
+            assert (await get(address, "/admin/resume", "POST"))[0] == 200
+            assert (await caller.ask("b")).status == 200
+
+    run(test())
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -135,7 +135,9 @@
     def __init__(self, address: str, **changes: float) -> None:
         figures = {"connect_timeout_ms": 5000.0, "keepalive_ms": 60_000.0} | changes
         loop = asyncio.get_running_loop()
-        self.upstream = Upstream(loop, figures["connect_timeout_ms"], figures["keepalive_ms"], lambda: 100)
+        self.upstream = Upstream(
+            loop, figures["connect_timeout_ms"], figures["keepalive_ms"], lambda: 100, lambda: None
+        )
         host, port = address.split(":")
         self.address: Address = (host, int(port))
         self.results: list[Result] = []
