--- a/nickelbridge/averages.py
+++ b/nickelbridge/averages.py
@@ -42,6 +42,10 @@
         self._span_ms = span_ms
         self._times: deque[float] = deque()
 
+    def span(self, span_ms: float) -> None:
+        """Count over so long from now on; what was forgotten stays so."""
+        self._span_ms = span_ms
+
     def add(self, now: float) -> None:
         self.count(now)  # where nobody asks for it, the past must go all the same
         self._times.append(now)
@@ -56,10 +60,24 @@
     """How each class of requests fares, in averages over so many requests."""
 
     def __init__(self, classes: Iterable[api.RequestClass], samples: float) -> None:
-        self._samples, self.worth = samples, {cls.name: cls.worth for cls in classes}
-        self.mix = dict.fromkeys(self.worth, 1.0 / len(self.worth))  # share of the requests
-        self.in_time = dict.fromkeys(self.worth, 1.0)  # share answered within the aim
-        self.delay_ms = dict.fromkeys(self.worth, 0.0)  # 0: not measured yet
+        self._samples = samples
+        self._current: set[str] = set()  # those that requests may still come for
+        self.worth: dict[str, float] = {}
+        self.mix: dict[str, float] = {}  # share of the requests
+        self.in_time: dict[str, float] = {}  # share answered within the aim
+        self.delay_ms: dict[str, float] = {}  # 0: not measured yet
+        self.know(classes)
+
+    def know(self, classes: Iterable[api.RequestClass]) -> None:
+        """Take these for the classes there are; one that vanished fades, as some of its requests are out."""
+        current = {cls.name: cls.worth for cls in classes}
+        even = 1.0 / len(current)
+        for name in current:
+            self.mix.setdefault(name, even if not self._current else 1.0 / self._samples)
+            self.in_time.setdefault(name, 1.0)
+            self.delay_ms.setdefault(name, 0.0)
+        self.worth |= current
+        self._current = set(current)
 
     def asked(self, name: str) -> None:
         for other in self.mix:
@@ -74,8 +92,9 @@
 
     def worst(self) -> float:
         """The least share answered in time."""
-        return min(self.in_time.values())
+        return min(self.in_time[name] for name in self._current)
 
     def mean_worth(self) -> float:
         """Of a request."""
-        return sum(self.mix[name] * worth for name, worth in self.worth.items())
+        mean = sum(self.mix[name] * worth for name, worth in self.worth.items())
+        return mean or max(self.worth.values()) or 1.0
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -146,8 +146,8 @@
             if not 0.0 <= value < math.inf:
                 raise ValueError(f"{name}: {value} is negative or not finite")
         for cls in self.classes:
-            if not cls.aim_ms:
-                raise ValueError(f"classes[{cls.name}].aim_ms: must be above 0")
+            if not cls.aim_ms or not cls.deadline_ms:
+                raise ValueError(f"classes[{cls.name}]: aim_ms and deadline_ms must be above 0")
         shares = {"start_capacity": self.start_capacity, "over_share_worth": self.over_share_worth}
         shares |= {f"classes[{cls.name}].late_worth": cls.late_worth for cls in self.classes}
         shares |= {f"tenants[{tenant.name}].share": tenant.share for tenant in self.tenants}
@@ -182,6 +182,13 @@
     """The node is up."""
 
 
+@dataclass(slots=True)
+class Reconfigured:
+    """The operators have changed the settings; requests under way keep their class."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class ServerList:
     """News from discovery."""
@@ -238,7 +245,7 @@
     token: int
 
 
-Event = Started | ServerList | Request | AttemptEnded | StreamStarted | ClientGone | TimerFired
+Event = Started | Reconfigured | ServerList | Request | AttemptEnded | StreamStarted | ClientGone | TimerFired
 
 # Actions: what the node is asked to do.
 
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -209,7 +209,8 @@
     """The server list as last heard, and this copy's part of it."""
 
     def __init__(self, settings: api.Settings, rng: random.Random) -> None:
-        self._number, self._nodes, self._rng = settings.number, settings.nodes, rng
+        self._rng = rng
+        self.number, self.nodes = settings.number, settings.nodes
         self.servers: dict[int, Server] = {}
         self.ready: list[Server] = []  # those in service that are this copy's to use
         self.slices, self.slice = SLICES, 0.0  # how many it has, and how many servers one is worth
@@ -233,8 +234,8 @@
     def cut(self, slices: int) -> None:
         """Use so many slices: many copies going round all servers need more connections than they accept."""
         shares = {server.id: server.share for server in self.servers.values() if server.in_service}
-        self.slices, self.slice = slices, len(shares) / self._nodes
-        parts = subset.parts(shares, self._number, self._nodes, slices)
+        self.slices, self.slice = slices, len(shares) / self.nodes
+        parts = subset.parts(shares, self.number, self.nodes, slices)
         self.ready = [self.servers[id] for id, part in parts.items() if part]
         for server in self.ready:
             server.part = parts[server.id]
@@ -260,6 +261,7 @@
     def __init__(self, settings: api.Settings, salt: int) -> None:
         self.settings = settings
         self.classes = {cls.name: cls for cls in settings.classes}
+        self._known = dict(self.classes)  # those too that have vanished: requests of them may be under way
         self._rng = random.Random(salt)
         self.controller = DelayController()
         self.inflight, self._weight = 0, 0.0  # attempts out; weight of all ready servers
@@ -270,9 +272,8 @@
         self.record = ClassRecord(settings.classes, PEER_SAMPLES)
         self.rotation = Rotation(self._rng)
         self.fleet = Fleet(settings, self._rng)
-        self._quotas: dict[str | None, tuple[float, Bucket]] = {  # this copy's part of each tenant's
-            t.name: (t.quota_per_s / settings.nodes / 1000.0, Bucket(math.inf, 0.0)) for t in settings.tenants
-            if t.quota_per_s}  # fmt: skip
+        self._quotas: dict[str | None, tuple[float, Bucket]] = {}  # this copy's part of each tenant's
+        self._know_tenants()
         # A tick to spare at both edges of the window that the budget of attempts is counted over.
         self._taken = SlidingCount(settings.resend_span_ms - settings.tick_ms)
         self._further = SlidingCount(settings.resend_span_ms + settings.tick_ms)
@@ -294,8 +295,30 @@
             case api.ServerList(): self._on_list(event, now_ms)
             case api.ClientGone(): self._calls.pop(event.id, None)
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
+            case api.Reconfigured(): self._on_settings(event.settings, now_ms)
         return self._actions
 
+    def _know_tenants(self) -> None:
+        buckets = {name: bucket for name, (_, bucket) in self._quotas.items()}
+        self._quotas = {
+            t.name: (t.quota_per_s / self.settings.nodes / 1000.0, buckets.get(t.name, Bucket(math.inf, 0.0)))
+            for t in self.settings.tenants if t.quota_per_s}  # fmt: skip
+
+    def _on_settings(self, settings: api.Settings, now: float) -> None:
+        """Take new settings; what was measured stays, and calls under way keep their class."""
+        self.settings = settings
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self._known |= self.classes
+        self.record.know(settings.classes)
+        self._know_tenants()
+        self._taken.span(settings.resend_span_ms - settings.tick_ms)
+        self._further.span(settings.resend_span_ms + settings.tick_ms)
+        self._never_ran = NEVER_RAN - ({Result.REFUSED} if settings.full_may_have_run else set())
+        if (settings.number, settings.nodes) != (self.fleet.number, self.fleet.nodes):
+            self.fleet.number, self.fleet.nodes = settings.number, settings.nodes
+            self.fleet.cut(SLICES)
+        self._release(now)
+
     def avoided(self, now: float) -> int:
         """How many listed servers get nothing new now: ejected, fallen silent, or told to drain."""
         lost = self._lost(now)
@@ -386,9 +409,9 @@
         """What an answer to a class is worth to the operators, for the time that it takes."""
         worth = self.record.worth[name] / self.record.mean_worth()
         if self.record.in_time[name] <= self.record.worst():  # strict order of worth would starve it
-            worth += self.settings.worst_class / self.record.mix[name]
+            worth += self.settings.worst_class / max(self.record.mix[name], 1.0 / PEER_SAMPLES**2)
         worth *= self.settings.over_share_worth if over_share else 1.0  # a flooding tenant waits behind
-        return worth / max(1.0, self.record.delay_ms[name] or self._share * self.classes[name].aim_ms)
+        return worth / max(1.0, self.record.delay_ms[name] or self._share * self._known[name].aim_ms)
 
     def _candidates(self, call: Call, now: float) -> list[tuple[Server, float]]:
         """The servers that may get the call's next attempt, with their weights."""
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -14,7 +14,7 @@
 
 import uvloop
 
-from orchidferry.config import BadConfig, read_config
+from orchidferry.config import BadConfig, read_change, read_config
 from orchidferry.node import Node
 
 ACCEPT_ON_S = 0.45  # after SIGTERM: connections go on coming for up to 0.4 s
@@ -64,13 +64,15 @@
 def reload(node: Node, path: str) -> None:
     """Read the file again; one that is no good changes nothing."""
     try:
-        config = read_config(path)
+        config = read_change(path, node.config)
     except BadConfig as problem:
         node.figures.reconfig_failed += 1
         log.warning("the configuration stays as it was: %s", problem)
     else:
         node.reload(config)
         log.info("configuration read again, discovery at %s:%d", *config.discovery)
+        names = ", ".join(cls.name for cls in config.settings.classes)
+        log.info("classes %s; %d attempts", names, config.settings.max_attempts)
 
 
 def watch_lag(loop: asyncio.AbstractEventLoop, due_s: float) -> None:
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -50,6 +50,7 @@
     sockets: int
     known: Listing
     settings: api.Settings
+    keys: frozenset[str]  # which the file has, as paths
 
 
 def now_ms() -> float:
@@ -103,6 +104,27 @@
     return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses)
 
 
+def key_paths(obj: Json) -> frozenset[str]:
+    """The keys that a configuration has, but for what may come and go with each start."""
+    settings = opt(obj, "settings", dict, {})
+    parts = {"": obj, "settings.": settings}
+    parts |= {f"settings.{name}.": opt(settings, name, dict, {}) for name in ("permissions", "rules")}
+    paths = {prefix + key for prefix, part in parts.items() for key in part if part[key] is not None}
+    classes = objects(settings, "classes") if settings.get("classes") else []
+    if classes and all("importance" in cls for cls in classes):
+        paths.add("settings.classes.importance")
+    return frozenset(paths - {"known", "management"})
+
+
+def read_change(path: str, old: Config) -> Config:
+    """Read the file again: it must have all that the one in force has, as a part of it may be lost."""
+    config = read_config(path)
+    missing = sorted(old.keys - config.keys)
+    if missing:
+        raise BadConfig(f"{path}: {missing[0]!r} is missing")
+    return config
+
+
 def read_config(path: str) -> Config:
     """Read the file; `BadConfig` says in one line what is wrong with it."""
     try:
@@ -126,6 +148,7 @@
             sockets=opt(limits, "sockets", int, 1024),
             known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
             settings=read_settings(get(obj, "settings", dict)),
+            keys=key_paths(obj),
         )
     except (Malformed, ValueError) as problem:
         raise BadConfig(f"{path}: {problem}") from None
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -11,6 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from nickelbridge import interface as api
@@ -66,7 +67,7 @@
     """One balancing node."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
-        self._config, self._loop = config, loop
+        self.config, self._loop = config, loop
         settings = config.settings
         self._balancer = Balancer(settings, config.seed)
         self._rng = random.Random(config.seed)
@@ -105,13 +106,18 @@
 
     def start(self) -> None:
         """Let the module begin, with the list as this node last had it."""
-        self._take_listing(self._config.known, api.ListKind.SAVED)
+        self._take_listing(self.config.known, api.ListKind.SAVED)
         self._handle(api.Started())
-        if not self._config.settings.follow_list:
+        if not self.config.settings.follow_list:
             self._discovery.subscribe()
 
     def reload(self, config: Config) -> None:
-        """Take over what may change while the node runs: where discovery is."""
+        """Take over what may change while the node runs: where discovery is, and the settings."""
+        settings = config.settings
+        self.config = replace(self.config, settings=settings, discovery=config.discovery, keys=config.keys)
+        self.figures.know(cls.name for cls in settings.classes)
+        self._upstream.set_times(settings.connect_timeout_ms, settings.keepalive_ms)
+        self._handle(api.Reconfigured(settings))
         self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
@@ -136,7 +142,7 @@
         return 200, {"draining": False}
 
     def _room(self) -> int:
-        return self._config.sockets - self._reserved - self.frontend.count() - self._upstream.count()
+        return self.config.sockets - self._reserved - self.frontend.count() - self._upstream.count()
 
     # Requests
 
@@ -263,7 +269,7 @@
             self._take_listing(listing, api.ListKind.FULL if listing.whole else api.ListKind.CHANGES)
             return
         log.info("discovery: %s", why)
-        if self._config.settings.follow_list:
+        if self.config.settings.follow_list:
             self._handle(api.ServerList(api.ListKind.FAILED))
         else:
             self._loop.call_later(self.pause_s(), self._discovery.subscribe)
--- a/orchidferry/upstream.py
+++ b/orchidferry/upstream.py
@@ -279,14 +279,18 @@
         written: Callable[[], None],
     ) -> None:
         self._loop, self._room, self.written = loop, room, written
-        self._connect_timeout_s = connect_timeout_ms / 1000.0
-        self._idle_limit_ms = keepalive_ms * IDLE_SHARE
+        self.set_times(connect_timeout_ms, keepalive_ms)
         self._trust_ms: dict[int, float] = {}  # less than that, for servers that closed earlier
         self._idle: dict[int, list[Connection]] = {}
         self._open: set[Connection] = set()
         self._dials: set[asyncio.Task[None]] = set()
         loop.call_later(SWEEP_S, self._sweep)
 
+    def set_times(self, connect_timeout_ms: float, keepalive_ms: float) -> None:
+        """Take what the settings say of connections."""
+        self._connect_timeout_s = connect_timeout_ms / 1000.0
+        self._idle_limit_ms = keepalive_ms * IDLE_SHARE
+
     def count(self) -> int:
         """Sockets in use, those that are being opened too."""
         return len(self._open) + len(self._dials)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -10,7 +11,7 @@
 from nickelbridge import logic
 from nickelbridge.averages import SlidingCount
 from nickelbridge.interface import Result
-from tests.helpers import Node, ends, entries, sends, timers
+from tests.helpers import KEYED, SAFE, UNSAFE, Node, ends, entries, sends, settings, timers
 
 
 def test_first_sends_take_even_turns() -> None:
@@ -711,3 +712,46 @@
         node.now += 3000.0 + 1000.0 * n
         assert not [a for a in node.ask(f"{n}") if isinstance(a, api.CloseIdle)]
         node.end(f"{n}", result, 500.0)
+
+
+def test_new_settings_bind_new_calls_while_those_under_way_keep_their_class() -> None:
+    node = Node(classes=[SAFE, UNSAFE], max_attempts=3)
+    node.ask("old", "safe")
+    stricter = replace(SAFE, repeat=api.Repeat.UNSAFE)
+    node.do(api.Reconfigured(settings(classes=[stricter, KEYED], max_attempts=3)))
+    retry = node.end("old", api.Result.ERROR)
+    assert timers(retry), "it came as safe to repeat"
+    node.ask("new", "safe")
+    assert isinstance(ends(node.end("new", api.Result.ERROR))[0], api.Fail)
+    node.ask("keyed", "keyed")
+    assert sends(node.end("keyed", api.Result.SERVED)) == []
+    assert set(node.balancer.classes) == {"safe", "keyed"}
+
+
+def test_fewer_attempts_bind_calls_under_way() -> None:
+    node = Node(max_attempts=3)
+    node.ask("a", "safe")
+    assert timers(node.end("a", api.Result.ERROR))
+    node.do(api.Reconfigured(settings(max_attempts=1)))
+    [timer] = [a for _, a in node.log if isinstance(a, api.SetTimer)][-1:]
+    actions = node.do(api.TimerFired(timer.token), timer.delay_ms)
+    assert not sends(actions) and ends(actions)
+
+
+def test_a_class_that_vanished_while_its_calls_wait_does_no_harm() -> None:
+    node = Node(servers=0, classes=[SAFE, UNSAFE])
+    node.ask("a", "unsafe")
+    node.do(api.Reconfigured(settings(classes=[KEYED])))
+    node.list_all(entries(range(2)), 2)
+    node.serve(30, "keyed")
+    assert node.balancer.record.worst() == 1.0
+
+
+def test_avoided_servers_are_those_ejected_silent_or_draining() -> None:
+    node = Node(servers=4)
+    assert node.balancer.avoided(node.now) == 0
+    node.change(api.ServerEntry(0, "z", "k", 0, api.Health.DRAINING))
+    assert node.balancer.avoided(node.now) == 1
+    node.ask("a", "safe")
+    node.end("a", api.Result.UNREACHABLE)
+    assert node.balancer.avoided(node.now) == 2
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,6 +18,7 @@
 from nickelbridge import interface as api
 from nickelbridge.logic import Balancer
 from orchidferry import discovery, frontend
+from orchidferry.__main__ import reload
 from orchidferry.config import address, server_id
 from orchidferry.frontend import Caller
 from orchidferry.node import PUSHED_RETRY_S, Live
@@ -652,3 +653,47 @@
             assert process.returncode == 2 and "in use" in line
 
     run(test())
+
+
+def test_sighup_takes_a_whole_file_or_nothing_of_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server()
+        async with world(tmp_path, server) as scene:
+            node = scene.node
+            assert node is not None
+            server.gate.clear()
+            held = await scene.caller()
+            held.write(request("held", "read"))
+            await until(lambda: len(server.seen) == 1)
+            good = scene.config["settings"]
+            broken: list[str] = ["", json.dumps(scene.config)[:-40]]
+            spoilt: tuple[dict[str, Any], ...] = (
+                {"permissions": {**good["permissions"], "max_attempts": 0}},
+                {"permissions": {n: v for n, v in good["permissions"].items() if n != "may_cancel"}},
+                {"classes": [{**cls, "give_up_ms": 0} for cls in good["classes"]]},
+                {"classes": [{**cls, "give_up_ms": "long"} for cls in good["classes"]]},
+                {"classes": []},
+            )
+            for changes in spoilt:
+                config = scene.config | {"discovery": "127.0.0.1:1", "settings": good | changes}
+                broken.append(json.dumps(config))
+            broken.append(json.dumps({n: v for n, v in scene.config.items() if n != "limits"}))
+            for text in broken:
+                scene.path.write_text(text)
+                reload(node, str(scene.path))
+            assert (node.figures.reconfig_ok, node.figures.reconfig_failed) == (0, len(broken))
+            assert f"{node.config.discovery[0]}:{node.config.discovery[1]}" == scene.registry.address
+
+            _, pay, save = good["classes"]
+            new = pay | {"name": "new"}
+            scene.path.write_text(json.dumps(scene.config | {"settings": good | {"classes": [new, save]}}))
+            reload(node, str(scene.path))
+            assert (node.figures.reconfig_ok, node.figures.reconfig_failed) == (1, len(broken))
+            server.gate.set()
+            assert (await held.read()).status == 200, "its class has vanished, but it came before"
+            assert (await scene.ask("a", "new")).status == 200
+            assert (await scene.ask("b", "read")).status == 400
+            calls = node.figures.read()["calls"]
+            assert (calls["read"]["success"], calls["new"]["success"]) == (1, 1)
+
+    run(test())
