Serve upgrades at a listening socket handed in, as one node with the other process

The test of the whole program fails without the handed socket, as the second process could not listen.

--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -189,6 +189,13 @@
     settings: Settings
 
 
+@dataclass(slots=True)
+class Sharing:
+    """So many processes serve as this one node now; the budgets are for all of them together."""
+
+    processes: int
+
+
 @dataclass(slots=True)
 class ServerList:
     """News from discovery."""
@@ -245,7 +252,17 @@
     token: int
 
 
-Event = Started | Reconfigured | ServerList | Request | AttemptEnded | StreamStarted | ClientGone | TimerFired
+Event = (
+    Started
+    | Reconfigured
+    | Sharing
+    | ServerList
+    | Request
+    | AttemptEnded
+    | StreamStarted
+    | ClientGone
+    | TimerFired
+)
 
 # Actions: what the node is asked to do.
 
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -259,7 +259,7 @@
     """One copy's decisions: feed it events, do what it says."""
 
     def __init__(self, settings: api.Settings, salt: int) -> None:
-        self.settings = settings
+        self.settings, self._processes = settings, 1  # that share this copy's budgets
         self.classes = {cls.name: cls for cls in settings.classes}
         self._known = dict(self.classes)  # those too that have vanished: requests of them may be under way
         self._rng = random.Random(salt)
@@ -295,6 +295,7 @@
             case api.ServerList(): self._on_list(event, now_ms)
             case api.ClientGone(): self._calls.pop(event.id, None)
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
+            case api.Sharing(): self._processes = max(1, event.processes)
             case api.Reconfigured(): self._on_settings(event.settings, now_ms)
         return self._actions
 
@@ -447,7 +448,7 @@
     def _cold_budget(self, server: Server, warmth: float, now: float) -> float:
         """This copy's part of a cold server's budget, in attempts; its capacity is guessed from its peers."""
         bearable = self.controller.answers.per_s() * server.part / max(self._weight, server.part) / 1000.0
-        per_ms = COLD_SHARE * self.settings.overload_factor * warmth * bearable
+        per_ms = COLD_SHARE * self.settings.overload_factor * warmth * bearable / self._processes
         return server.budget.refill(per_ms, max(1.0, per_ms * self.settings.overload_for_ms), now)
 
     def _send(self, call: Call, server: Server, now: float) -> bool:
@@ -484,7 +485,8 @@
     def _in_budget(self, now: float) -> bool:
         """Whether the stated budget of attempts beyond the first bears one more now."""
         ratio, taken = self.settings.repeat_ratio, self._taken.count(now)
-        return ratio is None or self._further.count(now) + 1 <= self.settings.extra_floor + ratio * taken
+        free = self.settings.extra_floor / self._processes
+        return ratio is None or self._further.count(now) + 1 <= free + ratio * taken
 
     def _repeatable(self, call: Call, now: float) -> bool:
         """Whether the class lets the call go out (again)."""
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -6,18 +6,25 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
 import signal
+import socket
 import sys
+import tempfile
+from pathlib import Path
 
 import uvloop
 
 from orchidferry.config import BadConfig, read_change, read_config
+from orchidferry.handover import Siblings, handed_socket
 from orchidferry.node import Node
 
 ACCEPT_ON_S = 0.45  # after SIGTERM: connections go on coming for up to 0.4 s
+KEEP_S = 0.6  # after SIGTERM with a successor: what comes within 0.7 s can still be answered in its time
+SIBLINGS_S = 0.1  # how often the other processes of this node are looked for
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
 
 log = logging.getLogger("orchidferry")
@@ -39,28 +46,80 @@
     node = Node(config, loop)
     loop.add_signal_handler(signal.SIGHUP, reload, node, path)
     address = config.listen
+    siblings = None
     try:
-        host, port = await node.frontend.listen(loop, config.listen)
+        handed = handed_socket(os.environ.get("NODE_ACCEPT_FD"))
         if config.management is not None:
             address = config.management
             await node.door.listen(address)
+        address = config.listen
+        if handed is None:
+            address = await node.frontend.listen(loop, config.listen)
     except OSError as problem:
         print(f"orchidferry: can't listen on {address[0]}:{address[1]}: {problem}", file=sys.stderr)
         return 2
+    if handed is not None:
+        siblings = Siblings(Path(os.environ.get("TMPDIR") or tempfile.gettempdir()))
+        node.share(1 + siblings.others())
     node.start()
     # What was made at the start lives to the end: full collections need not look at it.
     gc.collect()
     gc.freeze()
     watch_lag(loop, loop.time())
-    log.info("started, listening on %s:%d", host, port)
-    await stopping.wait()
-    log.info("stopping")
-    await asyncio.sleep(ACCEPT_ON_S)
-    await node.stop()
+    if handed is None or siblings is None:
+        log.info("started, listening on %s:%d", *address)
+        await stopping.wait()
+        log.info("stopping")
+        await asyncio.sleep(ACCEPT_ON_S)
+        await node.stop()
+    else:
+        await serve_with_others(node, loop, handed, siblings, stopping)
     log.info("stopped")
     return 0
 
 
+async def serve_with_others(
+    node: Node,
+    loop: asyncio.AbstractEventLoop,
+    handed: socket.socket,
+    siblings: Siblings,
+    stopping: asyncio.Event,
+) -> None:
+    """Serve at a listening socket that the platform holds, until SIGTERM and all is answered."""
+    processes = 1 + siblings.others()
+    accepting = False
+
+    def look() -> None:
+        nonlocal processes
+        now = 1 + siblings.others()
+        if now != processes:
+            processes = now
+            log.info("%d processes are this node", processes)
+            node.share(processes)
+
+    async def watch() -> None:
+        while True:
+            await asyncio.sleep(SIBLINGS_S)
+            look()
+
+    watching = loop.create_task(watch())
+    while not stopping.is_set():
+        # Whoever is first accepts at once: nobody else would say that the node isn't ready.
+        if not accepting and (processes == 1 or node.serves()):
+            accepting = True
+            await node.frontend.accept_from(loop, handed)
+            log.info("started, accepting at descriptor %d", handed.fileno())
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(stopping.wait(), None if accepting else SIBLINGS_S / 2.0)
+    look()
+    log.info("stopping, %d others serve on", processes - 1)
+    node.frontend.leave(processes > 1)
+    await asyncio.sleep(KEEP_S)
+    await node.stop()
+    watching.cancel()
+    siblings.leave()
+
+
 def reload(node: Node, path: str) -> None:
     """Read the file again; one that is no good changes nothing."""
     try:
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -10,11 +10,12 @@
 import contextlib
 import math
 import select
+import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 from urllib.parse import unquote
 
 import httptools
@@ -295,7 +296,7 @@
             self._serve_next()
 
     def _write(self, reply: Reply) -> None:
-        close = (self._closing or self._frontend.draining()) and not self._queue and not self._reading
+        close = (self._closing or self._frontend.parting()) and not self._queue and not self._reading
         self._transport.write(render(reply, close))
         if close:
             self._close()
@@ -320,17 +321,32 @@
         self._callers: dict[Caller, None] = {}  # in the order they came
         self._server: asyncio.Server | None = None
         self._closing = False
+        self._leaving = self._succeeded = False  # it ends soon; another process of this node serves on
         self._drain_ms: float | None = None  # since when it drains
         self._empty = asyncio.Event()
 
     async def listen(self, loop: asyncio.AbstractEventLoop, address: Address) -> Address:
         """Accept callers from now on; the address, with the port that port 0 stands for."""
-        server = await loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG)
-        self._server = server
+        return await self._serve(loop, loop.create_server(lambda: Caller(self), *address, backlog=BACKLOG))
+
+    async def accept_from(self, loop: asyncio.AbstractEventLoop, handed: socket.socket) -> Address:
+        """Accept callers from now on at a socket that other processes may share."""
+        return await self._serve(loop, loop.create_server(lambda: Caller(self), sock=handed, backlog=BACKLOG))
+
+    async def _serve(
+        self, loop: asyncio.AbstractEventLoop, opening: Coroutine[Any, Any, asyncio.Server]
+    ) -> Address:
+        self._server = server = await opening
         self._sweep(loop)
         host, port = server.sockets[0].getsockname()[:2]
         return host, port
 
+    def leave(self, succeeded: bool) -> None:
+        """Accept no more, and part with each caller at its next answer."""
+        self._leaving, self._succeeded = True, succeeded
+        if self._server is not None:
+            self._server.close()
+
     def _sweep(self, loop: asyncio.AbstractEventLoop) -> None:
         loop.call_later(SWEEP_S, self._sweep, loop)
         now = now_ms()
@@ -351,11 +367,18 @@
         if path != READY_PATH:
             return Reply(404, b"no such path")
         # Not 503, which would be a refusal: this answers no request, but whoever asks may not know.
-        return Reply(200, b"ready") if self.ready() else Reply(500, b"not ready")
+        # Asked on a kept connection while a successor accepts, the node as a whole is.
+        ready = self.ready() or (self._succeeded and self._ready())
+        return Reply(200, b"ready") if ready else Reply(500, b"not ready")
 
     def ready(self) -> bool:
-        """Whether callers should come."""
-        return self._ready() and not self._closing and not self.draining()
+        """Whether callers should come to this process."""
+        listening = self._server is not None and not self._leaving and not self._closing
+        return self._ready() and listening and not self.draining()
+
+    def parting(self) -> bool:
+        """Whether answers end their connections."""
+        return self._leaving or self.draining()
 
     def draining(self) -> bool:
         """Whether callers are to leave."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -71,6 +71,7 @@
         settings = config.settings
         self._balancer = Balancer(settings, config.seed)
         self._rng = random.Random(config.seed)
+        self._processes = 1  # that are this node, and share its limits
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._live: dict[str, Live] = {}
@@ -87,7 +88,7 @@
         self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
         self.frontend = Frontend(
             self.accept,
-            lambda: bool(self._in_service),
+            self.serves,
             self._room,
             lambda: self._room() > PLENTY_SHARE * config.sockets,
             self._upstream.close_oldest_idle,
@@ -121,6 +122,17 @@
         self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
+    def share(self, processes: int) -> None:
+        """So many processes are this node now: each keeps to its part of what all may use."""
+        self._processes = processes
+        self._handle(api.Sharing(processes))
+        while self._room() < 0 and self._upstream.close_oldest_idle():
+            pass
+
+    def serves(self) -> bool:
+        """Whether it knows a server to send to."""
+        return bool(self._in_service)
+
     async def stop(self) -> None:
         """Finish all that is held and close."""
         await self.frontend.wind_up()
@@ -142,7 +154,12 @@
         return 200, {"draining": False}
 
     def _room(self) -> int:
-        return self.config.sockets - self._reserved - self.frontend.count() - self._upstream.count()
+        return (
+            self.config.sockets // self._processes
+            - self._reserved
+            - self.frontend.count()
+            - self._upstream.count()
+        )
 
     # Requests
 
