--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -488,7 +488,7 @@
         """A server has a call to work on from now."""
         server.inflight += 1
         self.inflight += 1
-        if self.inflight > HOT * len(self.fleet.ready):
+        if self.inflight > HOT * len(self.fleet.ready) and self.fleet.slices < self.fleet.nodes:
             self.fleet.cut(2 * self.fleet.slices)  # a hot caller needs more of the fleet
         server.out[call.id] = now, call.cls.aim_ms
 
@@ -503,7 +503,7 @@
         call = self._calls.get(event.id)
         if call is None or call.whole: return
         call.whole, call.arrived_ms, call.ends_ms = True, now, now + call.ttl_ms
-        if call.out and call.last and call.id in self._light:
+        if call.out and not call.bound and call.last and call.id in self._light:
             self._light.discard(call.id)
             self._load(call, call.last, now)
 
