Let answers flow that begin before their request is whole; cap newcomers beyond all sockets

An answer over 64 KiB that begins while its request still comes was cut off by the deadline that began with the request's last byte. With all sockets busy a newcomer was let in however many there were; now it is closed before it asks anything. Each has a test that fails without it. Absolute targets go on as paths.

--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -36,6 +36,7 @@
 LINGER_MS = 10_000.0  # for a peer to send the rest of a body that was answered before its end
 SWEEP_S = 0.1  # how often connections are looked at for these
 PART_MS = 450.0  # after the word to drain: connections go on coming for up to 0.3 s, and then none does
+BEYOND = 8  # callers so many more than there is room for may still come, when all others are busy
 NO_MORE_MS = 1_900.0  # and from then on nothing new is taken: by 4 s no request of the last 2 s may be held
 READY_PATH = b"/-/ready"
 OWN_PATHS = b"/-/"
@@ -267,6 +268,11 @@
         if self.idle() and not self._unread():
             self._close()
 
+    def leave(self) -> None:
+        """Close at once: nothing has been asked on it yet."""
+        self._deaf = True
+        self._transport.abort()
+
     def _unread(self) -> bool:
         """Whether something has come that the loop has not read yet: that may be a request."""
         poll = select.poll()
@@ -309,7 +315,7 @@
         if chunked and (headers[b"transfer-encoding"].lower() != b"chunked" or b"content-length" in headers):
             self._reject(400, "the length of the body can't be told")
         length = headers.get(b"content-length", b"0")
-        if not length.isdigit() or int(length[:12]) > MAX_BODY:
+        if not length.isdigit() or len(length) > 18 or int(length) > MAX_BODY:
             self._reject(413, "body over 32 MB")
         expected = headers.get(b"expect")
         if expected is not None and expected.lower() != b"100-continue":
@@ -510,7 +516,7 @@
             self._transport.write(b"0\r\n\r\n")
         early = self._ended()
         if early or self._transport.is_closing():
-            return
+            return self._read_on()
         if self._closing and not self._queue:
             self._close()
         else:
@@ -541,7 +547,7 @@
         ready: Callable[[], bool],
         room: Callable[[], int],
         plenty: Callable[[], bool],
-        make_room: Callable[[], object],
+        make_room: Callable[[], bool],
         turned_away: Callable[[str], None],
         memory: Memory,
     ) -> None:
@@ -636,8 +642,8 @@
             idle = next((c for c in self._callers if c is not caller and c.idle()), None)
             if idle is not None:
                 idle.wind_up()
-            else:
-                self._make_room()
+            elif not self._make_room() and self._room() < -BEYOND:
+                caller.leave()  # nobody's request is worth the crash that too many sockets are
 
     def closed(self, caller: Caller) -> None:
         """Count a caller out."""
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -231,18 +231,19 @@
         self._handle(event)
         return live
 
-    def _run_time(self, live: Live) -> None:
+    def _run_time(self, live: Live, limited: bool = True) -> None:
         live.whole_ms = now_ms()
         live.ends_ms = live.whole_ms + live.message.budget_ms
-        live.backstop = self._loop.call_later(live.message.budget_ms / 1000.0, self._overdue, live)
+        if limited:  # an answer that has begun to flow meanwhile is not
+            live.backstop = self._loop.call_later(live.message.budget_ms / 1000.0, self._overdue, live)
 
     def whole(self, live: Live) -> None:
         """A request taken before has come whole: its time runs."""
         if self._live.get(live.message.id) is not live:
             return
-        self._run_time(live)
-        self._handle(api.RequestWhole(live.message.id))
         attempt = live.attempts[-1] if live.attempts else None
+        self._run_time(live, limited=attempt is None or not attempt.flowing)
+        self._handle(api.RequestWhole(live.message.id))
         if attempt is not None and isinstance(attempt.owner, Sending):
             left_ms = live.ends_ms - MARGIN_MS - now_ms()
             self._upstream.limit(attempt, min(attempt.owner.timeout_ms, left_ms))
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -458,3 +458,48 @@
     node.end("a", api.Result.SERVED, 30_000.0)
     assert node.balancer.inflight == 0
     assert node.balancer._share == pytest.approx(usual, rel=0.2), "the caller's pace is none of the tier's"
+
+
+def test_an_answer_may_flow_before_its_request_is_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            head = await head_of(reader)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BIG) + BIG[:10])
+            await body_of(reader, head)
+            await asyncio.sleep(0.3)  # over its time, which an answer that flows has not
+            writer.write(BIG[10:])
+
+        async with world(tmp_path, Raw(serve)) as scene:
+            caller = await scene.caller()
+            message = request("a", "pay", budget="0.2", body=BIG)
+            caller.write(message[:-1000])
+            head = await head_of(caller.reader)
+            assert (head["connection"], head["content-length"]) == ("close", str(len(BIG)))
+            caller.write(message[-1000:])
+            assert await body_of(caller.reader, head) == BIG
+            assert scene.node is not None
+            assert scene.node.figures.read()["calls"]["pay"] == {"success": 1, "busy": 0, "failure": 0}
+
+    run(test())
+
+
+def test_a_call_bound_before_it_is_whole_loads_no_server_later() -> None:
+    node = Node(servers=1)
+    node.do(api.Request("a", "safe", 1000.0, whole=False))
+    node.do(api.StreamStarted("a", 0, node.sent["a"][0], 0.0))
+    node.do(api.RequestWhole("a"))
+    assert node.balancer.inflight == 0
+    node.end("a", api.Result.SERVED)
+    assert node.balancer.inflight == 0
+    assert not node.balancer.fleet.servers[0].out
+
+
+def test_a_target_in_absolute_form_goes_on_as_its_path(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with echo(tmp_path) as (scene, heads, _):
+            caller = await scene.caller()
+            caller.write(request("a", "pay").replace(b"POST /pay", b"POST http://api.internal/pay?x=1"))
+            assert (await got(caller))[1] == b"OK"
+            assert heads[0][""] == "POST /pay?x=1 HTTP/1.1"
+
+    run(test())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import json
 import logging
@@ -704,3 +705,23 @@
             assert (calls["read"]["success"], calls["new"]["success"]) == (1, 1)
 
     run(test())
+
+
+def test_beyond_all_sockets_newcomers_are_let_go_and_nobody_else(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server()
+        server.gate.clear()
+        async with world(tmp_path, server, sockets=40) as scene:
+            assert scene.node is not None
+            first = await scene.caller()
+            first.write(request("first", "pay"))
+            await until(lambda: len(server.seen) == 1)
+            for n in range(40):
+                with contextlib.suppress(ConnectionError):
+                    (await scene.caller()).write(request(f"{n}"))
+            await asyncio.sleep(0.2)
+            assert scene.node.frontend.count() <= 16 + frontend.BEYOND
+            server.gate.set()
+            assert (await first.read()).status == 200
+
+    run(test())
