--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -759,7 +759,7 @@
 
 def test_slices_double_no_further_once_a_copy_has_all_servers() -> None:
     # The drain day of seed 9101: 2 to the power of 280 slices, each cut anew, of a fleet of four servers.
-    node = Node(servers=4, nodes=8)
+    node = Node(servers=4, nodes=8, tier=1)
     for n in range(200):
         node.ask(f"{n}")
     assert node.balancer.fleet.slices == 8
