Keep two processes of a node within its sockets, and refuse what comes too late for one

Ruled out: the listener, which had stopped at SIGTERM, and stale locks. Now each tells in its locked file how many sockets it holds, parts with what idles beyond its part, and takes what others hold too much off its own; 0.2 s after it begins to wind up, a process refuses what is not whole. At fault: the fixed half in _room, and wind_up, which waited for whatever was half read.

--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -23,7 +23,6 @@
 from orchidferry.node import Node
 
 ACCEPT_ON_S = 0.45  # after SIGTERM: connections go on coming for up to 0.4 s
-KEEP_S = 0.6  # after SIGTERM with a successor: what comes within 0.7 s can still be answered in its time
 SIBLINGS_S = 0.1  # how often the other processes of this node are looked for
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
 
@@ -60,7 +59,7 @@
         return 2
     if handed is not None:
         siblings = Siblings(Path(os.environ.get("TMPDIR") or tempfile.gettempdir()))
-        node.share(1 + siblings.others())
+        node.share(siblings.others())
     node.start()
     # What was made at the start lives to the end: full collections need not look at it.
     gc.collect()
@@ -86,16 +85,17 @@
     stopping: asyncio.Event,
 ) -> None:
     """Serve at a listening socket that the platform holds, until SIGTERM and all is answered."""
-    processes = 1 + siblings.others()
+    processes = 1 + len(siblings.others())
     accepting = False
 
     def look() -> None:
         nonlocal processes
-        now = 1 + siblings.others()
-        if now != processes:
-            processes = now
+        siblings.tell(node.sockets())
+        others = siblings.others()
+        if 1 + len(others) != processes:
+            processes = 1 + len(others)
             log.info("%d processes are this node", processes)
-            node.share(processes)
+        node.share(others)
 
     async def watch() -> None:
         while True:
@@ -114,7 +114,7 @@
     look()
     log.info("stopping, %d others serve on", processes - 1)
     node.frontend.leave(processes > 1)
-    await asyncio.sleep(KEEP_S)
+    await asyncio.sleep(ACCEPT_ON_S)
     await node.stop()
     watching.cancel()
     siblings.leave()
--- a/orchidferry/frontend.py
+++ b/orchidferry/frontend.py
@@ -33,9 +33,10 @@
 IDLE_MS = 60_000.0  # between requests: a caller that has gone without a word holds no socket for ever
 SHORT_IDLE_MS = 2_000.0  # and while sockets are short
 CLOSE_MS = 2_000.0  # for a peer to take more of the answer that its connection ends with
-LINGER_MS = 10_000.0  # for a peer to send the rest of a body that was answered before its end
+LINGER_MS = 3_000.0  # for a peer to send the rest of a body that was answered before its end
 SWEEP_S = 0.1  # how often connections are looked at for these
 PART_MS = 450.0  # after the word to drain: connections go on coming for up to 0.3 s, and then none does
+CUT_S = 0.2  # from when connections are wound up: what is not whole by then could outlive this process
 BEYOND = 8  # callers so many more than there is room for may still come, when all others are busy
 NO_MORE_MS = 1_900.0  # and from then on nothing new is taken: by 4 s no request of the last 2 s may be held
 READY_PATH = b"/-/ready"
@@ -232,7 +233,7 @@
                 self._since_ms = now
             elif waited_ms > CLOSE_MS:
                 self._transport.abort()
-        elif self._lingers:
+        elif self._lingers and not self._busy:
             if waited_ms > LINGER_MS or now - self._moved_ms > PROGRESS_MS:
                 self._close()
         elif self._full and now - self._moved_ms > TAKE_MS:
@@ -279,11 +280,17 @@
         poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
+    def cut(self) -> None:
+        """Refuse what is still coming: it would be whole too late to be answered in its time."""
+        if self._reading and self._flow is None and not self._transport.is_closing():
+            self._reject(503, "this process serves no more")
+            self._serve_next()
+            self._read_on()
+
     def part(self, drained_ms: float) -> None:
         """Leave a node that drains: once idle, and in the end whatever it is about to send."""
-        if drained_ms > NO_MORE_MS and self._reading and not self._busy:
-            self._reject(503, "draining")
-            self._serve_next()
+        if drained_ms > NO_MORE_MS and self._reading:
+            self.cut()
         elif (self._asked or drained_ms > NO_MORE_MS) and not self._transport.is_closing():
             self.wind_up()
 
@@ -416,6 +423,7 @@
         if self._deaf:
             return
         self._deaf = self._closing = True
+        self._lingers = self._reading and self._headers_done and status != 408  # it may still be sending
         if self._taken is not None and self._taken is self._incoming:  # the node has begun with it
             self._broken(status, why)
             return
@@ -532,7 +540,9 @@
     def _write(self, reply: Reply) -> None:
         close = (self._closing or self._frontend.parting()) and not self._queue and not self._reading
         self._transport.write(render(reply, close))
-        if close:
+        if close and self._lingers:
+            self._since_ms = self._moved_ms = now_ms()
+        elif close:
             self._close()
         elif not self._reading:
             self._since_ms = now_ms()
@@ -556,7 +566,7 @@
         self._ready, self._room, self._plenty, self._make_room = ready, room, plenty, make_room
         self._callers: dict[Caller, None] = {}  # in the order they came
         self._server: asyncio.Server | None = None
-        self._closing = False
+        self._closing = self._cut = False
         self._leaving = self._succeeded = False  # it ends soon; another process of this node serves on
         self._drain_ms: float | None = None  # since when it drains
         self._empty = asyncio.Event()
@@ -621,8 +631,8 @@
         return self._drain_ms is not None
 
     def refusing(self) -> bool:
-        """Whether the drain has come so far that nothing new is taken."""
-        return self._drain_ms is not None and now_ms() - self._drain_ms > NO_MORE_MS
+        """Whether nothing new is taken, so late in a drain or at the end."""
+        return self._cut or (self._drain_ms is not None and now_ms() - self._drain_ms > NO_MORE_MS)
 
     def quiesce(self) -> None:
         """Empty the node, from the first call on; the listener stays."""
@@ -651,6 +661,16 @@
         if not self._callers:
             self._empty.set()
 
+    def _cut_short(self) -> None:
+        self._cut = True
+        for caller in list(self._callers):
+            caller.cut()
+
+    def shed(self, count: int) -> None:
+        """Part with so many callers that ask nothing, those first that came first."""
+        for caller in [c for c in self._callers if c.idle()][: max(0, count)]:
+            caller.wind_up()
+
     async def wind_up(self) -> None:
         """Close the listener and what is idle; wait until all that is owed has been answered."""
         self._closing = True
@@ -659,6 +679,7 @@
         for caller in list(self._callers):
             with contextlib.suppress(RuntimeError):
                 caller.wind_up()
+        asyncio.get_running_loop().call_later(CUT_S, self._cut_short)
         while self._callers:
             self._empty.clear()
             await self._empty.wait()
--- a/orchidferry/handover.py
+++ b/orchidferry/handover.py
@@ -1,7 +1,7 @@
 """Two processes of one node during an upgrade: how each knows that the other lives.
 
-Each locks a file of its own in the folder that they share. The kernel drops the lock however the
-process ends, so a file left behind means nothing.
+Each locks a file of its own in the folder that they share, and writes there how many sockets it holds.
+The kernel drops the lock however the process ends, so a file left behind means nothing.
 """
 
 from __future__ import annotations
@@ -52,9 +52,15 @@
             return -1
         return file
 
-    def others(self) -> int:
-        """How many others live now."""
-        alive = 0
+    def tell(self, sockets: int) -> None:
+        """Let the others know how many sockets are in use here."""
+        if self._file >= 0:
+            with contextlib.suppress(OSError):
+                os.pwrite(self._file, b"%-8d" % sockets, 0)
+
+    def others(self) -> list[int]:
+        """The others that live now: how many sockets each says it holds."""
+        alive: list[int] = []
         for place in range(MOST):
             if place == self._own or not (self._folder / NAME.format(place)).exists():
                 continue
@@ -62,9 +68,15 @@
             if file >= 0:
                 os.close(file)
             else:
-                alive += 1
+                alive.append(self._told(place))
         return alive
 
+    def _told(self, place: int) -> int:
+        try:
+            return int((self._folder / NAME.format(place)).read_bytes()[:8])
+        except (OSError, ValueError):
+            return 0  # it has only just begun
+
     def leave(self) -> None:
         """Count as ended from now on."""
         if self._file >= 0:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -115,6 +115,7 @@
         self._balancer = Balancer(settings, config.seed)
         self._rng = random.Random(config.seed)
         self._processes = 1  # that are this node, and share its limits
+        self._part = config.sockets  # of them, for this process
         self._events: deque[api.Event] = deque()
         self._handling = False
         self._live: dict[str, Live] = {}
@@ -172,13 +173,23 @@
         self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
-    def share(self, processes: int) -> None:
-        """So many processes are this node now: each keeps to its part of what all may use."""
-        self._processes = processes
-        self.memory.share(self.config.memory_mb / processes)
-        self._handle(api.Sharing(processes))
+    def share(self, others: list[int]) -> None:
+        """Other processes are this node too, and hold so many sockets: keep to a part of what all may use."""
+        processes = 1 + len(others)
+        limit = self.config.sockets
+        # What another holds beyond its part is not to be had before it has let go of it.
+        self._part = min(limit // processes, limit - sum(others)) if others else limit
+        if processes != self._processes:
+            self._processes = processes
+            self.memory.share(self.config.memory_mb / processes)
+            self._handle(api.Sharing(processes))
         while self._room() < 0 and self._upstream.close_oldest_idle():
             pass
+        self.frontend.shed(-self._room())
+
+    def sockets(self) -> int:
+        """How many are in use here, with what else is open."""
+        return SPARE_SOCKETS + self.door.count() + self.frontend.count() + self._upstream.count()
 
     def serves(self) -> bool:
         """Whether it knows a server to send to."""
@@ -205,12 +216,7 @@
         return 200, {"draining": False}
 
     def _room(self) -> int:
-        return (
-            self.config.sockets // self._processes
-            - self._reserved
-            - self.frontend.count()
-            - self._upstream.count()
-        )
+        return self._part - self._reserved - self.frontend.count() - self._upstream.count()
 
     # Requests
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,6 +13,7 @@
 import pytest
 
 from nickelbridge import interface as api
+from orchidferry import frontend
 from orchidferry.handover import Siblings, handed_socket
 from tests.helpers import Node
 from tests.peers import LIMIT_S, Server, World, request, run, until, world
@@ -22,18 +23,73 @@
 def test_processes_see_each_other_by_their_locks(tmp_path: Path) -> None:
     (tmp_path / "orchidferry.0.lock").write_text("left behind by a process that was killed")
     old = Siblings(tmp_path)
-    assert old.others() == 0
+    assert old.others() == []
+    old.tell(7)
     new = Siblings(tmp_path)
-    assert (old.others(), new.others()) == (1, 1)
+    assert (old.others(), new.others()) == ([0], [7])
+    new.tell(123)
     third = Siblings(tmp_path)
-    assert (old.others(), new.others(), third.others()) == (2, 2, 2)
+    assert (old.others(), new.others(), third.others()) == ([123, 0], [7, 0], [7, 123])
     third.leave()
     old.leave()
-    assert new.others() == 0
+    assert new.others() == []
 
 
 def test_a_folder_that_cannot_be_written_hides_the_others_and_does_no_harm(tmp_path: Path) -> None:
-    assert Siblings(tmp_path / "absent").others() == 0
+    siblings = Siblings(tmp_path / "absent")
+    siblings.tell(3)
+    assert siblings.others() == []
+
+
+def test_both_processes_keep_to_the_limit_of_sockets_together(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(frontend, "SHORT_IDLE_MS", 60_000.0)
+
+    async def test() -> None:
+        async with world(tmp_path, Server(), sockets=80) as scene:
+            node = scene.node
+            assert node is not None
+            callers = [await scene.caller() for _ in range(40)]
+            for n, caller in enumerate(callers):
+                assert (await caller.ask(f"{n}")).status == 200
+            assert node.frontend.count() == 40 and node._room() > 0
+            node.share([24])  # another one has begun
+            assert node._room() == 40 - 24 - 40 - node._upstream.count()
+            await until(lambda: node._room() >= 0)
+            assert node.sockets() + 24 <= 80 and node.frontend.count() > 0
+            node.share([70])  # holds more than its half
+            assert node._part == 10
+            node.share([])
+            assert node._part == 80
+
+    run(test())
+
+
+def test_what_comes_too_late_for_a_process_that_ends_is_refused(tmp_path: Path) -> None:
+    async def test() -> None:
+        server = Server()
+        server.gate.clear()
+        async with world(tmp_path, server) as scene:
+            node = scene.node
+            assert node is not None
+            held, head, small, large = [await scene.caller() for _ in range(4)]
+            held.write(request("held", "pay"))
+            head.write(request("head", "pay")[:20])
+            small.write(request("small", "pay", body=b"x" * 100)[:-1])
+            large.write(request("large", "pay", body=b"x" * 300_000)[:-1])
+            await until(lambda: bool(server.seen) and len(node._attempts) == 2)
+            ending = asyncio.ensure_future(node.stop())
+            for caller in (head, small, large):
+                assert (await caller.read()).status == 503
+                caller.writer.close()
+            assert not ending.done()
+            server.gate.set()
+            assert (await held.read()).status == 200
+            await ending
+            assert [seen.id for seen in server.seen] == ["held"] and node.memory.held == 0
+
+    run(test())
 
 
 @pytest.mark.parametrize("value", ["x", "987654"])
