Let times with nothing out not shrink the window of first sends

A trace shows the node that was drained before come back with room for 8 calls where it had borne 13, its answer rate having faded with nothing asked, at delays under the target. Ruled out: lost or ejected servers (all four ready), the shed share (0), sockets. At fault: window(), whose rate forgets by the clock alone.

--- a/nickelbridge/averages.py
+++ b/nickelbridge/averages.py
@@ -28,6 +28,11 @@
             self.span_s = self.span_s * kept + (1 - kept) * self._window_ms / 1000.0
         self.events += events
 
+    def skip(self, now: float) -> None:
+        """Let the time since it was last called not count."""
+        if self._seen_ms > -math.inf:
+            self._seen_ms = max(self._seen_ms, now)
+
     def per_s(self) -> float:
         """The rate as of the last call, never from less than a second's evidence."""
         return self.events / max(1.0, self.span_s)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -64,6 +64,7 @@
     def __init__(self) -> None:
         self._kp, self._ki = math.sin(PHASE_MARGIN), math.cos(PHASE_MARGIN)  # equations 40, 41 over nu1
         self.answers, self.failures = Rate(WINDOW_MS), Rate(WINDOW_MS)  # nu1, in answers a second
+        self.busy = Rate(WINDOW_MS)  # the same without the times in which nothing was out
         self._excess_s = self._square_s = self._aim_s = self._samples = 0.0  # sums over the last samples,
         self._last_ms = math.inf  # and when the last was taken
         # nu10, the answer rate that the gains are tuned to; KI times the integral of the error, a rate; r
@@ -77,6 +78,7 @@
         faded = math.exp(min(0.0, self._last_ms - now) / WINDOW_MS)
         passed_s, self._last_ms = max(0.0, min(now - self._last_ms, WINDOW_MS)) / 1000.0, now
         self.answers.count(served, now)
+        self.busy.count(served, now)
         self.failures.count(0.0, now)  # so that its clock runs too
         # Old samples fade with time too: a copy that sheds gets few new ones, and went on shedding for these.
         kept = min(1.0 - 1.0 / SAMPLES, faded)
@@ -110,8 +112,9 @@
         if self.answers.span_s < 1.0:  # sulcast-later overload: unbounded at first, a tier choked at 2 s
             return START * part + self.answers.events
         self.answers.count(0.0, now)
+        self.busy.count(0.0, now)
         # i35d8eb: with nothing added it spirals down where the normal delay is over its share of the aim.
-        usual = ADDED * part + self.answers.per_s() * self.target_share * self._aim_s / self._samples
+        usual = ADDED * part + self.busy.per_s() * self.target_share * self._aim_s / self._samples
         bunched = max(FEW, usual + BUNCH * math.sqrt(usual))
         return usual + max(0.0, bunched - usual) * self.allowed_rate / (self.tuned_rate or 1.0)
 
@@ -361,6 +364,7 @@
     def _crowded(self, call: Call, now: float) -> bool:
         """Whether the clients' tier has as many calls outstanding as the delay target bears."""
         if self.settings.tier: return False  # deeper, a refusal wastes work done above
+        if not self.inflight: self.controller.busy.skip(now)  # while nothing was out, nothing was measured
         room = self.controller.window(self.fleet.slice, now)
         if self._borne:  # it was measured with servers that may be gone, lost or cold by now
             room = max(1.0, room * min(1.0, self._capacity(now) / self._borne))
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -764,3 +764,20 @@
         node.ask(f"{n}")
     assert node.balancer.fleet.slices == 8
     assert len(node.balancer.fleet.ready) == 4
+
+
+def test_a_time_with_nothing_to_do_does_not_shrink_the_window() -> None:
+    # The drain days of seeds 9101 and 9303: a copy came back with a window for half of what it had borne.
+    def let_in(pause_ms: float) -> int:
+        node = Node(servers=4)
+        for n in range(0, 600, 30):
+            for m in range(n, n + 30):
+                node.ask(f"{m}")
+            for m in range(n, n + 30):
+                if f"{m}" in node.sent:
+                    node.end(f"{m}", Result.SERVED, 10.0)
+        node.now += pause_ms
+        return sum(bool(sends(node.ask(f"later-{n}"))) for n in range(200))
+
+    assert let_in(0.0) > 30
+    assert let_in(20_000.0) == pytest.approx(let_in(0.0), abs=2)
