Wait for an attempt at least a tenth of its aim, whatever the usual delay

A trace of the time-outs showed why: all fell due 0 to 6 ms after the request was written, with nothing unread on the connection. Ruled out: the limit of sockets (no attempt found no room), shedding (its Retry-After is that of no attempt), answers that had come before the time-out was looked at.

Lines at fault: the time-out of an attempt in Balancer._send, 8 times the usual delay, which is less than 8 ms where servers answer in under one; any node is late by so much at times. The least is a tenth of the class's aim now.

--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -51,7 +51,8 @@
 SLICES = 4  # of the fleet, each cut evenly among all copies: few servers, so that a copy sees each often
 IDLE_CUT, IDLE_GROWTH = 0.5, 1.03  # of the idle time trusted: after a loss on such a connection, an answer
 HOT = 1.0  # calls out a server from which a copy doubles its slices
-PATIENCE = 8.0  # times its usual delay: the longest that an attempt is waited for
+PATIENCE, PATIENCE_LEAST = 8.0, 0.1  # times its usual delay: the longest that an attempt is waited for;
+# at least so much of its aim, as the node itself may be late by more than a few milliseconds
 COLD_SHARE = 0.5  # of the stated cold budget that all copies together use
 ASK_SHARE = 0.1  # of the asking interval: mean wait before asking again after a failure
 
@@ -484,7 +485,8 @@
         else: self._light.add(call.id)
         last = cls.repeat is Repeat.UNSAFE or call.attempts == self.settings.max_attempts
         # i2750ee: calls to a lost zone that wait out a whole deadline fill the slots of the tier above.
-        most = PATIENCE * self._share * cls.aim_ms if self._seen >= SAMPLES else left
+        patience = max(PATIENCE * self._share, PATIENCE_LEAST) * cls.aim_ms
+        most = patience if self._seen >= SAMPLES else left
         self._actions.append(api.Send(call.id, server.id, min(most, left if last else TIMEOUT_SHARE * left)))
         return True
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -538,6 +538,13 @@
     assert node.serve(20).count(9) <= 2
 
 
+def test_an_attempt_is_waited_for_though_the_node_is_late_by_milliseconds() -> None:
+    node = Node()
+    node.serve(100, delay_ms=0.5)  # eight times that is over before a busy machine looks again
+    [send] = sends(node.ask("next"))
+    assert 100.0 <= send.timeout_ms < 200.0
+
+
 def test_an_attempt_is_not_waited_for_much_longer_than_usual() -> None:
     """i2750ee: calls to a lost zone waited out a whole deadline and filled the slots of the tier above."""
     node = Node(servers=4, tier=1, passes_deadline=False)
