--- /dev/null
+++ b/dunlinloft/__init__.py
@@ -0,0 +1,1 @@
+"""The command line over the node and its lab."""
--- /dev/null
+++ b/dunlinloft/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m dunlinloft`."""
+
+from dunlinloft.cli import main
+
+main()
--- /dev/null
+++ b/dunlinloft/cli.py
@@ -0,0 +1,111 @@
+"""The command line. What a command needs is imported when it runs: `serve` leads to the node alone."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+SUCCESS, UNKEPT, BAD_FILE = 0, 1, 2
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+def main() -> None:
+    """dunlinloft: a load-balancing node, its fleet, and the lab that proves them."""
+
+
+@main.command()
+@click.argument("config", required=False, type=click.Path(dir_okay=False))
+def serve(config: str | None) -> None:
+    """Run a node from CONFIG, or from the file that NODE_CONFIG names."""
+    if config is not None:
+        os.environ["NODE_CONFIG"] = config
+    # The node's process is the same as with `python -m orchidferry`: nothing of this one stays in memory.
+    os.execv(sys.executable, [sys.executable, "-B", "-m", "orchidferry"])
+
+
+@main.command()
+@click.argument("config", type=click.Path(dir_okay=False))
+def check(config: str) -> None:
+    """Say all that is wrong with a node's CONFIG, each with its path in the file."""
+    from dunlinloft.check import check_file
+
+    problems = check_file(Path(config))
+    for problem in problems:
+        click.echo(f"{config}: {problem}", err=True)
+    if problems:
+        sys.exit(UNKEPT)
+    click.echo(f"{config}: a node can be started with it")
+
+
+@main.group()
+def lab() -> None:
+    """Play days of a fleet, in virtual time or with real processes, and look at what came of them."""
+
+
+@lab.command("run")
+@click.argument("scenario")
+@click.option("--host", type=click.Choice(["processes", "virtual"]), default="virtual", show_default=True)
+@click.option("--seeds", default="1", show_default=True, help="Such as 7, 1-20 or 1,4,7-9.")
+@click.option("--jobs", type=click.IntRange(1), default=1, show_default=True, help="Seeds at a time.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Save the results here.")
+@click.option("--html", "html_file", type=click.Path(dir_okay=False), help="Make a page of them here.")
+@click.option("--logs", type=click.Path(file_okay=False), help="Write all that happened to this folder.")
+def lab_run(
+    scenario: str,
+    host: str,
+    seeds: str,
+    jobs: int,
+    json_file: str | None,
+    html_file: str | None,
+    logs: str | None,
+) -> None:
+    """Play SCENARIO, a file or the name of a shipped one.
+
+    Exit status: 0 where all rules and the file's expectations held, 1 where not, 2 for a bad file.
+    """
+    from dunlinloft import labcli
+
+    sys.exit(labcli.run(scenario, host, seeds, jobs, json_file, html_file, logs))
+
+
+@lab.command("compare")
+@click.argument("first", type=click.Path(dir_okay=False))
+@click.argument("second", type=click.Path(dir_okay=False))
+def lab_compare(first: str, second: str) -> None:
+    """Set the same seeds of two result files side by side, with the spread."""
+    from dunlinloft import labcli
+
+    sys.exit(labcli.compare(first, second))
+
+
+@lab.command("report")
+@click.argument("results", type=click.Path(dir_okay=False))
+@click.option(
+    "--html", "html_file", required=True, type=click.Path(dir_okay=False), help="The page to write."
+)
+def lab_report(results: str, html_file: str) -> None:
+    """Make one self-contained page of a result file."""
+    from dunlinloft import labcli
+
+    sys.exit(labcli.report(results, html_file))
+
+
+@lab.command("schema")
+def lab_schema() -> None:
+    """Print the JSON Schema of a scenario file."""
+    import msgspec
+
+    from lab.scenario import schema
+
+    click.echo(msgspec.json.format(msgspec.json.encode(schema()), indent=2).decode())
+
+
+@lab.command("list")
+def lab_list() -> None:
+    """Name the scenarios that are shipped."""
+    from dunlinloft import labcli
+
+    labcli.list_shipped()
--- /dev/null
+++ b/lab/day.py
@@ -0,0 +1,85 @@
+"""Plays one seed of a scenario and says what it came to."""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import hashlib
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import IO
+
+from lab import records
+from lab.figures import Figures
+from lab.oracle import Oracle
+from lab.plan import Plan
+from lab.results import Result, missed
+from lab.scenario import Scenario
+from lab.virtual.host import VirtualHost
+
+Step = Callable[[float], None]  # hears how much of the day is over, from 0 to 1
+
+
+class Witness:
+    """All that look on: oracle, figures, the digest of what happened, and a log where one is wanted."""
+
+    def __init__(self, plan: Plan, log: IO[bytes] | None = None) -> None:
+        self.oracle, self.figures = Oracle(plan), Figures(plan)
+        self._digest, self._log = hashlib.blake2b(digest_size=16), log
+
+    def see(self, record: records.Record) -> None:
+        """Take the next record."""
+        line = records.line(record)
+        self._digest.update(line)
+        if self._log is not None:
+            self._log.write(line)
+        self.oracle.see(record)
+        self.figures.see(record)
+
+    def result(self, plan: Plan, at: float, took_s: float) -> Result:
+        """What it came to."""
+        breaks = self.oracle.finish(at)
+        figures = self.figures.totals()
+        series = self.figures.series()
+        return Result(
+            plan.seed, figures, breaks, dict(self.oracle.counts), missed(plan.scenario.expect, figures),
+            self.figures.spans, series, self._digest.hexdigest(), round(took_s, 3),
+            round(self.figures.late_ms, 1),
+        )  # fmt: skip
+
+
+def log_path(folder: Path, scenario: Scenario, host: str, seed: int) -> Path:
+    """Where the log of a seed is written."""
+    return folder / f"{scenario.name}-{host}-{seed}.jsonl"
+
+
+@contextlib.contextmanager
+def rare_collections() -> Iterator[None]:
+    """Look for circles of garbage seldom: a day makes few, and hundreds of nodes are much to look through."""
+    before = gc.get_threshold()
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(200_000, 20, 100)
+    try:
+        yield
+    finally:
+        gc.set_threshold(*before)
+        gc.unfreeze()
+
+
+def play_virtual(
+    scenario: Scenario,
+    seed: int,
+    step: Step = lambda share: None,
+    log: IO[bytes] | None = None,
+    host: type[VirtualHost] = VirtualHost,
+) -> Result:
+    """One seed in virtual time."""
+    began = time.perf_counter()
+    plan = Plan(scenario, seed)
+    witness = Witness(plan, log)
+    world = host(plan, [witness.see])
+    with rare_collections():
+        world.run(step)
+    return witness.result(plan, world.now(), time.perf_counter() - began)
--- /dev/null
+++ b/lab/figures.py
@@ -0,0 +1,190 @@
+"""What a day came to: shares, times and counts, in all and second by second."""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Any
+
+import numpy as np
+from hdrh.histogram import HdrHistogram
+from msgspec import Struct
+
+from lab import records as r
+from lab.names import CALLERS
+from lab.plan import Plan
+
+OUTCOMES = ("in_time", "late", "refused", "failed", "lost", "left")
+MOST_MS = 60_000  # of a delay that a histogram takes
+PERCENTILES = (50.0, 90.0, 99.0)
+
+
+class Span(Struct):
+    """A fault as it is shown: from and to in seconds, and whom it touched."""
+
+    name: str
+    start_s: float
+    end_s: float
+    whom: list[str]
+
+
+class Series(Struct):
+    """Figures second by second; of each class its outcomes, and percentiles of what was served (ms)."""
+
+    outcomes: dict[str, dict[str, list[int]]] = {}
+    percentiles: dict[str, list[float]] = {}
+    attempts: list[int] = []
+    refusals: list[int] = []
+    beliefs: dict[str, dict[str, list[float]]] = {}  # by node and figure, with `at_s` among them
+
+
+class Figures:
+    """Told every record; `totals` and `series` say what it came to."""
+
+    def __init__(self, plan: Plan) -> None:
+        self._plan = plan
+        self._classes = {cls.name: cls for cls in plan.scenario.classes}
+        seconds = math.ceil(plan.scenario.day.length_s + plan.scenario.day.after_s) + 1
+        self._last = seconds - 1
+        self._outcomes = {name: {o: [0] * seconds for o in OUTCOMES} for name in self._classes}
+        self._tenants: dict[str, list[int]] = defaultdict(lambda: [0, 0])
+        self._histograms = {name: HdrHistogram(1, MOST_MS, 3) for name in self._classes}
+        self._delays: list[list[float]] = [[] for _ in range(seconds)]
+        self._attempts, self._refusals = [0] * seconds, [0] * seconds
+        self._asked = self._sent = self._refused = self._tries = self._inner = 0
+        self._statuses: dict[int, int] = defaultdict(int)
+        self._beliefs: dict[str, dict[str, list[float]]] = {}
+        self.spans: list[Span] = []
+        self.late_ms = 0.0
+        first = plan.names.tiers[0]
+        self._first = set(first)
+        self._see: dict[type, Callable[[Any], None]] = {
+            r.Asked: self._on_asked,
+            r.Answered: self._on_answered,
+            r.Arrived: self._on_arrived,
+            r.Closed: self._on_closed,
+            r.Belief: self._on_belief,
+            r.Faulted: self._on_fault,
+            r.Late: self._on_late,
+        }
+
+    def see(self, record: r.Record) -> None:
+        """Take the next record."""
+        do = self._see.get(type(record))
+        if do is not None:
+            do(record)
+
+    def _second(self, at: float) -> int:
+        return min(self._last, int(at / 1000.0))
+
+    def _on_asked(self, record: r.Asked) -> None:
+        if record.origin == CALLERS:
+            self._asked += 1
+        else:
+            self._inner += 1
+
+    def _on_answered(self, record: r.Answered) -> None:
+        self._statuses[record.status] += 1
+        if record.status in (429, 503):
+            self._refusals[self._second(record.at)] += 1
+            self._refused += 1
+
+    def _on_arrived(self, record: r.Arrived) -> None:
+        if record.server in self._first:
+            self._sent += 1
+            self._attempts[self._second(record.at)] += 1
+
+    def _on_closed(self, record: r.Closed) -> None:
+        # It is counted in the second in which it came: what a fault harms shows where the fault is.
+        second = self._second(record.at - record.delay_ms)
+        self._outcomes[record.cls][record.outcome][second] += 1
+        self._tries += record.tries
+        if record.tenant:
+            self._tenants[record.tenant][0] += record.outcome == "in_time"
+            self._tenants[record.tenant][1] += 1
+        if record.outcome in ("in_time", "late"):
+            self._histograms[record.cls].record_value(max(1, min(MOST_MS, round(record.delay_ms))))
+            self._delays[second].append(record.delay_ms)
+
+    def _on_belief(self, record: r.Belief) -> None:
+        mine = self._beliefs.setdefault(record.node, {"at_s": []})
+        mine["at_s"].append(round(record.at / 1000.0, 2))
+        for name, value in record.figures.items():
+            mine.setdefault(name, []).append(round(value, 3))
+
+    def _on_fault(self, record: r.Faulted) -> None:
+        if record.on:
+            self.spans.append(Span(record.name, record.at / 1000.0, math.inf, record.whom[:40]))
+            return
+        for span in self.spans:
+            if span.name == record.name and span.end_s == math.inf:
+                span.end_s = record.at / 1000.0
+
+    def _on_late(self, record: r.Late) -> None:
+        if record.who == "lab":
+            self.late_ms = max(self.late_ms, record.late_ms)
+
+    def totals(self) -> dict[str, float]:
+        """Each figure by its name, as expectations name them."""
+        found: dict[str, float] = {}
+        worth = earned = 0.0
+        sums = dict.fromkeys(OUTCOMES, 0)
+        for name, cls in self._classes.items():
+            counts = {outcome: sum(self._outcomes[name][outcome]) for outcome in OUTCOMES}
+            # Who has left wants nothing any more.
+            total = sum(counts.values()) - counts["left"]
+            value = counts["in_time"] + cls.late_worth * counts["late"]
+            worth += cls.worth * total
+            earned += cls.worth * value
+            for outcome in OUTCOMES:
+                sums[outcome] += counts[outcome]
+            prefix = f"class.{name}."
+            found[prefix + "goodput"] = value / total if total else 1.0
+            for outcome in ("late", "refused", "failed", "lost"):
+                found[prefix + outcome] = counts[outcome] / total if total else 0.0
+            for percentile in PERCENTILES:
+                key = f"{prefix}p{percentile:g}_ms"
+                found[key] = float(self._histograms[name].get_value_at_percentile(percentile))
+        total = sum(sums.values()) - sums["left"]
+        everything = HdrHistogram(1, MOST_MS, 3)
+        for histogram in self._histograms.values():
+            everything.add(histogram)
+        found["goodput"] = earned / worth if worth else 1.0
+        for outcome in ("late", "refused", "failed", "lost"):
+            found[outcome] = sums[outcome] / total if total else 0.0
+        for percentile in PERCENTILES:
+            found[f"p{percentile:g}_ms"] = float(everything.get_value_at_percentile(percentile))
+        found["requests"] = float(sum(sums.values()))
+        found["tries"] = self._tries / max(1, sum(sums.values()))
+        found["refusals"] = self._refused / max(1, self._asked + self._inner)
+        found["attempts"] = self._sent / max(1, self._asked)
+        found["unreached"] = self._statuses[r.UNREACHED] / max(1, self._asked)
+        found["closed"] = self._statuses[r.CLOSED] / max(1, self._asked)
+        if self._tenants:
+            found["worst_tenant"] = min(good / count for good, count in self._tenants.values() if count)
+        found["worst_10s"] = self._worst_window()
+        return {name: round(value, 6) for name, value in found.items()}
+
+    def _worst_window(self, length: int = 10) -> float:
+        """The least goodput of any ten seconds in which work came."""
+        ends = min(self._last, math.ceil(self._plan.scenario.day.length_s))
+        worst = 1.0
+        for start in range(0, max(1, ends - length + 1)):
+            worth = earned = 0.0
+            for name, cls in self._classes.items():
+                part = {o: sum(self._outcomes[name][o][start : start + length]) for o in OUTCOMES}
+                worth += cls.worth * (sum(part.values()) - part["left"])
+                earned += cls.worth * (part["in_time"] + cls.late_worth * part["late"])
+            worst = min(worst, earned / worth if worth else 1.0)
+        return worst
+
+    def series(self) -> Series:
+        """The figures second by second."""
+        rows = [np.percentile(d, PERCENTILES) if d else [0.0] * len(PERCENTILES) for d in self._delays]
+        percentiles = {
+            f"p{p:g}_ms": [round(float(row[n]), 1) for row in rows] for n, p in enumerate(PERCENTILES)
+        }
+        for span in self.spans:
+            span.end_s = min(span.end_s, float(self._last))
+        return Series(self._outcomes, percentiles, self._attempts, self._refusals, self._beliefs)
--- /dev/null
+++ b/lab/processes/child.py
@@ -0,0 +1,120 @@
+"""One process of a node: its files, signals, and what the kernel says of it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import orchidferry
+
+ROOT = Path(orchidferry.__file__).parent.parent
+SIGNALS = {
+    "kill": signal.SIGKILL,
+    "term": signal.SIGTERM,
+    "stop": signal.SIGSTOP,
+    "cont": signal.SIGCONT,
+    "hup": signal.SIGHUP,
+}
+_PR_SET_PDEATHSIG = 1
+_libc = ctypes.CDLL(None)
+_PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 2**20
+_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def _die_with_parent() -> None:
+    # However the lab ends, none of its processes outlives it.
+    _libc.prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class Child:
+    """A process that the lab has started; `ended` hears its exit status."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        command: list[str],
+        environment: dict[str, str],
+        log: Path,
+        hands: tuple[int, ...],
+        ended: Callable[[Child, int], None] = lambda child, code: None,
+    ) -> None:
+        self._loop, self._ended = loop, ended
+        with log.open("ab") as errors:
+            self._process = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=errors, stderr=errors, cwd=ROOT, env=environment,
+                pass_fds=hands, start_new_session=True, preexec_fn=_die_with_parent,
+            )  # fmt: skip
+        self.pid = self._process.pid
+        self._waited_ns = 0
+        self._watch = os.pidfd_open(self.pid)
+        loop.add_reader(self._watch, self._over)
+
+    def _over(self) -> None:
+        self._loop.remove_reader(self._watch)
+        os.close(self._watch)
+        self._watch = -1
+        self._ended(self, self._process.wait())
+
+    def alive(self) -> bool:
+        """Whether it has not ended."""
+        return self._watch >= 0
+
+    def signal(self, what: str) -> None:
+        """Send one of `SIGNALS`."""
+        if self.alive():
+            self._process.send_signal(SIGNALS[what])
+
+    def waited_ms(self) -> float:
+        """How long it has waited for a core since this was asked last."""
+        try:
+            waited = int(Path(f"/proc/{self.pid}/schedstat").read_bytes().split()[1])
+        except (OSError, IndexError, ValueError):
+            return 0.0
+        passed, self._waited_ns = waited - self._waited_ns, waited
+        return passed / 1e6
+
+    def usage(self) -> dict[str, float]:
+        """Its memory and the processor time that it has used."""
+        try:
+            pages = int(Path(f"/proc/{self.pid}/statm").read_bytes().split()[1])
+            stat = Path(f"/proc/{self.pid}/stat").read_bytes().rsplit(b")", 1)[1].split()
+        except (OSError, IndexError, ValueError):
+            return {}
+        return {"memory_mb": pages * _PAGE_MB, "cpu_s": (int(stat[11]) + int(stat[12])) / _TICKS}
+
+    def close(self) -> None:
+        """End it at once and wait for it."""
+        if self.alive():
+            self._loop.remove_reader(self._watch)
+            os.close(self._watch)
+            self._watch = -1
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+        self._process.wait()
+
+
+def node_command() -> list[str]:
+    """How a node is started."""
+    return [sys.executable, "-B", "-m", "orchidferry"]
+
+
+def hog_command(for_s: float) -> list[str]:
+    """A process that uses a core for so long."""
+    return [
+        sys.executable,
+        "-c",
+        f"import time\nend = time.monotonic() + {for_s}\nwhile time.monotonic() < end: pass",
+    ]
+
+
+def environment(folder: Path, **more: str) -> dict[str, str]:
+    """What a child sees of the environment."""
+    kept = {name: os.environ[name] for name in ("PATH", "LANG", "LC_ALL") if name in os.environ}
+    return kept | {"TMPDIR": str(folder), "PYTHONHASHSEED": "0"} | more
--- /dev/null
+++ b/lab/processes/gates.py
@@ -0,0 +1,75 @@
+"""Listening sockets that can refuse, or let connections hang, as the link to them is.
+
+Each link from a node to a server has an address of its own, so its state is that of one socket.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+
+from lab.processes.block import Address
+
+BACKLOG = 256
+OPEN, HANGING, SHUT = "open", "hanging", "shut"
+
+
+def reset(sock: socket.socket) -> None:
+    """Close so that the other side sees a reset."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+class Gate:
+    """One listening socket; `accepted` gets each connection."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: Address, accepted: Callable[[socket.socket], None]
+    ) -> None:
+        self._loop, self.address, self._accepted = loop, address, accepted
+        self._socket: socket.socket | None = None
+        self.state = SHUT
+
+    def set(self, state: str) -> None:
+        """Be open, hang new connections, or refuse them."""
+        if state == self.state:
+            return
+        if self._socket is not None and self.state == OPEN:
+            self._loop.remove_reader(self._socket)
+        if state == SHUT:
+            assert self._socket is not None
+            self._socket.close()
+            self._socket = None
+        elif self._socket is None:
+            self._socket = self._listener()
+        if state == OPEN:
+            assert self._socket is not None
+            self._socket.listen(BACKLOG)
+            self._loop.add_reader(self._socket, self._accept)
+        elif state == HANGING:
+            assert self._socket is not None
+            # One handshake still succeeds, and is silent; the kernel drops those that follow.
+            self._socket.listen(0)
+        self.state = state
+
+    def _listener(self) -> socket.socket:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(self.address)
+        sock.listen(BACKLOG)
+        return sock
+
+    def _accept(self) -> None:
+        while self._socket is not None and self.state == OPEN:
+            try:
+                accepted, _ = self._socket.accept()
+            except OSError:  # none left
+                return
+            accepted.setblocking(False)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._accepted(accepted)
--- /dev/null
+++ b/lab/report.py
@@ -0,0 +1,177 @@
+"""One self-contained page of a result file: figures, pictures over time, faults as shaded spans."""
+
+from __future__ import annotations
+
+import base64
+import io
+import math
+from typing import Any
+
+import matplotlib
+import numpy as np
+from jinja2 import Environment, PackageLoader, select_autoescape
+from matplotlib.axes import Axes
+from matplotlib.figure import Figure
+
+from lab.figures import OUTCOMES
+from lab.oracle import RULES
+from lab.results import Result, Results
+
+matplotlib.use("Agg")
+COLOURS = {
+    "in_time": "#4c956c", "late": "#d9ae4f", "refused": "#7a8fb8", "failed": "#c8553d", "lost": "#7b1e1e",
+    "left": "#c9c9c9",
+}  # fmt: skip
+SHADES = ("#999999", "#b07aa1", "#e0a458", "#6c9a8b", "#8899cc")
+MOST_SEEDS, MOST_NODES = 6, 24  # with pictures of their own; lines of nodes in one
+BELIEFS = (
+    ("hosts_down", "servers avoided"), ("inflight", "requests in flight"), ("memory_mb", "memory in MB"),
+    ("cpu_share", "share of a core used"),
+)  # fmt: skip
+
+
+def page(results: Results) -> str:
+    """The page as HTML."""
+    environment = Environment(loader=PackageLoader("lab", "."), autoescape=select_autoescape(default=True))
+    shown = [result for result in results.results if result.figures][:MOST_SEEDS]
+    classes = sorted({k.split(".")[1] for r in shown for k in r.figures if k.startswith("class.")})
+    return environment.get_template("report.html.j2").render(
+        results=results,
+        classes=classes,
+        rules=RULES,
+        seeds=[(result, _pictures(result), _faults(result)) for result in shown],
+        hidden=len(results.results) - len(shown),
+        broken=sum(bool(result.broken) for result in results.results),
+        kept=sum(result.kept() for result in results.results),
+    )
+
+
+def _faults(result: Result) -> list[tuple[str, str, str, str]]:
+    """Each fault's colour, name, time and whom."""
+    found = []
+    for n, span in enumerate(result.faults):
+        whom = ", ".join(span.whom[:12]) + (f" and {len(span.whom) - 12} more" if len(span.whom) > 12 else "")
+        when = f"{span.start_s:.1f} s" if _moment(result, n) else f"{span.start_s:.1f} to {span.end_s:.1f} s"
+        found.append((SHADES[n % len(SHADES)], span.name.partition(":")[2], when, whom))
+    return found
+
+
+def _moment(result: Result, n: int) -> bool:
+    """Whether a fault is one moment and no span: a signal, or what operators did."""
+    kind = result.faults[n].name.partition(":")[2]
+    return kind in ("kill", "terminate", "operation")
+
+
+def _shade(axes: Axes, result: Result) -> None:
+    for n, span in enumerate(result.faults):
+        colour = SHADES[n % len(SHADES)]
+        if _moment(result, n):
+            axes.axvline(span.start_s, color=colour, linewidth=1.5, linestyle="--")
+        else:
+            axes.axvspan(span.start_s, span.end_s, color=colour, alpha=0.18, linewidth=0)
+
+
+def _picture(title: str, label: str, result: Result) -> tuple[Figure, Axes]:
+    figure = Figure(figsize=(9.0, 2.5), layout="constrained")
+    axes = figure.add_subplot()
+    axes.set_title(title, loc="left", fontsize=10)
+    axes.set_ylabel(label, fontsize=8)
+    axes.set_xlabel("seconds", fontsize=8)
+    axes.tick_params(labelsize=8)
+    axes.spines[["top", "right"]].set_visible(False)
+    axes.grid(axis="y", linewidth=0.4, alpha=0.6)
+    _shade(axes, result)
+    return figure, axes
+
+
+def _encode(figure: Figure) -> str:
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png", dpi=110)
+    return base64.b64encode(buffer.getvalue()).decode()
+
+
+def _length(result: Result) -> int:
+    """Seconds in which anything came."""
+    outcomes = result.series.outcomes.values()
+    totals = np.sum([counts for by in outcomes for counts in by.values()], axis=0)
+    return int(np.flatnonzero(totals)[-1]) + 1 if totals.any() else 1
+
+
+def _pictures(result: Result) -> list[tuple[str, str]]:
+    """Each picture's text for those who don't see it, and its PNG in base64."""
+    length = _length(result)
+    found = [_outcomes(name, result, length) for name in sorted(result.series.outcomes)]
+    found.append(_latencies(result, length))
+    found.append(_attempts(result, length))
+    found += [picture for key, title in BELIEFS if (picture := _belief(key, title, result))]
+    return found
+
+
+def _outcomes(name: str, result: Result, length: int) -> tuple[str, str]:
+    figure, axes = _picture(f"{name}: what became of what came in each second", "requests", result)
+    seconds = np.arange(length)
+    bottom = np.zeros(length)
+    for outcome in OUTCOMES:
+        counts = np.array(result.series.outcomes[name][outcome][:length], dtype=float)
+        if counts.any():
+            label = outcome.replace("_", " ")
+            axes.bar(seconds + 0.5, counts, 0.95, bottom, color=COLOURS[outcome], label=label, linewidth=0)
+            bottom += counts
+    axes.set_xlim(0, length)
+    axes.legend(fontsize=7, loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False)
+    return f"outcomes of {name} by second", _encode(figure)
+
+
+def _latencies(result: Result, length: int) -> tuple[str, str]:
+    figure, axes = _picture("latency of what was served, by the second it came in", "ms", result)
+    for name, values in result.series.percentiles.items():
+        shown = np.array(values[:length])
+        shown[shown == 0.0] = math.nan
+        axes.plot(np.arange(length) + 0.5, shown, label=name.removesuffix("_ms"), linewidth=1.3)
+    axes.set_yscale("log")
+    axes.set_xlim(0, length)
+    axes.legend(fontsize=7, loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False)
+    return "latency percentiles by second", _encode(figure)
+
+
+def _attempts(result: Result, length: int) -> tuple[str, str]:
+    figure, axes = _picture("attempts at servers, and refusals", "a second", result)
+    seconds = np.arange(length) + 0.5
+    axes.plot(seconds, result.series.attempts[:length], label="attempts", linewidth=1.3)
+    axes.plot(seconds, result.series.refusals[:length], label="refusals", linewidth=1.3)
+    axes.set_xlim(0, length)
+    axes.set_ylim(bottom=0)
+    axes.legend(fontsize=7, loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False)
+    return "attempts and refusals by second", _encode(figure)
+
+
+def _belief(key: str, title: str, result: Result) -> tuple[str, str] | None:
+    nodes = {name: _series(key, figures) for name, figures in result.series.beliefs.items()}
+    nodes = {name: series for name, series in nodes.items() if series is not None}
+    if not nodes:
+        return None
+    figure, axes = _picture(f"what each process says: {title}", title, result)
+    named = len(nodes) <= 12
+    for name, series in list(nodes.items())[:MOST_NODES]:
+        assert series is not None
+        axes.plot(*series, label=name if named else None, linewidth=1.0, alpha=0.9 if named else 0.5)
+    axes.set_xlim(0, _length(result))
+    axes.set_ylim(bottom=0)
+    if named:
+        axes.legend(fontsize=7, loc="upper left", bbox_to_anchor=(1.0, 1.0), frameon=False)
+    elif len(nodes) > MOST_NODES:
+        axes.text(1.0, 1.0, f"{MOST_NODES} of {len(nodes)} nodes", transform=axes.transAxes, fontsize=7)
+    return f"{title} by node", _encode(figure)
+
+
+def _series(key: str, figures: dict[str, list[float]]) -> tuple[Any, Any] | None:
+    """Times and values of a figure; the share of a core comes from the processor time used."""
+    at = np.array(figures["at_s"])
+    if key == "cpu_share":
+        used = np.array(figures.get("cpu_s", []))
+        if len(used) != len(at) or len(at) < 2:
+            return None
+        share = np.diff(used) / np.maximum(np.diff(at), 1e-3)
+        return at[1:], np.clip(share, 0.0, None)  # a new process counts from 0 again
+    values = figures.get(key)
+    return (at, np.array(values)) if values is not None and len(values) == len(at) else None
--- /dev/null
+++ b/lab/virtual/node.py
@@ -0,0 +1,335 @@
+"""A node in virtual time: the same `Balancer` among connections, time-outs and a deadline's backstop.
+
+It does what `orchidferry/node.py` and `orchidferry/upstream.py` do on sockets, and decides as little.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from lab import records
+from lab.callers import Done, Order
+from lab.records import CLOSED, UNREACHED
+from lab.registry import ACTIVE, LEFT, Entry
+from lab.servers import Job, Server
+from lab.settings import settings
+from nickelbridge import interface as api
+from nickelbridge.interface import Result
+from nickelbridge.logic import Balancer
+from nickelbridge.settings import read_settings
+from orchidferry.__main__ import ACCEPT_ON_S
+from orchidferry.config import STATUSES
+from orchidferry.node import MARGIN_MS
+from orchidferry.upstream import IDLE_SHARE
+
+if TYPE_CHECKING:
+    from lab.virtual.host import VirtualHost
+
+REQUEST_BYTES, ANSWER_BYTES = 400, 500
+DRAIN_TAKES_MS = 1900.0  # after a drain's begin, nothing new is taken from then on
+RESULTS = {"served": Result.SERVED, "error": Result.ERROR, "turned": Result.REFUSED}
+
+
+class Live:
+    """A request that is owed its answer."""
+
+    __slots__ = ("attempts", "done", "ends_ms", "order")
+
+    def __init__(self, order: Order, ends_ms: float, done: Done) -> None:
+        self.order, self.ends_ms, self.done = order, ends_ms, done
+        self.attempts: list[Attempt] = []
+
+
+class Attempt:
+    """An attempt that is out, or was."""
+
+    __slots__ = ("began", "id", "job", "live", "new", "node", "number", "over", "server")
+
+    def __init__(self, node: VirtualNode, live: Live, server: Server, began: float, new: bool) -> None:
+        self.node, self.live, self.server, self.began, self.new = node, live, server, began, new
+        self.id, self.number = live.order.id, len(live.attempts)
+        self.job: Job | None = None
+        self.over = False
+
+
+class VirtualNode:
+    """One process of a node."""
+
+    def __init__(self, host: VirtualHost, name: str, seed: int, max_attempts: int) -> None:
+        self._host, self.name = host, name
+        self.alive, self.stopped, self.draining_ms = True, False, math.inf
+        self.share = 1.0  # of its core that it gets
+        self._wall_ms, self._rate, self._anchor = 0.0, 1.0, (host.now(), host.now())
+        self._frozen: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self._busy_ms = 0.0
+        self.ending = False
+        self._live: dict[str, Live] = {}
+        self._idle: dict[str, deque[float]] = {}
+        self._in_service: set[int] = set()
+        self._known: dict[int, Server] = {}
+        self.max_attempts = max_attempts
+        self.settings = read_settings(settings(host.plan, name, max_attempts))
+        self.balancer = Balancer(self.settings, seed)
+        self._events: deque[api.Event] = deque()
+        self._handling = False
+        self.written = 0
+        self._cpu_ms = host.scenario.nodes.cpu_ms
+        self._tier = host.scenario.tiers[int(name in host.names.inner)]
+        self.tell_list(host.agent(name).index, host.agent(name).whole(), True)
+
+    # Clocks and turns
+
+    def now(self) -> float:
+        """Its own monotonic clock."""
+        true, own = self._anchor
+        return own + (self._host.now() - true) * self._rate
+
+    def skew(self, wall_ms: float, drift: float) -> None:
+        """Have its clocks go wrong from now on; the monotonic one never steps."""
+        self._anchor = self._host.now(), self.now()
+        self._wall_ms, self._rate = wall_ms, 1.0 + drift
+
+    def turn(self, do: Callable[..., None], *args: Any) -> None:
+        """Do something in this process: not if it is dead, later if it is stopped."""
+        if not self.alive:
+            return
+        if self.stopped:
+            self._frozen.append((do, args))
+        else:
+            do(*args)
+
+    def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
+        """Do something later by its own clock."""
+        self._host.after(delay_ms / self._rate, self.turn, do, *args)
+
+    def cont(self) -> None:
+        """Go on after a stop."""
+        self.stopped = False
+        frozen, self._frozen = self._frozen, []
+        for do, args in frozen:
+            self.turn(do, *args)
+
+    def come(self, order: Order, done: Done) -> None:
+        """A request's last byte has come to its machine: it is worked on when there is a core for it."""
+        if not self.alive or (self.ending and self._host.now() >= self.draining_ms + 1000.0 * ACCEPT_ON_S):
+            return self._host.answer(self.name, order, done, UNREACHED, "", 0.0)
+        now = self._host.now()
+        self._busy_ms = max(self._busy_ms, now) + self._cpu_ms / self.share
+        self._host.after(self._busy_ms - now, self._begin, order, done)
+
+    def _begin(self, order: Order, done: Done) -> None:
+        if self.alive:
+            self.turn(self._take, order, done)
+
+    # Requests
+
+    def _take(self, order: Order, done: Done) -> None:
+        if not self.ending and self._host.now() >= self.draining_ms + DRAIN_TAKES_MS:
+            return self._host.answer(self.name, order, done, 503, "", 0.0)
+        now = self.now()
+        live = self._live[order.id] = Live(order, now + order.budget_ms, done)
+        self.after(order.budget_ms, self._overdue, order.id, live)
+        ttl = max(0.0, order.budget_ms - MARGIN_MS)
+        self.handle(api.Request(order.id, order.name, ttl, order.tenant or None, False))
+
+    def gone(self, id: str) -> None:
+        """Its caller has left."""
+        if self._live.pop(id, None) is not None:
+            self.handle(api.ClientGone(id))
+
+    def _finish(self, id: str, status: int, maker: str = "", advice_ms: float = 0.0) -> None:
+        live = self._live.pop(id, None)
+        if live is not None:
+            self._host.answer(self.name, live.order, live.done, status, maker, advice_ms)
+            self.end_if_done()
+
+    def end_if_done(self) -> None:
+        """End, once told to, when all that was taken is answered."""
+        over = self._host.now() >= self.draining_ms + 1000.0 * ACCEPT_ON_S
+        if self.ending and self.alive and over and not self._live:
+            self._host.ended(self)
+
+    def _overdue(self, id: str, live: Live) -> None:
+        if self._live.get(id) is live:
+            self._finish(id, 504)
+            self.handle(api.ClientGone(id))
+
+    def handle(self, event: api.Event) -> None:
+        """Give the module an event and do what it says; what that raises waits its turn."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        while self._events:
+            for action in self.decide(self._events.popleft()):
+                self.act(action)
+        self._handling = False
+
+    def decide(self, event: api.Event) -> list[api.Action]:
+        """The module's answer to an event."""
+        return self.balancer.handle(event, self.now())
+
+    def act(self, action: api.Action) -> None:
+        """Do one thing that the module says."""
+        match action:
+            case api.Send():
+                self.send(action.id, action.server, action.timeout_ms)
+            case api.SetTimer():
+                self.after(action.delay_ms, self.handle, api.TimerFired(action.token))
+            case api.Fail():
+                self._finish(action.id, 502)
+            case api.Refuse():
+                self._finish(action.id, 503, "", action.retry_after_ms)
+            case api.Cancel():
+                live = self._live.get(action.id)
+                if live is not None and action.attempt < len(live.attempts):
+                    self._give_up(live.attempts[action.attempt], Result.CANCELLED)
+            case api.CloseIdle():
+                server = self._known.get(action.server)
+                if server is not None:
+                    self._close_idle(server)
+
+    # Attempts
+
+    def send(self, id: str, number: int, timeout_ms: float) -> None:
+        """Start an attempt on a connection that idles, or on a new one."""
+        live, server = self._live.get(id), self._known.get(number)
+        if live is None or server is None or number not in self._in_service:
+            count = len(live.attempts) if live is not None else 0
+            event = api.AttemptEnded(id, count, number, Result.MOOT, 0.0, live is None)
+            return self.handle(event)
+        now = self._host.now()
+        timeout_ms = max(0.0, min(timeout_ms, live.ends_ms - MARGIN_MS - self.now()))
+        new = not self._reuse(server, now)
+        attempt = Attempt(self, live, server, now, new)
+        live.attempts.append(attempt)
+        line = self._host.lines.between(self.name, server.name)
+        if new:
+            refused = line.refuse or (not server.up and server.reachable)
+            if refused or (server.up and server.connections >= server.tier.connections):
+                rtt = self._host.lines.rtt_ms(self.name, server.name)
+                return self._host.after(rtt, self.turn, self._outcome, attempt, Result.UNREACHABLE, None)
+            if line.cut or not server.reachable:
+                wait = min(timeout_ms, self.settings.connect_timeout_ms)
+                return self.after(wait, self._outcome, attempt, Result.UNREACHABLE, None)
+            server.connections += 1
+        elif not server.up and server.reachable:  # a reset comes before the request is out
+            rtt = self._host.lines.rtt_ms(self.name, server.name)
+            return self._host.after(rtt, self.turn, self._outcome, attempt, Result.RESET, None)
+        self._host.attempts[server.name].add(attempt)
+        self.written += 1
+        self.after(timeout_ms, self._give_up, attempt, Result.TIMEOUT)
+        if new:
+            rtts = 1.0 + server.tier.handshake_rtts
+            wait = rtts * self._host.lines.rtt_ms(self.name, server.name)
+            self._host.after(wait, line.carry, REQUEST_BYTES, self._host.arrive, attempt)
+        else:
+            line.carry(REQUEST_BYTES, self._host.arrive, attempt)
+
+    def _reuse(self, server: Server, now: float) -> bool:
+        idle = self._idle.get(server.name)
+        trusted = IDLE_SHARE * self.settings.keepalive_ms
+        while idle:
+            if now - idle.pop() < trusted:
+                return True
+            server.connections -= 1
+        return False
+
+    def _close_idle(self, server: Server) -> None:
+        idle = self._idle.pop(server.name, None)
+        if idle:
+            server.connections = max(0, server.connections - len(idle))
+
+    def reset(self, attempt: Attempt) -> None:
+        """A server has died under an attempt."""
+        self._idle.pop(attempt.server.name, None)
+        self.turn(self._outcome, attempt, Result.RESET, None)
+
+    def answered(self, attempt: Attempt, how: str, report: dict[str, float] | None) -> None:
+        """A server's answer has come."""
+        if attempt.over:
+            return
+        self._idle.setdefault(attempt.server.name, deque()).append(self._host.now())
+        self._outcome(attempt, RESULTS[how], report)
+
+    def _give_up(self, attempt: Attempt, result: Result) -> None:
+        if not attempt.over:
+            self._host.abandon(attempt)
+            self._outcome(attempt, result, None)
+
+    def _outcome(self, attempt: Attempt, result: Result, report: dict[str, float] | None) -> None:
+        if attempt.over:
+            return
+        attempt.over = True
+        self._host.attempts[attempt.server.name].discard(attempt)
+        owed = self._live.get(attempt.id) is attempt.live
+        if owed and result is Result.SERVED:
+            self._finish(attempt.id, 200, attempt.server.name)
+        settled = self._live.get(attempt.id) is not attempt.live
+        took = (self._host.now() - attempt.began) * self._rate
+        self.handle(
+            api.AttemptEnded(
+                attempt.id,
+                attempt.number,
+                self._host.numbers[attempt.server.name],
+                result,
+                took,
+                settled,
+                report,
+            )
+        )
+
+    # Lists, and what operators do
+
+    def tell_list(self, index: int, entries: list[Entry], whole: bool) -> None:
+        """News from its agent."""
+        now = self._host.now()
+        told = [(entry.name, entry.status, entry.since_ms) for entry in entries]
+        self._host.tell(records.Told(now, self.name, index, whole, told))
+        offset = self.now() - now - self._wall_ms  # from the wall's clock, as it sees it, to its own
+        listed = []
+        for entry in entries:
+            server, number = self._host.servers[entry.name], self._host.numbers[entry.name]
+            if entry.status == LEFT:
+                self._close_idle(server)
+            self._known[number] = server
+            (self._in_service.add if entry.status == ACTIVE else self._in_service.discard)(number)
+            started = entry.since_ms + offset if entry.since_ms > 0.0 else None
+            listed.append(
+                api.ServerEntry(number, server.zone, "", server.cell, STATUSES[entry.status], 1.0, started)
+            )
+        kind = api.ListKind.SAVED if whole else api.ListKind.CHANGES
+        self.handle(api.ServerList(kind, index, listed))
+
+    def reload(self, max_attempts: int) -> None:
+        """Take new settings."""
+        self.max_attempts = max_attempts
+        self.settings = read_settings(settings(self._host.plan, self.name, max_attempts))
+        self.handle(api.Reconfigured(self.settings))
+
+    def belief(self) -> dict[str, float]:
+        """What it would say at its door."""
+        return {
+            "inflight": float(len(self._live)),
+            "hosts_listed": float(len(self.balancer.fleet.servers)),
+            "hosts_down": float(self.balancer.avoided(self.now())),
+            "backend_calls": float(self.written),
+        }
+
+    def die(self) -> None:
+        """End at once; what it held is gone, and its connections are reset."""
+        self.alive = False
+        live, self._live = self._live, {}
+        for one in live.values():
+            for attempt in one.attempts:
+                if not attempt.over:
+                    attempt.over = True
+                    self._host.abandon(attempt)
+            self._host.answer(self.name, one.order, one.done, CLOSED, "", 0.0)
+        for name, idle in self._idle.items():
+            server = self._host.servers[name]
+            server.connections = max(0, server.connections - len(idle))
+        self._idle.clear()
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Iterator
 from dataclasses import dataclass, field, fields
 from enum import Enum, IntEnum
 from typing import Any
@@ -127,11 +128,15 @@
     handshake_price: float = 0.0  # of new connections, by first try; as the share of the service's worth
 
     def __post_init__(self) -> None:
-        """Refuse settings that cannot be meant."""
+        """Refuse settings that cannot be meant, with all that is wrong with them."""
+        if problems := "; ".join(self._impossible()):
+            raise ValueError(problems)
+
+    def _impossible(self) -> Iterator[str]:
         if not self.classes:
-            raise ValueError("classes: at least one is needed")
+            yield "classes: at least one is needed"
         if len({cls.name for cls in self.classes}) < len(self.classes):
-            raise ValueError("classes: two have the same name")
+            yield "classes: two have the same name"
         times = {
             name: value
             for name, value in vars_of(self).items()
@@ -144,10 +149,10 @@
             times[f"tenants[{tenant.name}].quota_per_s"] = tenant.quota_per_s
         for name, value in times.items():
             if not 0.0 <= value < math.inf:
-                raise ValueError(f"{name}: {value} is negative or not finite")
+                yield f"{name}: {value} is negative or not finite"
         for cls in self.classes:
             if not cls.aim_ms or not cls.deadline_ms:
-                raise ValueError(f"classes[{cls.name}]: aim_ms and deadline_ms must be above 0")
+                yield f"classes[{cls.name}]: aim_ms and deadline_ms must be above 0"
         shares = {"start_capacity": self.start_capacity, "over_share_worth": self.over_share_worth}
         shares |= {f"classes[{cls.name}].late_worth": cls.late_worth for cls in self.classes}
         shares |= {f"tenants[{tenant.name}].share": tenant.share for tenant in self.tenants}
@@ -155,10 +160,10 @@
             shares["repeat_ratio"] = self.repeat_ratio
         for name, value in shares.items():
             if not 0.0 <= value <= 1.0:
-                raise ValueError(f"{name}: {value} is not within 0 to 1")
+                yield f"{name}: {value} is not within 0 to 1"
         for name, least in (("nodes", 1), ("tiers", 1), ("max_attempts", 1), ("number", 0), ("tier", 0)):
             if getattr(self, name) < least:
-                raise ValueError(f"{name}: {getattr(self, name)} is less than {least}")
+                yield f"{name}: {getattr(self, name)} is less than {least}"
 
 
 @dataclass(slots=True)
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -378,7 +378,8 @@
 
     def _lost(self, now: float) -> list[Server]:
         """The servers that fell silent while most of the others answer."""
-        silent = [server for server in self.fleet.servers.values() if server.silent(now, self._share)]
+        held = (server for server in self.fleet.servers.values() if server.out)  # none else can be silent
+        silent = [server for server in held if server.silent(now, self._share)]
         return silent if len(silent) <= LOST_SHARE * len(self.fleet.ready) else []
 
     def _miss(self, now: float) -> None:
--- a/nickelbridge/settings.py
+++ b/nickelbridge/settings.py
@@ -27,18 +27,28 @@
 
 
 class Malformed(Exception):
-    """Input that does not follow the wire."""
+    """Input that does not follow the wire.
+
+    `place` is where, if that is known: the object or array, its key, and a value that would do there.
+    """
+
+    def __init__(self, text: str, place: tuple[Any, str | int, Any] | None = None) -> None:
+        super().__init__(text)
+        self.place = place
+
+
+EXAMPLES: dict[Any, Any] = {str: "", bool: False, int: 1, NUMBER: 1.0, dict: {}, list: []}
 
 
 def get(obj: Json, key: str, kind: type | tuple[type, ...]) -> Any:
     try:
         value = obj[key]
     except KeyError:
-        raise Malformed(f"{key!r} is missing") from None
+        raise Malformed(f"{key!r} is missing", (obj, key, EXAMPLES[kind])) from None
     if not isinstance(value, kind) or (kind is not bool and isinstance(value, bool)):
-        raise Malformed(f"{key!r} must be {KINDS[kind]}, not {value!r:.60}")
+        raise Malformed(f"{key!r} must be {KINDS[kind]}, not {value!r:.60}", (obj, key, EXAMPLES[kind]))
     if isinstance(value, float) and not math.isfinite(value):
-        raise Malformed(f"{key!r} must be a finite number, not {value!r}")
+        raise Malformed(f"{key!r} must be a finite number, not {value!r}", (obj, key, EXAMPLES[kind]))
     return value
 
 
@@ -49,7 +59,8 @@
 def word(obj: Json, key: str, words: dict[Any, T], kind: type = str) -> T:
     value = get(obj, key, kind)
     if value not in words:
-        raise Malformed(f"{key!r} is {value!r:.60}, which is none of {', '.join(map(str, words))}")
+        text = f"{key!r} is {value!r:.60}, which is none of {', '.join(map(str, words))}"
+        raise Malformed(text, (obj, key, next(iter(words))))
     return words[value]
 
 
@@ -57,7 +68,7 @@
     values: list[Json] = get(obj, key, list)
     for n, value in enumerate(values):
         if not isinstance(value, dict):
-            raise Malformed(f"{key}[{n}] must be an object, not {value!r:.60}")
+            raise Malformed(f"{key}[{n}] must be an object, not {value!r:.60}", (values, n, {}))
     return values
 
 
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -8,7 +8,6 @@
 import asyncio
 import contextlib
 import gc
-import logging
 import os
 import signal
 import socket
@@ -18,6 +17,7 @@
 
 import uvloop
 
+from orchidferry import logs
 from orchidferry.config import BadConfig, read_change, read_config
 from orchidferry.handover import Siblings, handed_socket
 from orchidferry.node import Node
@@ -26,8 +26,6 @@
 SIBLINGS_S = 0.1  # how often the other processes of this node are looked for
 LAG_EVERY_S, LAG_S = 1.0, 0.1  # how often the event loop's lag is looked at, and what is worth a line
 
-log = logging.getLogger("orchidferry")
-
 
 async def run(path: str) -> int:
     """Serve until SIGTERM; the exit status."""
@@ -36,9 +34,7 @@
     except BadConfig as problem:
         print(f"orchidferry: {problem}", file=sys.stderr)
         return 2
-    logging.basicConfig(
-        stream=sys.stderr, level=logging.INFO, format=f"%(asctime)s {config.name} %(levelname)s %(message)s"
-    )
+    logs.setup(config.name, config.log)
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopping.set)
@@ -66,14 +62,14 @@
     gc.freeze()
     watch_lag(loop, loop.time())
     if handed is None or siblings is None:
-        log.info("started, listening on %s:%d", *address)
+        logs.info("started", "started, listening on %(address)s", address=f"{address[0]}:{address[1]}")
         await stopping.wait()
-        log.info("stopping")
+        logs.info("stopping", "stopping")
         await asyncio.sleep(ACCEPT_ON_S)
         await node.stop()
     else:
         await serve_with_others(node, loop, handed, siblings, stopping)
-    log.info("stopped")
+    logs.info("stopped", "stopped")
     return 0
 
 
@@ -94,7 +90,7 @@
         others = siblings.others()
         if 1 + len(others) != processes:
             processes = 1 + len(others)
-            log.info("%d processes are this node", processes)
+            logs.info("processes", "%(processes)d processes are this node", processes=processes)
         node.share(others)
 
     async def watch() -> None:
@@ -108,11 +104,12 @@
         if not accepting and (processes == 1 or node.serves()):
             accepting = True
             await node.frontend.accept_from(loop, handed)
-            log.info("started, accepting at descriptor %d", handed.fileno())
+            text = "started, accepting at descriptor %(descriptor)d"
+            logs.info("started", text, descriptor=handed.fileno())
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(stopping.wait(), None if accepting else SIBLINGS_S / 2.0)
     look()
-    log.info("stopping, %d others serve on", processes - 1)
+    logs.info("stopping", "stopping, %(others)d others serve on", others=processes - 1)
     node.frontend.leave(processes > 1)
     await asyncio.sleep(ACCEPT_ON_S)
     await node.stop()
@@ -126,19 +123,21 @@
         config = read_change(path, node.config)
     except BadConfig as problem:
         node.figures.reconfig_failed += 1
-        log.warning("the configuration stays as it was: %s", problem)
+        logs.warning("settings refused", "the configuration stays as it was: %(why)s", why=str(problem))
     else:
         node.reload(config)
-        log.info("configuration read again, discovery at %s:%d", *config.discovery)
+        where = f"{config.discovery[0]}:{config.discovery[1]}"
+        logs.info("settings", "configuration read again, discovery at %(discovery)s", discovery=where)
         names = ", ".join(cls.name for cls in config.settings.classes)
-        log.info("classes %s; %d attempts", names, config.settings.max_attempts)
+        attempts = config.settings.max_attempts
+        logs.info("classes", "classes %(classes)s; %(attempts)d attempts", classes=names, attempts=attempts)
 
 
 def watch_lag(loop: asyncio.AbstractEventLoop, due_s: float) -> None:
     """Log when the event loop ran late: too little CPU shows here first."""
     late_s = loop.time() - due_s
     if late_s > LAG_S:
-        log.warning("the event loop ran %.0f ms late", late_s * 1000.0)
+        logs.warning("late", "the event loop ran %(late_ms).0f ms late", late_ms=late_s * 1000.0)
     next_s = loop.time() + LAG_EVERY_S
     loop.call_at(next_s, watch_lag, loop, next_s)
 
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -14,6 +14,7 @@
 
 from nickelbridge import interface as api
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, read_settings, word
+from orchidferry import logs
 
 Address = tuple[str, int]
 
@@ -52,6 +53,7 @@
     known: Listing
     settings: api.Settings
     keys: frozenset[str]  # which the file has, as paths
+    log: str = logs.TEXT  # how the log is written
 
 
 def now_ms() -> float:
@@ -75,10 +77,20 @@
     return host.strip("[]"), int(port)
 
 
-def hex_digits(text: str) -> int:
+def address_at(obj: Json, key: str) -> Address:
+    """The address that an object holds under a key."""
+    text = get(obj, key, str)
+    try:
+        return address(text)
+    except Malformed as problem:
+        raise Malformed(f"{key!r}: {problem}", (obj, key, "127.0.0.1:9000")) from None
+
+
+def hex_digits(obj: Json, key: str) -> int:
     """A number written in hex digits and nothing else."""
+    text = get(obj, key, str)
     if not re.fullmatch("[0-9a-fA-F]+", text):
-        raise Malformed(f"'seed' must be hex digits, not {text!r:.60}")
+        raise Malformed(f"{key!r} must be hex digits, not {text!r:.60}", (obj, key, "0"))
     return int(text, 16)
 
 
@@ -101,7 +113,7 @@
                 started_ms=since_ms + offset_ms if since_ms > 0 else None,
             )
         )
-        addresses[server] = address(get(item, "address", str))
+        addresses[server] = address_at(item, "address")
     return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses)
 
 
@@ -110,11 +122,13 @@
     settings = opt(obj, "settings", dict, {})
     parts = {"": obj, "settings.": settings}
     parts |= {f"settings.{name}.": opt(settings, name, dict, {}) for name in ("permissions", "rules")}
-    paths = {prefix + key for prefix, part in parts.items() for key in part if part[key] is not None}
+    paths = {
+        prefix + key for prefix, part in parts.items() for key, value in part.items() if value is not None
+    }
     classes = objects(settings, "classes") if settings.get("classes") else []
     if classes and all("importance" in cls for cls in classes):
         paths.add("settings.classes.importance")
-    return frozenset(paths - {"known", "management"})
+    return frozenset(paths - {"known", "management", "log"})
 
 
 def read_change(path: str, old: Config) -> Config:
@@ -138,19 +152,28 @@
     if not isinstance(obj, dict):
         raise BadConfig(f"{path}: must be an object")
     try:
-        limits = opt(obj, "limits", dict, {})
-        management = os.environ.get("NODE_MANAGEMENT") or opt(obj, "management", str, None)
-        return Config(
-            name=get(obj, "name", str),
-            listen=address(get(obj, "listen", str)),
-            discovery=address(get(obj, "discovery", str)),
-            seed=hex_digits(get(obj, "seed", str)),
-            management=address(management) if management else None,
-            sockets=opt(limits, "sockets", int, 1024),
-            memory_mb=opt(limits, "memory_mb", NUMBER, 192),
-            known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
-            settings=read_settings(get(obj, "settings", dict)),
-            keys=key_paths(obj),
-        )
+        return parse_config(obj)
     except (Malformed, ValueError) as problem:
         raise BadConfig(f"{path}: {problem}") from None
+
+
+def parse_config(obj: Json) -> Config:
+    """Turn the file's object into a configuration; `Malformed` or `ValueError` says what is wrong with it."""
+    limits = opt(obj, "limits", dict, {})
+    management = os.environ.get("NODE_MANAGEMENT")
+    door = address(management) if management else None
+    if not management and opt(obj, "management", str, None):
+        door = address_at(obj, "management")
+    return Config(
+        name=get(obj, "name", str),
+        listen=address_at(obj, "listen"),
+        discovery=address_at(obj, "discovery"),
+        seed=hex_digits(obj, "seed"),
+        management=door,
+        sockets=opt(limits, "sockets", int, 1024),
+        memory_mb=opt(limits, "memory_mb", NUMBER, 192),
+        known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
+        settings=read_settings(get(obj, "settings", dict)),
+        keys=key_paths(obj),
+        log=word(opt(obj, "log", dict, {"form": logs.TEXT}), "form", logs.FORMS),
+    )
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 import random
 from collections import deque
@@ -17,6 +16,7 @@
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
+from orchidferry import logs
 from orchidferry.bodies import Memory
 from orchidferry.config import Address, Config, Listing, now_ms
 from orchidferry.discovery import Discovery
@@ -30,8 +30,6 @@
 PLENTY_SHARE = 0.25  # of the limit: with so much room idle callers may stay
 PUSHED_RETRY_S = 0.5  # on average after a failure of the node's own agent, where lists come unasked
 
-log = logging.getLogger("orchidferry")
-
 
 class Live:
     """A request that is owed its answer, with its attempts."""
@@ -206,12 +204,12 @@
         return (200 if ready else 503), {"ready": ready, "draining": self.frontend.draining()}
 
     def _quiesce(self) -> tuple[int, dict[str, Any]]:
-        log.info("draining")
+        logs.info("draining", "draining")
         self.frontend.quiesce()
         return 200, {"draining": True}
 
     def _resume(self) -> tuple[int, dict[str, Any]]:
-        log.info("the drain ends")
+        logs.info("resumed", "the drain ends")
         self.frontend.resume()
         return 200, {"draining": False}
 
@@ -286,7 +284,7 @@
         if left_ms > 0.0:  # the loop's clock may run ahead: failing early would be a broken promise
             live.backstop = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
         elif self._drop(live):
-            log.warning("request %s was not ended by its deadline", live.message.id)
+            logs.warning("overdue", "request %(id)s was not ended by its deadline", id=live.message.id)
             self.figures.ended(live.message.cls, 504)
             live.answering.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientGone(live.message.id))
@@ -307,7 +305,7 @@
                     for action in self._balancer.handle(event, now_ms()):
                         self._do(action)
                 except Exception:  # a request that this leaves open is failed by its backstop
-                    log.exception("handling %s", type(event).__name__)
+                    logs.exception("error", "handling %(what)s", what=type(event).__name__)
         finally:
             self._handling = False
 
@@ -330,7 +328,7 @@
             case api.Subscribe():
                 self._discovery.subscribe()
             case api.Log():
-                log.info("%s", action.text)
+                logs.info("module", "%(said)s", said=action.text)
 
     # Attempts
 
@@ -390,7 +388,7 @@
         if listing is not None:
             self._take_listing(listing, api.ListKind.FULL if listing.whole else api.ListKind.CHANGES)
             return
-        log.info("discovery: %s", why)
+        logs.info("discovery failed", "discovery: %(why)s", why=why)
         if self.config.settings.follow_list:
             self._handle(api.ServerList(api.ListKind.FAILED))
         else:
--- /dev/null
+++ b/tests/test_lab_oracle.py
@@ -0,0 +1,241 @@
+"""Planted breaks: a node that breaks one rule on purpose has to be caught, by that rule's name."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from lab import records
+from lab.callers import Done, Order
+from lab.day import Witness, play_virtual
+from lab.oracle import Oracle
+from lab.plan import Plan
+from lab.results import Result
+from lab.scenario import Scenario, parse
+from lab.virtual.host import VirtualHost
+from lab.virtual.node import Attempt, VirtualNode
+from nickelbridge import interface as api
+
+DAY = """
+name = "planted"
+[day]
+length_s = 8
+[nodes]
+count = 2
+[[tiers]]
+servers = 6
+error_rate = 0.05
+slots_per_core = 4
+queue_per_core = 1
+[callers]
+impatient = 0.05
+[[faults]]
+kind = "server"
+at_s = 1
+for_s = 3
+servers = ["a1", "a4"]
+drain = true
+[[faults]]
+kind = "server"
+at_s = 4.5
+servers = ["a2"]
+restart = true
+"""
+
+
+class Planted(VirtualNode):
+    """A node with one thing wrong; what it does to each of its acts is `twist`'s to say."""
+
+    twist: Callable[[Planted, api.Action], list[api.Action]]
+
+    def act(self, action: api.Action) -> None:
+        for each in type(self).twist(self, action):
+            super().act(each)
+
+
+def host_of(node: type[VirtualNode]) -> type[VirtualHost]:
+    return type("PlantedHost", (VirtualHost,), {"node_type": node})
+
+
+def twisted(twist: Callable[[Planted, api.Action], list[api.Action]]) -> type[VirtualHost]:
+    return host_of(type("Node", (Planted,), {"twist": staticmethod(twist)}))
+
+
+def second_answer(node: Planted, action: api.Action) -> list[api.Action]:
+    if isinstance(action, api.Fail | api.Refuse) and action.id in node._live:
+        order = node._live[action.id].order
+        done = node._live[action.id].done
+        node._host.after(5.0, done, 502, "", 0.0)
+        node._host.after(5.0, node._host.tell, records.Answered(node._host.now(), order.id, node.name, 502))
+    return [action]
+
+
+def lose(node: Planted, action: api.Action) -> list[api.Action]:
+    if isinstance(action, api.Send) and hash(action.server) % 5 == 0:
+        node._live.pop(action.id, None)  # nobody is told
+        return []
+    return [action]
+
+
+def refuse_all(node: Planted, action: api.Action) -> list[api.Action]:
+    return [api.Refuse(action.id)] if isinstance(action, api.Fail) else [action]
+
+
+class Repeating(VirtualNode):
+    """Sends again whatever came back with an error."""
+
+    where = "anywhere"
+
+    def _outcome(self, attempt: Attempt, result: api.Result, report: dict[str, float] | None) -> None:
+        again = result is api.Result.ERROR and attempt.number == 0 and not attempt.over
+        if not again:
+            return super()._outcome(attempt, result, report)
+        attempt.over = True
+        other = next(n for n in self._in_service if self._known[n].zone != attempt.server.zone)
+        self.send(attempt.id, other, 1000.0)
+
+
+class Fabricating(VirtualNode):
+    """Serves with nothing from a server."""
+
+    def _take(self, order: Order, done: Done) -> None:
+        self._host.answer(self.name, order, done, 200, "a1", 0.0)
+
+
+class Deaf(VirtualNode):
+    """Takes servers that drain, or that start anew, for what they were."""
+
+    def decide(self, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.ServerList):
+            for entry in event.entries:
+                entry.health, entry.started_ms = api.Health.IN_SERVICE, None
+                self._in_service.add(entry.server)
+        return super().decide(event)
+
+
+class Pushing(Deaf):
+    """Sends all to the server that has just started."""
+
+    def send(self, id: str, number: int, timeout_ms: float) -> None:
+        cold = [n for n, server in self._known.items() if server.name == "a2"]
+        super().send(id, cold[0] if self._host.now() > 4500.0 else number, timeout_ms)
+
+
+class Astray(VirtualNode):
+    """Sends to a server that its list has not named."""
+
+    def tell_list(self, index: int, entries: list[Any], whole: bool) -> None:
+        kept = [entry for entry in entries if entry.name != "a3"]
+        super().tell_list(index, kept, whole)
+        server = self._host.servers["a3"]
+        self._known[1], self._host.numbers["a3"] = server, 1
+        self._in_service.add(1)
+
+    def send(self, id: str, number: int, timeout_ms: float) -> None:
+        super().send(id, 1 if self._host.now() > 2000.0 else number, timeout_ms)
+
+
+class Stubborn(VirtualNode):
+    """Tries again for ever, where a repeat is harmless."""
+
+    def _outcome(self, attempt: Attempt, result: api.Result, report: dict[str, float] | None) -> None:
+        live = attempt.live
+        if attempt.over or live.order.name != "slot-view" or attempt.number > 7:
+            return super()._outcome(attempt, result, report)
+        attempt.over = True
+        self.send(attempt.id, self._host.numbers[attempt.server.name], 1000.0)
+
+
+class Ending(VirtualNode):
+    """Ends by itself."""
+
+    def _take(self, order: Order, done: Done) -> None:
+        if self._host.now() > 3000.0:
+            return self._host.ended(self)
+        super()._take(order, done)
+
+
+PLANTED = {
+    "second-answer": twisted(second_answer),
+    "lost": twisted(lose),
+    "false-refusal": twisted(refuse_all),
+    "duplicate": host_of(Repeating),
+    "group": host_of(Repeating),
+    "fabricated": host_of(Fabricating),
+    "drain": host_of(Deaf),
+    "cold": host_of(Pushing),
+    "unlisted": host_of(Astray),
+    "attempts": host_of(Stubborn),
+    "crash": host_of(Ending),
+}
+
+
+def play(host: type[VirtualHost] = VirtualHost, text: str = DAY) -> Result:
+    return play_virtual(parse(text), 1, host=host)
+
+
+def test_a_sound_node_breaks_nothing_on_the_day_on_which_breaks_are_planted() -> None:
+    result = play()
+    assert result.broken == {}
+    assert result.figures["requests"] > 300
+
+
+@pytest.mark.parametrize("rule", PLANTED)
+def test_a_planted_break_is_caught_by_name(rule: str) -> None:
+    assert rule in play(PLANTED[rule]).broken
+
+
+def scene() -> tuple[Scenario, Oracle]:
+    scenario = parse(DAY)
+    oracle = Oracle(Plan(scenario, 1))
+    oracle.see(records.Told(0.0, "n1", 1, True, [("a1", "active", 0.0), ("a4", "active", 0.0)]))
+    return scenario, oracle
+
+
+def test_a_repeat_after_the_window_is_caught() -> None:
+    scenario, oracle = scene()
+    window = next(cls.window_ms for cls in scenario.classes if cls.effect == "keyed")
+    oracle.see(records.Asked(0.0, "x", "n1", "slot-book", 60_000.0, "callers", "k"))
+    for at in (10.0, window + 100.0):
+        oracle.see(records.Arrived(at, "x", "n1", "a1", at))
+        oracle.see(records.Ended(at + 1.0, "x", "a1", "error"))
+    assert oracle.counts == {"window": 1}
+
+
+def test_what_the_lab_or_the_process_was_late_is_allowed_for_and_no_more() -> None:
+    for late_ms, caught in ((100.0, True), (400.0, False)):
+        _, oracle = scene()
+        oracle.see(records.Told(1000.0, "n1", 2, False, [("a1", "leaving", 0.0)]))
+        oracle.see(records.Late(1500.0, "n1", late_ms))
+        oracle.see(records.Arrived(1800.0, "x", "n1", "a1", 1800.0))  # 250 ms beyond the limit
+        assert (oracle.counts["drain"] == 1) is caught
+
+
+@pytest.mark.parametrize("fault", ["kill", "stop", "link"])
+def test_a_fault_explains_what_it_touches_and_nothing_else(fault: str) -> None:
+    _, oracle = scene()
+    oracle.see(records.Faulted(100.0, f"0:{fault}", True, ["n1"]))
+    for node in ("n1", "n2"):
+        oracle.see(records.Asked(50.0, f"of-{node}", node, "slot-view", 500.0, "callers"))
+        oracle.see(records.Answered(1100.0, f"of-{node}", node, records.SILENT))
+    assert [broken.who for broken in oracle.breaks] == ["n2"]
+    assert oracle.excused == 1
+
+
+def test_one_seed_gives_one_run_bit_for_bit() -> None:
+    digests = {play().digest for _ in range(2)}
+    other = play_virtual(parse(DAY), 2).digest
+    assert len(digests) == 1
+    assert other not in digests
+
+
+def test_a_log_holds_every_record_as_a_line_of_its_kind() -> None:
+    lines: list[bytes] = []
+    witness = Witness(Plan(parse(DAY), 1))
+    host = VirtualHost(witness._plan if hasattr(witness, "_plan") else Plan(parse(DAY), 1), [])
+    host.sinks.append(lambda record: lines.append(records.line(record)))
+    host.run()
+    kinds = {line.split(b'"', 4)[3] for line in lines}
+    assert {b"asked", b"answered", b"arrived", b"ended", b"told", b"faulted", b"belief"} <= kinds
