--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -40,6 +40,30 @@
     click.echo(f"{config}: a node can be started with it")
 
 
+@main.group()
+def fleet() -> None:
+    """Look at a fleet of nodes by way of one node's door."""
+
+
+@fleet.command("members")
+@click.option("--door", required=True, help="Where a node's `management` listens, as host:port.")
+@click.option("--json", "as_json", is_flag=True, help="All that the door tells.")
+def fleet_members(door: str, as_json: bool) -> None:
+    """Who is there, and who is not; exit status 1 where views differ or a name is taken twice."""
+    from dunlinloft import fleetcli
+
+    sys.exit(fleetcli.members(door, as_json))
+
+
+@fleet.command("watch")
+@click.option("--door", required=True, help="Where a node's `management` listens, as host:port.")
+def fleet_watch(door: str) -> None:
+    """The same, live, until Ctrl-C."""
+    from dunlinloft import fleetcli
+
+    sys.exit(fleetcli.watch(door))
+
+
 @main.group()
 def lab() -> None:
     """Play days of a fleet, in virtual time or with real processes, and look at what came of them."""
@@ -103,6 +127,20 @@
     click.echo(msgspec.json.format(msgspec.json.encode(schema()), indent=2).decode())
 
 
+@lab.command("members")
+@click.option("--size", type=click.IntRange(2), default=200, show_default=True, help="Members.")
+@click.option("--seeds", default="1-8", show_default=True)
+@click.option("--jobs", type=click.IntRange(1), default=4, show_default=True)
+@click.option("--only", help="Some experiments, with commas between; all where it is not given.")
+@click.option("--core", type=click.Choice(["swim", "plain"]), default="swim", show_default=True)
+@click.option("--minutes", type=float, default=10.0, show_default=True, help="Of the long experiments.")
+def lab_members(size: int, seeds: str, jobs: int, only: str | None, core: str, minutes: float) -> None:
+    """Measure membership in virtual time against its bounds; exit status 1 where one is missed."""
+    from dunlinloft import labcli
+
+    sys.exit(labcli.members(size, seeds, jobs, only, core, minutes))
+
+
 @lab.command("list")
 def lab_list() -> None:
     """Name the scenarios that are shipped."""
--- /dev/null
+++ b/dunlinloft/fleetcli.py
@@ -0,0 +1,125 @@
+"""What operators see of a fleet from the command line, by way of one node's door."""
+
+from __future__ import annotations
+
+import json
+import time
+import urllib.error
+import urllib.request
+from typing import Any
+
+from rich import box
+from rich.console import Console, Group
+from rich.live import Live
+from rich.markup import escape
+from rich.table import Table
+
+from dunlinloft.cli import BAD_FILE, SUCCESS, UNKEPT
+
+CALL_S = 3.0
+EVERY_S = 1.0
+COLOURS = {"alive": "green", "suspect": "yellow", "dead": "red", "left": "dim", "quiet": "yellow"}
+out, err = Console(), Console(stderr=True, soft_wrap=True)
+
+
+class NoDoor(Exception):
+    """The door gives no answer of use; says why."""
+
+
+def read(door: str, path: str = "/admin/fleet") -> dict[str, Any]:
+    """Ask a node's door."""
+    try:
+        with urllib.request.urlopen(f"http://{door}{path}", timeout=CALL_S) as answer:
+            found = json.load(answer)
+    except urllib.error.HTTPError as problem:
+        if problem.code == 404:
+            raise NoDoor(
+                f"{door}: this node is no member of a fleet (no `fleet` in its configuration)"
+            ) from None
+        raise NoDoor(f"{door}: the door says {problem.code}") from None
+    except (OSError, ValueError) as problem:
+        raise NoDoor(f"{door}: no door there: {getattr(problem, 'reason', problem)}") from None
+    if not isinstance(found, dict):
+        raise NoDoor(f"{door}: what the door says is no object")
+    return found
+
+
+def table(state: dict[str, Any]) -> Group:
+    """The view as a person reads it: what is wrong first."""
+    own, differ = state["self"], state["divergence"]
+    head = [
+        f"fleet {state['fleet']} as {own['name']} sees it: {state['members_alive']} members there, "
+        f"part {state['place']['number'] + 1} of {state['place']['nodes']}",
+        f"own state {own['state']}, local health {state['health']} (0 is well), "
+        f"{state['messages_s']:.0f} messages and {state['bytes_s']:.0f} bytes a second",
+    ]
+    if differ["members"]:
+        head.append(
+            f"[yellow]{differ['members']} views differ from this, the longest for {differ['longest_s']} s[/]"
+        )
+    if own["rival"]:
+        head.append(f"[red]another machine has the name {escape(own['name'])}: {escape(own['rival'])}[/]")
+    columns = (
+        "member",
+        "state",
+        "for",
+        "life.rev",
+        "accused by",
+        "rtt ms",
+        "agrees",
+        "zone",
+        "tier",
+        "notes",
+    )
+    rows = Table(*columns, box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    order = {"suspect": 0, "dead": 1, "alive": 2, "left": 3}
+    for m in sorted(state["members"], key=lambda m: (order.get(m["state"], 9), m["name"])):
+        facts = m["facts"]
+        colour = COLOURS.get(m["state"], "white")
+        rows.add_row(
+            escape(m["name"]),
+            f"[{colour}]{m['state']}[/]",
+            _time(m["since_s"]),
+            f"{m['life']}.{m['revision']}",
+            escape(", ".join(m["accusers"])),
+            f"{m['rtt_ms']:.1f}",
+            "yes" if m["agrees"] else "[yellow]no[/]",
+            escape(str(facts.get("zone", ""))),
+            f"{facts.get('tier', 0):.0f}",
+            "draining" if facts.get("draining") else "",
+        )
+    return Group(*head, rows)
+
+
+def _time(seconds: float) -> str:
+    if seconds < 120.0:
+        return f"{seconds:.0f} s"
+    return f"{seconds / 60.0:.0f} min" if seconds < 7200.0 else f"{seconds / 3600.0:.0f} h"
+
+
+def members(door: str, as_json: bool) -> int:
+    """Print the members once; the exit status."""
+    try:
+        state = read(door)
+    except NoDoor as problem:
+        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
+        return BAD_FILE
+    if as_json:
+        print(json.dumps(state, indent=2))
+    else:
+        out.print(table(state), highlight=False)
+    return SUCCESS if not state["divergence"]["members"] and not state["self"]["rival"] else UNKEPT
+
+
+def watch(door: str) -> int:
+    """Print them again and again, until interrupted."""
+    try:
+        with Live(console=out, auto_refresh=False) as live:
+            while True:
+                try:
+                    live.update(table(read(door)), refresh=True)
+                except NoDoor as problem:
+                    live.update(f"[red]{escape(str(problem))}[/]", refresh=True)
+                time.sleep(EVERY_S)
+    except KeyboardInterrupt:
+        return SUCCESS
--- a/dunlinloft/labcli.py
+++ b/dunlinloft/labcli.py
@@ -4,7 +4,9 @@
 
 import sys
 from pathlib import Path
+from typing import Any
 
+from rich import box
 from rich.console import Console
 from rich.markup import escape
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
@@ -17,6 +19,8 @@
 from lab.scenario import SHIPPED, BadScenario, load
 
 MOST_LINES = 12  # of breaks that are printed for a seed
+PROGRESS = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f}%"))
+PLAIN: dict[str, Any] = {"box": box.SIMPLE_HEAD, "padding": (0, 1), "pad_edge": False}
 out, err = Console(soft_wrap=False), Console(stderr=True, soft_wrap=True)
 
 
@@ -43,13 +47,14 @@
 
             if why := unfit(scenario):
                 raise BadScenario(f"{name}: {why}")
+        elif scenario.nodes.fleet:
+            raise BadScenario(f"{name}: nodes.fleet: with --host processes only; see `lab members`")
     except (BadScenario, BadSeeds) as problem:
         return _bad(problem)
     results = summary(scenario, host)
     task = Run(scenario, host, wanted, jobs, Path(logs) if logs else None)
-    columns = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f}%"))
     try:
-        with Progress(*columns, TimeElapsedColumn(), console=err, transient=True) as progress:
+        with Progress(*PROGRESS, TimeElapsedColumn(), console=err, transient=True) as progress:
             whole = progress.add_task(f"{scenario.name}, {host}", total=len(wanted))
             shares: dict[int, float] = {}
 
@@ -98,7 +103,7 @@
 
 
 COLUMNS = (
-    ("goodput", "goodput", ".3f"), ("worst 10 s", "worst_10s", ".3f"), ("refused", "refused", ".3f"),
+    ("goodput", "goodput", ".3f"), ("worst10s", "worst_10s", ".3f"), ("refused", "refused", ".3f"),
     ("lost", "lost", ".4f"), ("attempts", "attempts", ".3f"), ("p50 ms", "p50_ms", ".0f"),
     ("p99 ms", "p99_ms", ".0f"),
 )  # fmt: skip
@@ -107,14 +112,14 @@
 def show(results: Results) -> None:
     """Print a table with a line for each seed, one by class, and what was broken."""
     out.print(f"{results.scenario}, {results.host}: {results.about}", highlight=False)
-    table = Table("seed", *(title for title, _, _ in COLUMNS), "rules")
+    table = Table("seed", *(title for title, _, _ in COLUMNS), "rules", **PLAIN)
     for result in results.results:
         cells = [format(result.figures[key], form) if result.figures else "" for _, key, form in COLUMNS]
         table.add_row(str(result.seed), *cells, _verdict(result))
     out.print(table)
     counted = results.counted()
     if counted:
-        table = Table("class", "goodput", "refused", "failed", "lost", "p50 ms", "p99 ms")
+        table = Table("class", "goodput", "refused", "failed", "lost", "p50 ms", "p99 ms", **PLAIN)
         for name in sorted({key.split(".")[1] for key in counted[0].figures if key.startswith("class.")}):
             keys = ("goodput", "refused", "failed", "lost", "p50_ms", "p99_ms")
             means = [sum(r.figures[f"class.{name}.{key}"] for r in counted) / len(counted) for key in keys]
@@ -136,7 +141,8 @@
         rows, method = compare_results(read(Path(first)), read(Path(second)))
     except BadResults as problem:
         return _bad(problem)
-    table = Table(title=f"A: {first}   B: {second}", title_justify="left")
+    out.print(f"A: {first}\nB: {second}", highlight=False)
+    table = Table(**PLAIN)
     for column in ("figure", "A", "spread of A", "B", "spread of B", "B - A", "95% of it", "verdict"):
         table.add_column(column, justify="left" if column in ("figure", "verdict") else "right")
     for row in rows:
@@ -159,6 +165,33 @@
     return SUCCESS
 
 
+def members(size: int, seeds: str, jobs: int, only: str | None, core: str, minutes: float) -> int:
+    """Measure membership; the exit status."""
+    from lab.members import EXPERIMENTS, measure
+
+    names = [name.strip() for name in only.split(",")] if only else list(EXPERIMENTS)
+    unknown = [name for name in names if name not in EXPERIMENTS]
+    if unknown:
+        return _bad(BadSeeds(f"no experiment is {unknown[0]!r}; expected some of {', '.join(EXPERIMENTS)}"))
+    try:
+        wanted = read_seeds(seeds)
+    except BadSeeds as problem:
+        return _bad(problem)
+    with Progress(*PROGRESS, TimeElapsedColumn(), console=err, transient=True) as progress:
+        whole = progress.add_task(f"{size} members, {core}", total=len(wanted) * len(names))
+        found, broken = measure(names, size, wanted, core, minutes, jobs, lambda: progress.advance(whole))
+    table = Table("experiment", "figure", "samples", "p50", "p99", "max", "bound", "", **PLAIN)
+    for m in found:
+        bound = f"{m.bound.of} {m.bound.most:g}" if m.bound else ""
+        verdict = "" if m.bound is None else "[green]kept[/]" if m.kept() else "[red]missed[/]"
+        values = (f"{m.value(of):.2f}" for of in ("p50", "p99", "max"))
+        table.add_row(EXPERIMENTS[m.experiment].text, m.figure, str(len(m.samples)), *values, bound, verdict)
+    out.print(table)
+    for line in broken:
+        out.print(f"[red]{escape(line)}[/]", highlight=False)
+    return SUCCESS if not broken and all(m.kept() for m in found) else UNKEPT
+
+
 def list_shipped() -> None:
     """Print the shipped scenarios, each with what it is about."""
     table = Table("scenario", "about")
--- /dev/null
+++ b/fleet/census.py
@@ -0,0 +1,64 @@
+"""How many processes share a budget, and which part is this one's, from a view that may be split.
+
+Who counts too few takes too much: parts of quotas and of cold servers' budgets would add up to more than
+there is. So a part shrinks at once and grows late. Whoever is new counts at once. Whoever is missing
+goes on counting until the view has been without it for `HOLD_MS`, and then only where those in view are
+more than half of all that counted: of the sides of a split one at most can do that, the others keep
+the small parts that they had. What all sides take together stays under 1.5 times the whole (the one side's
+whole, and less than half of the parts for the others); members that die in one side's majority are
+made up for after the hold.
+"""
+
+from __future__ import annotations
+
+HOLD_MS = 10_000.0
+
+
+class Census:
+    """The place of one process among those of its kind."""
+
+    def __init__(self, own: str, number: int, nodes: int, hold_ms: float = HOLD_MS) -> None:
+        self._own, self._file, self._hold_ms = own, (number, nodes), hold_ms
+        self._missing: dict[str, float | None] = {own: None}  # all that count, and since when each is missing
+        # As many as the file says count, seen or not, until they have been seen or missed for long enough.
+        self._floor = True
+        self._short_ms: float | None = None
+
+    def told(self, number: int, nodes: int) -> None:
+        """The file says something else now."""
+        if (number, nodes) != self._file:
+            self._file, self._floor, self._short_ms = (number, nodes), True, None
+
+    def base(self) -> int:
+        """How many count."""
+        return max(len(self._missing), self._file[1] if self._floor else 0)
+
+    def see(self, here: set[str], now: float) -> None:
+        """Take in who is there now, this process too."""
+        for name in here:
+            self._missing[name] = None
+        for name, since in self._missing.items():
+            if name not in here and since is None:
+                self._missing[name] = now
+        if len(self._missing) >= self._file[1]:
+            self._floor, self._short_ms = False, None
+        elif self._floor and self._short_ms is None:
+            self._short_ms = now
+        self._let_go(now)
+
+    def _let_go(self, now: float) -> None:
+        """Count the missing no more, once that is safe."""
+        there = sum(since is None for since in self._missing.values())
+        since = [at for at in (*self._missing.values(), self._short_ms) if at is not None]
+        if not since or now - max(since) < self._hold_ms or 2 * there <= self.base():
+            return
+        self._missing = {name: None for name, at in self._missing.items() if at is None}
+        self._floor, self._short_ms = False, None
+
+    def place(self) -> tuple[int, int]:
+        """This process's number, from 0, and how many there are.
+
+        The file's, as long as it names as many as count: then all agree without a word.
+        """
+        base = self.base()
+        return self._file if base == self._file[1] else (sorted(self._missing).index(self._own), base)
--- a/lab/figures.py
+++ b/lab/figures.py
@@ -17,6 +17,7 @@
 
 OUTCOMES = ("in_time", "late", "refused", "failed", "lost", "left")
 MOST_MS = 60_000  # of a delay that a histogram takes
+FIRST_MS = 1_000.0  # what starts before is there from the beginning
 PERCENTILES = (50.0, 90.0, 99.0)
 
 
@@ -66,6 +67,7 @@
             r.Closed: self._on_closed,
             r.Belief: self._on_belief,
             r.Faulted: self._on_fault,
+            r.Process: self._on_process,
             r.Late: self._on_late,
         }
 
@@ -121,6 +123,11 @@
             if span.name == record.name and span.end_s == math.inf:
                 span.end_s = record.at / 1000.0
 
+    def _on_process(self, record: r.Process) -> None:
+        if record.what == "started" and record.at > FIRST_MS:
+            second = record.at / 1000.0
+            self.spans.append(Span(f"{len(self.spans)}:started", second, second, [record.node]))
+
     def _on_late(self, record: r.Late) -> None:
         if record.who == "lab":
             self.late_ms = max(self.late_ms, record.late_ms)
--- a/lab/lines.py
+++ b/lab/lines.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -32,6 +33,7 @@
     rate_kbps: float = 0.0
     cut: bool = False
     refuse: bool = False
+    datagrams_only: bool = False  # streams pass as ever
 
 
 class Line:
@@ -39,7 +41,7 @@
 
     __slots__ = (
         "_clock", "_free_ms", "_held", "_jitter", "_random", "base_ms", "cut", "delay_ms", "duplicate",
-        "jitter_ms", "loss", "rate_kbps", "refuse", "reorder",
+        "jitter_ms", "loss", "rate_kbps", "refuse", "reorder", "stream_loss",
     )  # fmt: skip
 
     def __init__(self, base_ms: float, jitter: float, clock: Clock, seed: str) -> None:
@@ -50,10 +52,9 @@
 
     def ail(self, ills: list[Ill]) -> None:
         """Suffer from these, and from nothing else, from now on."""
-        keep = 1.0
-        for ill in ills:
-            keep *= 1.0 - ill.loss
-        self.loss = 1.0 - keep
+        self.loss = 1.0 - math.prod(1.0 - ill.loss * (not ill.cut) - ill.cut for ill in ills)
+        ills = [ill for ill in ills if not ill.datagrams_only]
+        self.stream_loss = 1.0 - math.prod(1.0 - ill.loss for ill in ills)
         self.delay_ms = sum(ill.delay_ms for ill in ills)
         self.jitter_ms = sum(ill.jitter_ms for ill in ills)
         self.duplicate = max((ill.duplicate for ill in ills), default=0.0)
@@ -96,7 +97,7 @@
         """How long a piece of a stream takes where the link is not cut."""
         took, again = self._pass(size), REPEAT_MS
         for _ in range(REPEAT_MOST):
-            if not self.loss or self._random.random() >= self.loss:
+            if not self.stream_loss or self._random.random() >= self.stream_loss:
                 break
             took, again = took + again, 2.0 * again
         return took
--- a/lab/processes/gates.py
+++ b/lab/processes/gates.py
@@ -32,6 +32,7 @@
     ) -> None:
         self._loop, self.address, self._accepted = loop, address, accepted
         self._socket: socket.socket | None = None
+        self._filler: socket.socket | None = None
         self.state = SHUT
 
     def set(self, state: str) -> None:
@@ -40,6 +41,9 @@
             return
         if self._socket is not None and self.state == OPEN:
             self._loop.remove_reader(self._socket)
+        if self._filler is not None:
+            self._filler.close()
+            self._filler = None
         if state == SHUT:
             assert self._socket is not None
             self._socket.close()
@@ -52,8 +56,12 @@
             self._loop.add_reader(self._socket, self._accept)
         elif state == HANGING:
             assert self._socket is not None
-            # One handshake still succeeds, and is silent; the kernel drops those that follow.
+            # A queue for none still takes one: with that place filled the kernel drops every handshake.
             self._socket.listen(0)
+            self._filler = socket.socket()
+            self._filler.setblocking(False)
+            self._filler.bind((self.address[0], 0))
+            self._filler.connect_ex(self.address)
         self.state = state
 
     def _listener(self) -> socket.socket:
@@ -67,9 +75,12 @@
     def _accept(self) -> None:
         while self._socket is not None and self.state == OPEN:
             try:
-                accepted, _ = self._socket.accept()
+                accepted, peer = self._socket.accept()
             except OSError:  # none left
                 return
+            if peer[0] == self.address[0]:  # our own, from when it was hanging: nodes have other addresses
+                accepted.close()
+                continue
             accepted.setblocking(False)
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._accepted(accepted)
--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -23,6 +23,7 @@
 from lab.processes.child import Child, environment, hog_command, node_command
 from lab.processes.door import call
 from lab.processes.gates import HANGING, OPEN, SHUT, Gate
+from lab.processes.relay import Relay
 from lab.processes.standin import Connection, acceptor
 from lab.records import Sink
 from lab.registry import Entry
@@ -38,6 +39,7 @@
 TURN_S, TURN_LATE_MS = 0.05, 20.0  # how often the lab looks whether it is late, and what is worth noting
 WAITED_S = 0.25  # how often it is asked how long a node has waited for a core
 HEALTHY_S = 6.0  # for a new process of a node to be ready beside the old one
+SEEDS = 3  # nodes whose addresses the others are given
 END_S = 5.0  # for a node to end after SIGTERM, once the day is over
 
 
@@ -69,7 +71,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._agents: list[asyncio.Server] = []
         self._over = False
+        self._relay: Relay | None = None
         super().__init__(plan, sinks)
+        if self.scenario.nodes.fleet:
+            self._relay = Relay(loop, self, self.lines, self.block, self.places)
         self.lines.on_change = self._regate
 
     # Time
@@ -138,6 +143,8 @@
                 address = self.block.server(place, self.server_places[name])
                 self._gates[node, name] = Gate(self.loop, address, acceptor(self, node, server))
         self._regate()
+        if self._relay is not None:
+            await self._relay.start()
 
     def _regate(self) -> None:
         for (node, name), gate in self._gates.items():
@@ -182,6 +189,8 @@
                 connection.abort()
         for gate in self._gates.values():
             gate.set(SHUT)
+        if self._relay is not None:
+            self._relay.close()
         for agent in self._agents:
             agent.close()
         for sock in self._handed.values():
@@ -230,6 +239,13 @@
         }
         if door is not None:
             config["management"] = text(door)
+        if self._relay is not None:
+            config["fleet"] = {
+                "name": f"{self.scenario.name}-{self.plan.seed}",
+                "bind": text(self.block.peer(place)),
+                "advertise": text(self.block.alias(place)),
+                "seeds": [text(self.block.alias(n)) for n in range(min(SEEDS, len(self.places)))],
+            }
         path = self._folder / self._file(name, ".json")
         path.write_text(json.dumps(config))
         return path
--- a/lab/report.py
+++ b/lab/report.py
@@ -23,10 +23,12 @@
     "left": "#c9c9c9",
 }  # fmt: skip
 SHADES = ("#999999", "#b07aa1", "#e0a458", "#6c9a8b", "#8899cc")
+MOST_GAP_S = 1.9  # between what a process says; beyond that it was not there
 MOST_SEEDS, MOST_NODES = 6, 24  # with pictures of their own; lines of nodes in one
 BELIEFS = (
     ("hosts_down", "servers avoided"), ("inflight", "requests in flight"), ("memory_mb", "memory in MB"),
-    ("cpu_share", "share of a core used"),
+    ("cpu_share", "share of a core used"), ("fleet_members", "members in its view"),
+    ("fleet_divergent", "views that differ from its own"), ("fleet_nodes", "parts of the budgets"),
 )  # fmt: skip
 
 
@@ -59,7 +61,7 @@
 def _moment(result: Result, n: int) -> bool:
     """Whether a fault is one moment and no span: a signal, or what operators did."""
     kind = result.faults[n].name.partition(":")[2]
-    return kind in ("kill", "terminate", "operation")
+    return kind in ("kill", "terminate", "operation", "started")
 
 
 def _shade(axes: Axes, result: Result) -> None:
@@ -114,7 +116,7 @@
     for outcome in OUTCOMES:
         counts = np.array(result.series.outcomes[name][outcome][:length], dtype=float)
         if counts.any():
-            label = outcome.replace("_", " ")
+            label = "refused, or no node reached" if outcome == "refused" else outcome.replace("_", " ")
             axes.bar(seconds + 0.5, counts, 0.95, bottom, color=COLOURS[outcome], label=label, linewidth=0)
             bottom += counts
     axes.set_xlim(0, length)
@@ -146,7 +148,8 @@
 
 
 def _belief(key: str, title: str, result: Result) -> tuple[str, str] | None:
-    nodes = {name: _series(key, figures) for name, figures in result.series.beliefs.items()}
+    beliefs = sorted(result.series.beliefs.items(), key=lambda item: (len(item[0]), item[0]))
+    nodes = {name: _series(key, figures) for name, figures in beliefs}
     nodes = {name: series for name, series in nodes.items() if series is not None}
     if not nodes:
         return None
@@ -165,13 +168,14 @@
 
 
 def _series(key: str, figures: dict[str, list[float]]) -> tuple[Any, Any] | None:
-    """Times and values of a figure; the share of a core comes from the processor time used."""
+    """Times and values of a figure."""
     at = np.array(figures["at_s"])
-    if key == "cpu_share":
-        used = np.array(figures.get("cpu_s", []))
-        if len(used) != len(at) or len(at) < 2:
-            return None
-        share = np.diff(used) / np.maximum(np.diff(at), 1e-3)
-        return at[1:], np.clip(share, 0.0, None)  # a new process counts from 0 again
-    values = figures.get(key)
-    return (at, np.array(values)) if values is not None and len(values) == len(at) else None
+    values = np.array(figures.get("cpu_s" if key == "cpu_share" else key, []))
+    if len(values) != len(at) or len(at) < 2:
+        return None
+    if key == "cpu_share":  # from the processor time used; a new process counts from 0 again
+        values = np.diff(values, prepend=math.nan) / np.diff(at, prepend=math.nan)
+        values[values < 0.0] = math.nan
+    # While a process was away it believed nothing: its line is broken there.
+    gaps = np.flatnonzero(np.diff(at) > MOST_GAP_S) + 1
+    return np.insert(at, gaps, at[gaps - 1]), np.insert(values, gaps, math.nan)
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -52,6 +52,7 @@
     count: Count = 3
     memory_mb: Positive = 96.0
     sockets: Annotated[int, Meta(ge=64)] = 512
+    fleet: bool = False  # whether they are members of one fleet; with processes only
     cpu_ms: NotNegative = (
         0.5  # of a core, for a request; virtual nodes take so long, real ones what they take
     )
@@ -188,6 +189,7 @@
     rate_kbps: NotNegative = 0.0  # 0: no limit
     cut: bool = False  # silent
     refuse: bool = False  # connections are refused, datagrams lost
+    datagrams_only: bool = False  # streams pass as ever
 
 
 class Split(Fault, tag="split", kw_only=True):
@@ -382,7 +384,7 @@
 def load(name: str) -> Scenario:
     """Read a scenario by its file's path, or by the name of one that is shipped."""
     path = Path(name)
-    if not path.exists() and (SHIPPED / f"{name}.toml").exists():
+    if not path.is_file() and (SHIPPED / f"{name}.toml").exists():
         path = SHIPPED / f"{name}.toml"
     try:
         return parse(path.read_text(encoding="utf-8"), str(path.name))
--- a/lab/settings.py
+++ b/lab/settings.py
@@ -52,7 +52,7 @@
             "max_attempts": max_attempts or rules.max_attempts,
             "parallel_tries": True,
             "may_cancel": True,
-            "peers": False,
+            "peers": scenario.nodes.fleet,
             "probes": False,
             "retry_after": True,
             "max_retry_after_ms": 3000.0,
--- /dev/null
+++ b/lab/virtual/fleet.py
@@ -0,0 +1,323 @@
+"""Hundreds of members in virtual time: the membership cores, the lab's links, and nothing of requests.
+
+An oracle that sees everything checks, at every change of any view, that keys only rise and that nobody
+comes back by old news; deaths of members that live and can be reached are counted.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterator
+from itertools import count
+from typing import Any
+
+from fleet import interface as api
+from fleet.membership.core import Membership
+from fleet.messages import Fact, Message, State, size_of
+from lab.lines import Ill, Lines
+from lab.names import Names
+from lab.scenario import Network, Nodes, Scenario
+from lab.servers import Clock
+
+STREAM_LIMIT_MS = 1_500.0  # for an exchange or a probe over a stream
+TIMERS_FIRST_MS = 5.0
+STARVED_EVERY_MS, STARVED_RUNS_MS = 800.0, 80.0  # a starved process runs so long, so often
+WALL_MS = 1_700_000_000_000  # what clocks say when a run begins
+CORE: type[Membership] = Membership
+
+
+class Broken(AssertionError):
+    """Something that must hold does not; says the seed and the time."""
+
+
+class Process:
+    """One process that hosts a core."""
+
+    def __init__(self, fleet: Fleet, name: str, core: Membership) -> None:
+        self.fleet, self.name, self.core = fleet, name, core
+        self.alive, self.stopped, self.starved = True, False, False
+        self.phase_ms = fleet.rng.random() * STARVED_EVERY_MS
+        self.frozen: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self.keys: dict[str, tuple[int, bool, int, int]] = {}
+
+    def wait_ms(self, now: float) -> float:
+        """How long until it runs."""
+        if not self.starved:
+            return 0.0
+        into = (now + self.phase_ms) % STARVED_EVERY_MS
+        return 0.0 if into < STARVED_RUNS_MS else STARVED_EVERY_MS - into
+
+
+class Fleet(Clock):
+    """Members, links between them, and the oracle."""
+
+    def __init__(
+        self, size: int, seed: int, core: type[Membership] = Membership, zones: int = 3, seeds: int = 3,
+        network: Network | None = None, at_once: bool = False,
+    ) -> None:  # fmt: skip
+        self.rng, self.seed = random.Random(seed), seed
+        self._now = 0.0
+        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._number = count()
+        network = network or Network()
+        network.zones = network.zones[:zones]
+        names = Names(Scenario("fleet", nodes=Nodes(count=size), network=network))
+        self.names = list(names.nodes)
+        self.zones = names.nodes
+        self.lines = Lines(names, 0.2, 10.0, network.jitter, self, seed)
+        self._core = core
+        self._seeds = [f"addr:{name}" for name in self.names[:seeds]]
+        self.by_address: dict[str, Process] = {}
+        self.processes: dict[str, Process] = {}
+        self.bytes, self.datagrams = Counter[str](), Counter[str]()
+        self.stream_bytes = Counter[str]()
+        self.false_deaths: list[tuple[float, str, str]] = []
+        self.flaps = Counter[str]()
+        self.notes = Counter[str]()
+        self.watch: Callable[[Process, api.Changed], None] = lambda process, change: None
+        self.record: list[tuple[str, str, Message]] | None = None  # datagrams, to be sent again later
+        self.wall_error: dict[str, float] = {}
+        for n, name in enumerate(self.names):
+            self.after(0.0 if at_once else 20.0 * n, self.launch, name)
+
+    # Clock
+
+    def now(self) -> float:
+        return self._now
+
+    def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self._heap, (self._now + delay_ms, next(self._number), do, args))
+
+    def run(self, for_ms: float, until: Callable[[], bool] | None = None, every_ms: float = 50.0) -> float:
+        """Let time pass; ends early once `until` holds. The time that passed."""
+        start, end, look = self._now, self._now + for_ms, self._now
+        while self._heap and self._heap[0][0] <= end:
+            if until is not None and self._heap[0][0] >= look:
+                self._now = max(self._now, look)
+                if until():
+                    return self._now - start
+                look = self._now + every_ms
+            self._now, _, do, args = heapq.heappop(self._heap)
+            do(*args)
+        self._now = end
+        return for_ms
+
+    # Processes
+
+    def launch(self, name: str) -> None:
+        """As `start`."""
+        self.start(name)
+
+    def start(self, name: str, address: str = "", core: type[Membership] | None = None) -> Process:
+        """A process starts from nothing."""
+        at = address or f"addr:{name}"
+        wall = int(WALL_MS + self._now + self.wall_error.get(name, 0.0))
+        facts: dict[str, Fact] = {"zone": self.zones.get(name, ""), "tier": 0.0, "program": "1"}
+        made = (core or self._core)(
+            name, at, self._seeds, (wall << 16) | self.rng.getrandbits(16), wall,
+            random.Random(self.rng.getrandbits(64)), facts,
+        )  # fmt: skip
+        process = Process(self, name, made)
+        self.by_address[at] = process
+        self.processes[address or name] = process
+        self.give(process, api.Begin())
+        return process
+
+    def kill(self, name: str) -> None:
+        """A process dies without a word."""
+        self.processes[name].alive = False
+
+    def leave(self, name: str) -> None:
+        """A process says that it goes, and goes."""
+        process = self.processes[name]
+        self.give(process, api.Leave())
+        process.alive = False
+
+    def stop(self, name: str) -> None:
+        """SIGSTOP."""
+        self.processes[name].stopped = True
+
+    def cont(self, name: str) -> None:
+        """SIGCONT: what has come meanwhile is worked off."""
+        process = self.processes[name]
+        process.stopped = False
+        frozen, process.frozen = process.frozen, []
+        for do, args in frozen[-5000:]:  # a socket's buffer holds no more
+            do(*args)
+
+    def living(self) -> list[Process]:
+        """Those that run."""
+        return [process for process in self.processes.values() if process.alive and not process.stopped]
+
+    def turn(self, process: Process, do: Callable[..., None], *args: Any) -> None:
+        """Do something in a process, when it runs."""
+        if not process.alive:
+            return
+        if process.stopped:
+            process.frozen.append((do, args))
+            return
+        wait = process.wait_ms(self._now)
+        if wait:
+            self.after(wait, self.turn, process, do, *args)
+        else:
+            do(*args)
+
+    def reach_in(self, process: Process, event: api.Event) -> None:
+        """Something has come from outside: whoever was kept from running sees to its timers first."""
+        wait = process.wait_ms(self._now)
+        if wait and process.alive and not process.stopped:
+            self.after(wait + TIMERS_FIRST_MS, self.reach_in, process, event)
+        else:
+            self.turn(process, self.give, process, event)
+
+    def give(self, process: Process, event: api.Event) -> None:
+        """Give a core an event and do what it says."""
+        if not process.alive:
+            return
+        for action in process.core.handle(event, self._now):
+            match action:
+                case api.Post():
+                    self.post(process, action.address, action.message)
+                case api.SetTimer():
+                    self.after(
+                        action.delay_ms, self.turn, process, self.give, process, api.Fired(action.token)
+                    )
+                case api.Exchange():
+                    self._exchange(process, action.address, action.state)
+                case api.Dial():
+                    self._dial(process, action.address, action.number)
+                case api.Changed():
+                    self._changed(process, action)
+                case api.Note():
+                    self.notes[action.event] += 1
+
+    # Links
+
+    def post(self, process: Process, address: str, message: Message) -> None:
+        """A datagram goes out."""
+        size = size_of(message)
+        self.bytes[process.name] += size
+        self.datagrams[process.name] += 1
+        target = self.by_address.get(address)
+        if target is None:
+            return
+        if self.record is not None and len(self.record) < 50_000:
+            self.record.append((process.core.address, address, message))
+        for took in self.lines.between(process.name, target.name).datagram(size):
+            self.after(took, self.deliver, address, process.core.address, message)
+
+    def deliver(self, address: str, source: str, message: Message) -> None:
+        """A datagram comes in, at whoever is at this address by now."""
+        target = self.by_address.get(address)
+        if target is not None and target.alive:
+            self.reach_in(target, api.Heard(message, source))
+
+    def _round_trips(self, a: str, b: str, trips: int, size: int) -> float | None:
+        """How long a stream takes for so many round trips; None where it does not come up in time."""
+        there, back = self.lines.between(a, b), self.lines.between(b, a)
+        if there.cut or back.cut or there.refuse:
+            return None
+        took = sum(there.stream_ms(size) + back.stream_ms(size) for _ in range(trips))
+        return took if took < STREAM_LIMIT_MS else None
+
+    def _exchange(self, process: Process, address: str, state: State) -> None:
+        size = 40 + sum(record.size() for record in state.records)
+        self.stream_bytes[process.name] += size
+        target = self.by_address.get(address)
+        took = None if target is None else self._round_trips(process.name, target.name, 2, 1000)
+        if target is None or took is None or not target.alive:
+            self.after(STREAM_LIMIT_MS, self.turn, process, self.give, process, api.Missed(address))
+            return
+        self.after(took * 0.75, self.turn, target, self._met, target, process, address, state, took * 0.25)
+
+    def _met(self, target: Process, process: Process, address: str, state: State, back_ms: float) -> None:
+        answer = target.core.state()
+        self.stream_bytes[target.name] += 40 + sum(record.size() for record in answer.records)
+        self.give(target, api.Met(state, process.core.address, False))
+        self.after(back_ms, self.reach_in, process, api.Met(answer, address, True))
+
+    def _dial(self, process: Process, address: str, number: int) -> None:
+        target = self.by_address.get(address)
+        took = None if target is None else self._round_trips(process.name, target.name, 2, 60)
+        if target is not None and took is not None:
+            self.stream_bytes[process.name] += 120
+            self.after(took * 0.75, self.turn, target, self._dialled, target, process, number, took * 0.25)
+
+    def _dialled(self, target: Process, process: Process, number: int, back_ms: float) -> None:
+        event = api.Ponged(number, target.core.name, target.core.life)
+        self.after(back_ms, self.reach_in, process, event)
+
+    # The oracle
+
+    def _changed(self, process: Process, change: api.Changed) -> None:
+        member = process.core.view.members[change.name]
+        key, before = member.key(), process.keys.get(change.name)
+        if before is not None and key < before:
+            what = f"{process.name} goes back on {change.name}, {before} to {key}"
+            raise Broken(f"seed {self.seed} at {self._now:.0f} ms: {what}")
+        process.keys[change.name] = key
+        self.flaps[change.what] += 1
+        if (
+            change.what == "dead"
+            and self.healthy(change.name, member.life)
+            and self.reach(process.name, change.name)
+        ):
+            self.false_deaths.append((self._now, process.name, change.name))
+        self.watch(process, change)
+
+    def healthy(self, name: str, life: int) -> bool:
+        """Whether this life runs and gets its turns."""
+        process = self.processes.get(name)
+        return (
+            process is not None and process.alive and not process.stopped and not process.starved
+            and process.core.life == life
+        )  # fmt: skip
+
+    def reach(self, a: str, b: str) -> bool:
+        """Whether no cut is between them."""
+        return not (self.lines.between(a, b).cut or self.lines.between(b, a).cut)
+
+    def agreed(self) -> bool:
+        """Whether all that run hold the same members to be there, and these are those that run."""
+        living = self.living()
+        truth = {process.name: process.core.life for process in living}
+        digests = {process.core.digest() for process in living}
+        return len(digests) == 1 and all(
+            {m.name: m.life for m in self.there(process)} | {process.name: process.core.life} == truth
+            for process in living[:1]
+        )
+
+    def there(self, process: Process) -> Iterator[Any]:
+        """Whom a process holds to be there."""
+        return (member for member in process.core.view.members.values() if member.here())
+
+    def knows_gone(self, name: str, life: int) -> bool:
+        """Whether all that run hold this life to be gone."""
+        for process in self.living():
+            member = process.core.view.get(name)
+            if member is not None and (member.life < life or (member.life == life and member.here())):
+                return False
+        return True
+
+    def split(self, *parts: list[str], one_way: bool = False) -> Ill:
+        """Cut parts off from each other; `lines.recover` ends it."""
+        pairs = {
+            (a, b)
+            for i, one in enumerate(parts)
+            for j, other in enumerate(parts)
+            if (i < j if one_way else i != j)
+            for a in one
+            for b in other
+        }
+        ill = Ill(frozenset(pairs), cut=True)
+        self.lines.fall_ill(ill)
+        return ill
+
+    def lose(self, share: float, duplicate: float = 0.0, reorder: float = 0.0, jitter_ms: float = 0.0) -> Ill:
+        """All links lose so much, and may do worse."""
+        pairs = frozenset((a, b) for a in self.names for b in self.names if a != b)
+        ill = Ill(pairs, loss=share, jitter_ms=jitter_ms, duplicate=duplicate, reorder=reorder)
+        self.lines.fall_ill(ill)
+        return ill
--- a/lab/virtual/node.py
+++ b/lab/virtual/node.py
@@ -12,7 +12,7 @@
 
 from lab import records
 from lab.callers import Done, Order
-from lab.records import CLOSED, UNREACHED
+from lab.records import UNREACHED
 from lab.registry import ACTIVE, LEFT, Entry
 from lab.servers import Job, Server
 from lab.settings import settings
@@ -328,7 +328,8 @@
                 if not attempt.over:
                     attempt.over = True
                     self._host.abandon(attempt)
-            self._host.answer(self.name, one.order, one.done, CLOSED, "", 0.0)
+            # Its caller finds a kept connection closed, tries once more on a new one, and reaches nobody.
+            self._host.answer(self.name, one.order, one.done, UNREACHED, "", 0.0)
         for name, idle in self._idle.items():
             server = self._host.servers[name]
             server.connections = max(0, server.connections - len(idle))
--- a/lab/world.py
+++ b/lab/world.py
@@ -281,7 +281,7 @@
         if isinstance(fault, Link):
             ill = Ill(
                 self._pairs(fault), fault.loss, fault.delay_ms, fault.jitter_ms, fault.duplicate,
-                fault.reorder, fault.rate_kbps, fault.cut, fault.refuse,
+                fault.reorder, fault.rate_kbps, fault.cut, fault.refuse, fault.datagrams_only,
             )  # fmt: skip
         self._ills[n] = [ill]
         self.lines.fall_ill(ill)
--- a/orchidferry/__main__.py
+++ b/orchidferry/__main__.py
@@ -65,6 +65,7 @@
         logs.info("started", "started, listening on %(address)s", address=f"{address[0]}:{address[1]}")
         await stopping.wait()
         logs.info("stopping", "stopping")
+        node.depart(handing_over=False)
         await asyncio.sleep(ACCEPT_ON_S)
         await node.stop()
     else:
@@ -110,6 +111,7 @@
             await asyncio.wait_for(stopping.wait(), None if accepting else SIBLINGS_S / 2.0)
     look()
     logs.info("stopping", "stopping, %(others)d others serve on", others=processes - 1)
+    node.depart(handing_over=processes > 1)
     node.frontend.leave(processes > 1)
     await asyncio.sleep(ACCEPT_ON_S)
     await node.stop()
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -39,6 +39,16 @@
     addresses: dict[int, Address]
 
 
+@dataclass(slots=True)
+class FleetConfig:
+    """Where this process meets the others of its fleet."""
+
+    name: str
+    bind: str  # host:port, for datagrams and streams
+    advertise: str  # what the others are told
+    seeds: list[str]  # addresses that are asked who is there
+
+
 @dataclass(slots=True)
 class Config:
     """All that a node knows when it starts."""
@@ -54,6 +64,7 @@
     settings: api.Settings
     keys: frozenset[str]  # which the file has, as paths
     log: str = logs.TEXT  # how the log is written
+    fleet: FleetConfig | None = None  # None: the node is alone, and nothing of the fleet is loaded
 
 
 def now_ms() -> float:
@@ -157,6 +168,25 @@
         raise BadConfig(f"{path}: {problem}") from None
 
 
+def read_fleet(obj: Json) -> FleetConfig | None:
+    """The `fleet` object, where there is one; refused where the settings allow no peers."""
+    fleet = opt(obj, "fleet", dict, None)
+    if fleet is None:
+        return None
+    allow = opt(opt(obj, "settings", dict, {}), "permissions", dict, {})
+    if opt(allow, "peers", bool, True) is False:
+        raise Malformed("'fleet' must be absent: settings.permissions.peers is false", (obj, "fleet", None))
+    seeds = get(fleet, "seeds", list)
+    for n, seed in enumerate(seeds):
+        if not isinstance(seed, str):
+            raise Malformed(f"seeds[{n}] must be a string, not {seed!r:.60}", (seeds, n, "127.0.0.1:7400"))
+        address(seed)
+    address_at(fleet, "bind")
+    advertise = fleet["bind"] if fleet.get("advertise") is None else get(fleet, "advertise", str)
+    address(advertise)
+    return FleetConfig(get(fleet, "name", str), fleet["bind"], advertise, seeds)
+
+
 def parse_config(obj: Json) -> Config:
     """Turn the file's object into a configuration; `Malformed` or `ValueError` says what is wrong with it."""
     limits = opt(obj, "limits", dict, {})
@@ -175,5 +205,6 @@
         known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
         settings=read_settings(get(obj, "settings", dict)),
         keys=key_paths(obj),
+        fleet=read_fleet(obj),
         log=word(opt(obj, "log", dict, {"form": logs.TEXT}), "form", logs.FORMS),
     )
--- a/orchidferry/logs.py
+++ b/orchidferry/logs.py
@@ -28,12 +28,17 @@
 
 def _write(level: int, event: str, text: str, fields: dict[str, Any]) -> None:
     if _log.isEnabledFor(level):
-        _log.log(level, text, fields, extra={"event": event})
+        _log.log(level, text, *_args(fields), extra={"event": event})
+
+
+def _args(fields: dict[str, Any]) -> tuple[dict[str, Any], ...]:
+    # An empty mapping is taken for an argument of its own, which the text has no place for.
+    return (fields,) if fields else ()
 
 
 def exception(event: str, text: str, **fields: Any) -> None:
     """An error that the node survives, with where it came from."""
-    _log.error(text, fields, exc_info=True, extra={"event": event})
+    _log.error(text, *_args(fields), exc_info=True, extra={"event": event})
 
 
 class JsonLines(logging.Formatter):
--- a/orchidferry/management.py
+++ b/orchidferry/management.py
@@ -101,6 +101,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return host, port
 
+    def add(self, path: str, method: str, call: Call) -> None:
+        """Know one more call."""
+        self._calls[path] = method, call
+
     def count(self) -> int:
         """Sockets in use, the listener too."""
         return len(self._visitors) + (self._server is not None)
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -11,20 +11,23 @@
 import random
 from collections import deque
 from dataclasses import replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
 from orchidferry import logs
 from orchidferry.bodies import Memory
-from orchidferry.config import Address, Config, Listing, now_ms
+from orchidferry.config import Address, Config, FleetConfig, Listing, now_ms
 from orchidferry.discovery import Discovery
 from orchidferry.figures import Figures
 from orchidferry.frontend import Answering, Frontend, Message, Reply, Unacceptable
 from orchidferry.management import MOST_CALLERS, Door
 from orchidferry.upstream import Answer, Attempt, Flow, Upstream
 
+if TYPE_CHECKING:
+    from orchidferry.peers import Peers
+
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 PLENTY_SHARE = 0.25  # of the limit: with so much room idle callers may stay
@@ -153,9 +156,33 @@
             },
         )
         self._reserved = SPARE_SOCKETS + (MOST_CALLERS if config.management is not None else 0)
+        self._peers: Peers | None = None
+        if config.fleet is not None:
+            self._meet(config.fleet)
+
+    def _meet(self, fleet: FleetConfig) -> None:
+        """Become a member of a fleet; a node alone does not even load what that needs."""
+        from orchidferry import peers
+
+        self._peers = peers.Peers(self._loop, self.config, fleet, self._placed, self._live.__len__)
+        self._reserved += peers.SOCKETS
+        for name, read in self._peers.figures().items():
+            self.figures.gauge(name, read)
+        self.door.add("/admin/fleet", "GET", self._peers.show)
+
+    def _placed(self, number: int, nodes: int) -> None:
+        """The fleet has this node at another place: its part of servers and budgets follows."""
+        self._handle(api.Reconfigured(replace(self.config.settings, number=number, nodes=nodes)))
+
+    def depart(self, handing_over: bool) -> None:
+        """Tell the fleet that this process goes, before it drains."""
+        if self._peers is not None:
+            self._peers.depart(handing_over)
 
     def start(self) -> None:
         """Let the module begin, with the list as this node last had it."""
+        if self._peers is not None:
+            self._peers.start()
         self._take_listing(self.config.known, api.ListKind.SAVED)
         self._handle(api.Started())
         if not self.config.settings.follow_list:
@@ -168,6 +195,8 @@
         self.figures.know(cls.name for cls in settings.classes)
         self._upstream.set_times(settings.connect_timeout_ms, settings.keepalive_ms)
         self._handle(api.Reconfigured(settings))
+        if self._peers is not None:
+            self._peers.told(settings.number, settings.nodes)
         self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
@@ -198,6 +227,7 @@
         await self.frontend.wind_up()
         self._discovery.close()
         self.door.close()
+        self.depart(handing_over=False)
 
     def _health(self) -> tuple[int, dict[str, Any]]:
         ready = self.frontend.ready()
@@ -206,11 +236,15 @@
     def _quiesce(self) -> tuple[int, dict[str, Any]]:
         logs.info("draining", "draining")
         self.frontend.quiesce()
+        if self._peers is not None:
+            self._peers.drain(True)
         return 200, {"draining": True}
 
     def _resume(self) -> tuple[int, dict[str, Any]]:
         logs.info("resumed", "the drain ends")
         self.frontend.resume()
+        if self._peers is not None:
+            self._peers.drain(False)
         return 200, {"draining": False}
 
     def _room(self) -> int:
--- /dev/null
+++ b/orchidferry/peers.py
@@ -0,0 +1,383 @@
+"""The fleet on sockets: hosts membership, and turns what it says into the node's own terms.
+
+Imported only where the configuration has a `fleet` object. Whatever fails here is counted and logged, and
+the node serves on by its own knowledge: no request waits for anything in this file.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from fleet import interface as api
+from fleet.census import Census
+from fleet.membership.core import Membership
+from fleet.messages import STATUSES, Ack, Fact, Head, Ping
+from fleet.wire import MOST_STATE, Refused, Wire
+from orchidferry import VERSION, logs
+from orchidferry.config import Address, Config, FleetConfig, address, now_ms
+
+SOCKETS = 28  # of the node's limit: two of its own, and what follows
+MOST_IN, MOST_OUT = 16, 8  # streams at a time
+WHOLE_S = 2.5  # for a stream to come whole; a peer that says nothing is closed within 3 s
+CALL_S = 1.5  # for an exchange or a probe over a stream
+BIND_AGAIN_S = 0.2  # while the address is another process's, as at an upgrade
+COUNT_S = 1.0  # how often it is looked at who counts, and what the rates are
+LOAD_S = 10.0  # how often the load is told, where it has changed
+GOODBYE_S = 0.1  # between saying goodbye and closing the socket
+STATE, PROBE = b"S", b"P"  # what a stream begins with
+RECORDED_MS = 3_600_000.0  # how long one that left is shown
+
+
+class _Ear(asyncio.DatagramProtocol):
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+
+    def datagram_received(self, data: bytes, sender: Address) -> None:
+        self._peers.received(data, sender)
+
+    def error_received(self, exc: Exception) -> None:
+        self._peers.counts["unsent"] += 1
+
+
+class Peers:
+    """This process among the members of its fleet."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        config: Config,
+        fleet: FleetConfig,
+        placed: Callable[[int, int], None],
+        load: Callable[[], int],
+    ) -> None:
+        self._loop, self._fleet, self._placed, self._load = loop, fleet, placed, load
+        self._wire = Wire(fleet.name)
+        # A life begins with the process: by the wall's clock, corrected by what others remember of us.
+        wall_ms = int(time.time() * 1000.0)
+        rng = random.Random(config.seed)
+        settings = config.settings
+        facts: dict[str, Fact] = {
+            "zone": settings.zone, "tier": float(settings.tier), "program": VERSION,
+            "number": float(settings.number), "load": 0.0, "draining": False,
+        }  # fmt: skip
+        self.core = Membership(
+            config.name,
+            fleet.advertise,
+            fleet.seeds,
+            wall_ms << 16 | rng.getrandbits(16),
+            wall_ms,
+            rng,
+            facts,
+        )
+        self._tier = float(settings.tier)
+        self.census = Census(config.name, settings.number, settings.nodes)
+        self._udp: asyncio.DatagramTransport | None = None
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._in = self._out = 0
+        self._over = False
+        self._place = settings.number, settings.nodes
+        self._rates = (0.0, 0.0)
+        self._seen = (0, 0, loop.time())
+        self.counts = dict.fromkeys(
+            ("sent", "received", "sent_bytes", "received_bytes", "refused", "unsent", "errors", "streams"), 0
+        )
+        self.reasons: dict[str, int] = {}
+
+    def start(self) -> None:
+        """Join, as soon as the address is to be had."""
+        self._spawn(self._begin())
+
+    async def _begin(self) -> None:
+        host, port = address(self._fleet.bind)
+        told = False
+        while True:
+            try:
+                # First the one that is refused while another process has the address.
+                self._server = await asyncio.start_server(self._serve, host, port, limit=MOST_STATE + 1024)
+                transport, _ = await self._loop.create_datagram_endpoint(
+                    lambda: _Ear(self), local_addr=(host, port)
+                )
+            except OSError as problem:
+                if self._server is not None:
+                    self._server.close()
+                if not told:
+                    logs.info(
+                        "fleet waits", "the fleet's address is not to be had: %(why)s", why=str(problem)
+                    )
+                    told = True
+                await asyncio.sleep(BIND_AGAIN_S)
+                continue
+            break
+        self._udp = transport
+        logs.info("fleet", "a member of %(fleet)s at %(bind)s", fleet=self._fleet.name, bind=self._fleet.bind)
+        self.handle(api.Begin())
+        self._loop.call_later(COUNT_S, self._count)
+        self._loop.call_later(LOAD_S, self._tell_load)
+
+    def handle(self, event: api.Event) -> None:
+        """Give the core an event and do what it says; an error here is the fleet's and not the node's."""
+        if self._over:
+            return
+        try:
+            for action in self.core.handle(event, now_ms()):
+                self._do(action)
+        except Exception:
+            self.counts["errors"] += 1
+            logs.exception("fleet error", "the fleet's part, handling %(what)s", what=type(event).__name__)
+
+    def _do(self, action: api.Action) -> None:
+        match action:
+            case api.Post():
+                self._send(self._wire.write(action.message), action.address)
+            case api.SetTimer():
+                self._loop.call_later(action.delay_ms / 1000.0, self.handle, api.Fired(action.token))
+            case api.Exchange():
+                self._call(action.address, self._exchange(action))
+            case api.Dial():
+                self._call(action.address, self._probe(action))
+            case api.Changed():
+                self._recount()
+            case api.Note():
+                text = "fleet: " + ", ".join(f"{name} %({name})s" for name in action.fields)
+                logs.info(f"fleet {action.event}", text, **action.fields)
+
+    # Datagrams
+
+    def _send(self, data: bytes, target: str) -> None:
+        if self._udp is None or self._udp.is_closing():
+            return
+        try:
+            self._udp.sendto(data, address(target))
+        except (OSError, ValueError):
+            self.counts["unsent"] += 1
+            return
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(data)
+
+    def received(self, data: bytes, sender: Address) -> None:
+        """A datagram has come, from anybody."""
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(data)
+        try:
+            message = self._wire.read(data)
+        except Refused as reason:
+            return self._refuse(str(reason))
+        self.handle(api.Heard(message, f"{sender[0]}:{sender[1]}"))
+
+    def _refuse(self, reason: str) -> None:
+        self.counts["refused"] += 1
+        self.reasons[reason] = self.reasons.get(reason, 0) + 1
+
+    # Streams
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _call(self, target: str, work: Coroutine[Any, Any, None]) -> None:
+        if self._out >= MOST_OUT or self._over:
+            work.close()
+            self.counts["unsent"] += 1
+            return
+        self._out += 1
+        self._spawn(work)
+
+    async def _open(self, target: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        local = (address(self._fleet.bind)[0], 0)
+        self.counts["streams"] += 1
+        return await asyncio.open_connection(*address(target), local_addr=local, limit=MOST_STATE + 1024)
+
+    async def _exchange(self, action: api.Exchange) -> None:
+        data = await self._ask(action.address, STATE, self._wire.write_state(action.state))
+        if data is None:
+            return self.handle(api.Missed(action.address))
+        try:
+            state = self._wire.read_state(data)
+        except Refused as reason:
+            self._refuse(str(reason))
+            return self.handle(api.Missed(action.address))
+        self.handle(api.Met(state, action.address, True))
+
+    async def _probe(self, action: api.Dial) -> None:
+        ping = Ping(self.core.head(), action.number, "", [])
+        data = await self._ask(action.address, PROBE, self._wire.write(ping))
+        if data is None:
+            return
+        try:
+            message = self._wire.read(data)
+        except Refused as reason:
+            return self._refuse(str(reason))
+        if isinstance(message, Ack):
+            self.handle(api.Ponged(action.number, message.whom, message.life))
+
+    async def _ask(self, target: str, kind: bytes, data: bytes) -> bytes | None:
+        """Say something over a stream; the answer, or None where there is none in time."""
+        writer = None
+        try:
+            async with asyncio.timeout(CALL_S):
+                reader, writer = await self._open(target)
+                writer.write(kind + len(data).to_bytes(4, "big") + data)
+                size = int.from_bytes(await reader.readexactly(4), "big")
+                return await reader.readexactly(size) if size <= MOST_STATE else None
+        except (OSError, TimeoutError, EOFError, ValueError):
+            return None
+        finally:
+            self._out -= 1
+            if writer is not None:
+                writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer a peer, or whoever connects: within `WHOLE_S` it has asked, or it is closed."""
+        if self._in >= MOST_IN:
+            self._refuse("crowd")
+            return writer.close()
+        self._in += 1
+        try:
+            async with asyncio.timeout(WHOLE_S):
+                kind = await reader.readexactly(1)
+                size = int.from_bytes(await reader.readexactly(4), "big")
+                if kind not in (STATE, PROBE) or size > MOST_STATE:
+                    raise Refused("foreign" if size <= MOST_STATE else "long")
+                answer = self._answer(kind, await reader.readexactly(size), writer)
+                writer.write(len(answer).to_bytes(4, "big") + answer)
+                await writer.drain()
+        except Refused as reason:
+            self._refuse(str(reason))
+        except (OSError, TimeoutError, EOFError):
+            self._refuse("short")
+        finally:
+            self._in -= 1
+            writer.close()
+
+    def _answer(self, kind: bytes, data: bytes, writer: asyncio.StreamWriter) -> bytes:
+        if kind == PROBE:
+            message = self._wire.read(data)
+            number = message.number if isinstance(message, Ping) else 0
+            head = Head(
+                self.core.name, self.core.life, self.core.revision, self.core.digest(), self.core.alive()
+            )
+            return self._wire.write(Ack(head, number, self.core.name, self.core.life, []))
+        state = self._wire.read_state(data)
+        answer = self._wire.write_state(self.core.state())
+        sender = next((r.address for r in state.records if r.name == state.head.name), "")
+        self.handle(api.Met(state, sender, False))
+        return answer
+
+    # What the node takes from it
+
+    def _recount(self) -> None:
+        here = {m.name for m in self.core.view.members.values() if m.here() and self._like_us(m.facts)}
+        self.census.see(here | {self.core.name}, now_ms())
+        place = self.census.place()
+        if place != self._place:
+            self._place = place
+            logs.info("place", "number %(number)d of %(nodes)d now", number=place[0], nodes=place[1])
+            self._placed(*place)
+
+    def _like_us(self, facts: dict[str, Fact]) -> bool:
+        return facts.get("tier") == self._tier
+
+    def told(self, number: int, nodes: int) -> None:
+        """The file has new settings; what is in force follows from both."""
+        self.census.told(number, nodes)
+        self._place = number, nodes
+        self._recount()
+
+    def _count(self) -> None:
+        if self._over:
+            return
+        self._recount()
+        now, (messages, size, before) = self._loop.time(), self._seen
+        self._seen = self.counts["sent"], self.counts["sent_bytes"], now
+        passed = max(1e-3, now - before)
+        self._rates = (self._seen[0] - messages) / passed, (self._seen[1] - size) / passed
+        self._loop.call_later(COUNT_S, self._count)
+
+    def _tell_load(self) -> None:
+        if not self._over:
+            # To the nearest power of two: news of the load costs all members, so only great changes are news.
+            load = self._load()
+            self.handle(api.Facts({"load": float(1 << load.bit_length() >> 1)}))
+            self._loop.call_later(LOAD_S, self._tell_load)
+
+    def drain(self, draining: bool) -> None:
+        """Let others know."""
+        self.handle(api.Facts({"draining": draining}))
+
+    def depart(self, handing_over: bool) -> None:
+        """The process goes: another of this node goes on as this member, or all are told."""
+        if self._over:
+            return
+        if not handing_over:
+            self.handle(api.Leave())
+        self._over = True
+        if self._server is not None:
+            self._server.close()
+        self._loop.call_later(0.0 if handing_over else GOODBYE_S, self._close)
+
+    def _close(self) -> None:
+        if self._udp is not None:
+            self._udp.close()
+        for task in self._tasks:
+            task.cancel()
+
+    # What operators see
+
+    def figures(self) -> dict[str, Callable[[], int]]:
+        """Gauges beside the node's own."""
+        core = self.core
+        return {
+            "fleet_members": core.alive,
+            "fleet_suspects": lambda: sum(m.status == 1 for m in core.view.members.values()),
+            "fleet_divergent": lambda: core.divergence(now_ms())[0],
+            "fleet_health": lambda: core.health.score,
+            "fleet_nodes": lambda: self._place[1],
+            "fleet_conflicts": lambda: core.conflicts,
+            "fleet_refused": lambda: self.counts["refused"],
+            "fleet_errors": lambda: self.counts["errors"],
+        }
+
+    def show(self) -> tuple[int, dict[str, Any]]:
+        """All that the door tells of the fleet."""
+        core, now = self.core, now_ms()
+        differ, longest = core.divergence(now)
+        members = [
+            {
+                "name": m.name,
+                "state": STATUSES[m.status],
+                "life": m.life,
+                "revision": m.revision,
+                "since_s": round((now - m.since_ms) / 1000.0, 1),
+                "address": m.address,
+                "accusers": m.accusers,
+                "rtt_ms": round(m.rtt_ms(), 2),
+                "agrees": m.differs_ms < 0.0,
+                "facts": m.facts,
+            }
+            for m in sorted(core.view.members.values(), key=lambda m: m.name)
+            if m.here() or now - m.since_ms < RECORDED_MS
+        ]
+        return 200, {
+            "fleet": self._fleet.name,
+            "self": {
+                "name": core.name,
+                "state": "quiet" if core.quiet else STATUSES[core.status],
+                "life": core.life,
+                "revision": core.revision,
+                "address": core.address,
+                "rival": core.rival,
+            },
+            "members_alive": core.alive(),
+            "place": {"number": self._place[0], "nodes": self._place[1]},
+            "divergence": {"members": differ, "longest_s": round(longest / 1000.0, 1)},
+            "health": core.health.score,
+            "refuted": core.refuted, "buried": core.buried, "conflicts": core.conflicts,
+            "messages_s": round(self._rates[0], 1), "bytes_s": round(self._rates[1], 1),
+            "counts": self.counts, "refused_for": self.reasons, "members": members,
+        }  # fmt: skip
--- a/tests/test_lab_processes.py
+++ b/tests/test_lab_processes.py
@@ -17,6 +17,7 @@
 from lab.lines import Ill, Lines
 from lab.names import Names
 from lab.plan import Plan
+from lab.processes import host
 from lab.processes.block import Address, Block
 from lab.processes.day import play_processes, unfit
 from lab.processes.relay import Relay
@@ -62,6 +63,39 @@
     assert {"n1", "n2", "n3"} == set(result.series.beliefs)
 
 
+PLANTED = """
+import sys
+import orchidferry.node as node
+old = node.request_head
+node.request_head = lambda *args: old(*args).replace({what})
+from orchidferry.__main__ import main
+sys.exit(main())
+"""
+
+
+@pytest.mark.parametrize(
+    ("what", "seen"),
+    [
+        ('b"X-Call-Id", b"X Call Id"', "nvalid"),
+        ('b"of=day", b"of=night"', "target"),
+        ('b"GET ", b"PUT "', "method"),
+    ],
+)
+def test_bytes_that_break_the_protocol_are_caught_by_name(
+    what: str, seen: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    command = [sys.executable, "-c", PLANTED.format(what=what)]
+    monkeypatch.setattr(host, "node_command", lambda: command)
+    day = (
+        DAY[: DAY.index("[[faults]]")]
+        .replace("length_s = 7", "length_s = 1")
+        .replace("count = 3", "count = 1")
+    )
+    result = play_processes(parse(day), 1, lambda share: None, None, None)
+    assert "wire" in result.broken
+    assert any(seen in broken.what for broken in result.breaks if broken.rule == "wire")
+
+
 def children(parent: int) -> list[int]:
     found = subprocess.run(["ps", "-o", "pid=", "--ppid", str(parent)], capture_output=True, text=True)
     return [int(pid) for pid in found.stdout.split()]
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,253 @@
+"""The fleet's part of a node on sockets: joining, handing over, strangers; and the census of parts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from fleet import wire
+from fleet.census import HOLD_MS, Census
+from fleet.messages import Head, Ping
+from lab.processes.block import Block, text
+from lab.processes.day import play_processes
+from lab.scenario import parse
+from orchidferry.config import BadConfig, Config, FleetConfig, read_config
+from orchidferry.peers import MOST_IN, Peers
+from tests.peers import run, settings, until
+from tests.test_wire import ROOT
+
+
+def config(tmp_path: Path, name: str = "n1", number: int = 0, nodes: int = 3, **more: Any) -> Config:
+    obj = {
+        "name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ab",
+        "known": {"index": 1, "snapshot": True, "endpoints": []},
+        "settings": settings(my_number=number, siblings=nodes),
+    } | more  # fmt: skip
+    file = tmp_path / f"{name}.json"
+    file.write_text(json.dumps(obj))
+    return read_config(str(file))
+
+
+class Scene:
+    """Members at the addresses of a block."""
+
+    def __init__(self, tmp_path: Path, names: list[str], file_nodes: int = 3) -> None:
+        self.block, self._path, self._nodes = Block(), tmp_path, file_nodes
+        self.placed: dict[str, list[tuple[int, int]]] = {name: [] for name in names}
+        self.members = {name: self.make(name, n) for n, name in enumerate(names)}
+        for member in self.members.values():
+            member.start()
+
+    def make(self, name: str, n: int) -> Peers:
+        at = text(self.block.peer(n))
+        fleet = FleetConfig("linz", at, at, [text(self.block.peer(0)), text(self.block.peer(1))])
+        made = config(self._path, name, n, self._nodes)
+        note = self.placed[name]
+        return Peers(asyncio.get_running_loop(), made, fleet, lambda *place: note.append(place), lambda: 3)
+
+    def agree(self, count: int) -> bool:
+        cores = [member.core for member in self.members.values()]
+        return len({core.digest() for core in cores}) == 1 and all(core.alive() == count for core in cores)
+
+    def close(self) -> None:
+        for member in self.members.values():
+            member.depart(handing_over=True)
+        self.block.release()
+
+
+def test_members_find_each_other_one_says_goodbye_and_one_hands_over(tmp_path: Path) -> None:
+    async def test() -> None:
+        scene = Scene(tmp_path, ["n1", "n2", "n3"])
+        try:
+            await until(lambda: scene.agree(3))
+            leaving = scene.members.pop("n3")
+            leaving.depart(handing_over=False)
+            await until(lambda: scene.agree(2))
+            assert scene.members["n1"].core.view.members["n3"].status == 3
+            old = scene.members["n2"]
+            new = scene.members["n2"] = scene.make("n2", 1)
+            new.start()  # waits for the address
+            await asyncio.sleep(0)
+            old.depart(handing_over=True)
+            await until(lambda: scene.agree(2) and new.core.alive() == 2)
+            seen = scene.members["n1"].core.view.members["n2"]
+            assert seen.life == new.core.life
+            assert scene.members["n1"].core.conflicts == new.core.conflicts == 0
+        finally:
+            scene.close()
+
+    run(test())
+
+
+def test_strangers_get_nothing_are_counted_and_closed(tmp_path: Path) -> None:
+    async def test() -> None:
+        scene = Scene(tmp_path, ["n1"])
+        member, at = scene.members["n1"], scene.block.peer(0)
+        try:
+            await until(lambda: member._udp is not None)
+            rng = random.Random(1)
+            foreign = wire.Wire("graz").write(Ping(Head("x", 1, 0, 0), 1, "n1", []))
+            datagrams = [
+                b"",
+                b"x",
+                foreign,
+                bytes(2000),
+                *(rng.randbytes(rng.randrange(1, 1400)) for _ in range(40)),
+            ]
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                for data in datagrams:
+                    stranger.sendto(data, at)
+            await until(
+                lambda: member.counts["refused"] >= len(datagrams) - 1
+            )  # an empty one may not be heard of
+            writers = []
+            for data in (
+                b"",
+                b"X" + bytes(4),
+                b"S\xff\xff\xff\xff",
+                b"P" + (9).to_bytes(4, "big") + bytes(9),
+            ):
+                reader, writer = await asyncio.open_connection(*at)
+                writer.write(data)
+                writers.append((reader, writer))
+            crowd = [await asyncio.open_connection(*at) for _ in range(MOST_IN + 4)]
+            for reader, writer in (*writers, *crowd):
+                assert await asyncio.wait_for(reader.read(), 30.0) == b""
+                writer.close()
+            assert member.counts["errors"] == 0
+            assert member.core.alive() == 1
+            assert {"foreign", "version", "long", "crowd"} <= set(member.reasons)
+        finally:
+            scene.close()
+
+    run(test())
+
+
+def test_a_fleet_object_is_refused_where_the_settings_allow_no_peers(tmp_path: Path) -> None:
+    fleet = {"name": "linz", "bind": "127.0.1.3:7400", "seeds": ["127.0.2.1:7400"]}
+    assert config(tmp_path, fleet=fleet).fleet is not None
+    for allowed, bad in ((False, fleet), (True, fleet | {"bind": "nowhere"}), (True, fleet | {"seeds": [5]})):
+        with pytest.raises(BadConfig) as caught:
+            config(tmp_path, fleet=bad, settings=settings(permissions={"peers": allowed}))
+        assert "\n" not in str(caught.value)
+
+
+def test_a_node_without_a_fleet_loads_none_of_it() -> None:
+    code = (
+        "import sys, orchidferry.__main__; "
+        "print(sorted({name.split('.')[0] for name in sys.modules} & "
+        "{'fleet', 'msgspec', 'click', 'rich', 'numpy', 'lab', 'dunlinloft'}))"
+    )
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert found.stdout.strip() == "[]"
+
+
+def test_processes_of_one_fleet_agree_after_a_kill_and_a_split(tmp_path: Path) -> None:
+    day = """
+name = "one"
+[day]
+length_s = 13
+[nodes]
+count = 5
+fleet = true
+[[tiers]]
+servers = 4
+[arrivals]
+rate_per_s = 30
+[[faults]]
+kind = "kill"
+at_s = 1
+nodes = ["n4"]
+back_s = 2
+[[faults]]
+kind = "split"
+at_s = 4
+for_s = 4
+parts = [["n1", "n2"], ["n3", "n4", "n5"]]
+"""
+    result = play_processes(parse(day), 1, lambda share: None, None, tmp_path)
+    assert result.broken == {}
+    beliefs = result.series.beliefs
+    assert all(max(figures["fleet_members"]) == 5 for figures in beliefs.values())
+    assert all(figures["fleet_errors"][-1] == 0 for figures in beliefs.values())
+    assert all(figures["fleet_members"][-1] == 5 for figures in beliefs.values())
+    # Two of five may not take themselves for the whole.
+    assert all(min(figures["fleet_nodes"]) >= 5 for name, figures in beliefs.items() if name in ("n1", "n2"))
+
+
+# Parts of budgets
+
+
+class Sides:
+    """Any number of processes, any splits: what their parts add up to."""
+
+    def __init__(self, count: int) -> None:
+        self.names = [f"n{n}" for n in range(count)]
+        self.censuses = {name: Census(name, n, count) for n, name in enumerate(self.names)}
+        self.now = 0.0
+
+    def live(self, parts: list[list[str]], for_ms: float) -> None:
+        end = self.now + for_ms
+        while self.now < end:
+            self.now += 500.0
+            for part in parts:
+                for name in part:
+                    self.censuses[name].see(set(part), self.now)
+
+    def sum(self, names: list[str]) -> float:
+        return sum(1.0 / self.censuses[name].place()[1] for name in names)
+
+
+@hypothesis_settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.integers(2, 12), st.randoms(use_true_random=False), st.floats(1_000.0, 60_000.0))
+def test_parts_add_up_to_less_than_one_and_a_half_in_any_split(
+    count: int, rng: random.Random, ms: float
+) -> None:
+    sides = Sides(count)
+    sides.live([sides.names], 2_000.0)
+    shuffled = rng.sample(sides.names, count)
+    at = rng.randrange(1, count)
+    parts = [part for part in (shuffled[:at], shuffled[at:]) if part]
+    if rng.random() < 0.5 and len(parts[0]) > 1:
+        cut = rng.randrange(1, len(parts[0]))
+        parts = [parts[0][:cut], parts[0][cut:], parts[1]]
+    sides.live(parts, ms)
+    assert sides.sum(sides.names) < 1.5
+    sides.live([sides.names], 1_000.0)
+    assert {census.place()[1] for census in sides.censuses.values()} == {count}
+    assert sorted(census.place()[0] for census in sides.censuses.values()) == list(range(count))
+
+
+def test_what_the_dead_had_comes_back_after_the_hold_and_newcomers_count_at_once() -> None:
+    sides = Sides(6)
+    sides.live([sides.names], 2_000.0)
+    living = sides.names[:4]
+    sides.live([living], HOLD_MS - 1_000.0)
+    assert sides.sum(living) == pytest.approx(4 / 6)
+    sides.live([living], 3_000.0)
+    assert sides.sum(living) == pytest.approx(1.0)
+    assert sorted(sides.censuses[name].place()[0] for name in living) == [0, 1, 2, 3]
+    sides.live([sides.names], 500.0)
+    assert sides.sum(sides.names) == pytest.approx(1.0)
+
+
+def test_fewer_than_the_file_says_count_as_the_file_says_until_most_are_there() -> None:
+    census = Census("n1", 1, 10)
+    census.see({"n1", "n2"}, 0.0)
+    census.see({"n1", "n2"}, 60_000.0)
+    assert census.place() == (1, 10)
+    seven = {f"n{n}" for n in range(1, 8)}
+    census.see(seven, 61_000.0)
+    census.see(seven, 61_000.0 + HOLD_MS)
+    assert census.place() == (0, 7)
