--- a/fleet/membership/probing.py
+++ b/fleet/membership/probing.py
@@ -68,15 +68,21 @@
         core.timer(wait, DIRECT, number)
         return number
 
+    def _unanswered(self, number: int) -> tuple[Probe, Member] | None:
+        """A probe that is still out, and whom it asks; one that is over is forgotten."""
+        probe = self._out.get(number)
+        member = self._core.view.get(probe.name) if probe is not None else None
+        if probe is None or member is None or probe.answered:
+            self._out.pop(number, None)
+            return None
+        return probe, member
+
     def direct_is_over(self, number: int, in_time: bool, now: float) -> None:
         """No direct answer in time: ask others, and try a stream."""
-        probe, core = self._out.get(number), self._core
-        if probe is None:
-            return
-        member = core.view.get(probe.name)
-        if probe.answered or member is None:
-            del self._out[number]
+        waiting, core = self._unanswered(number), self._core
+        if waiting is None:
             return
+        probe, member = waiting
         probe.direct = False
         core.actions.append(api.Dial(member.address, number))
         self._repeat(number, probe, member)
@@ -104,13 +110,10 @@
 
     def end(self, number: int, in_time: bool, now: float) -> None:
         """The probe's time is over."""
-        probe, core = self._out.get(number), self._core
-        if probe is None:
-            return
-        member = core.view.get(probe.name)
-        if probe.answered or member is None:
-            del self._out[number]
+        waiting, core = self._unanswered(number), self._core
+        if waiting is None:
             return
+        probe, _ = waiting
         if not in_time:  # the answer may wait in this process's own queue: look again before judging
             core.timer(PERIOD_MS, ENDS, number)
             return
