Shorten two column titles so that the lab's table fits 80 columns

Need: the table of lab run cut titles off at 80 columns. Change: worst for worst10s, att/req for attempts.

--- a/dunlinloft/labcli.py
+++ b/dunlinloft/labcli.py
@@ -103,8 +103,8 @@
 
 
 COLUMNS = (
-    ("goodput", "goodput", ".3f"), ("worst10s", "worst_10s", ".3f"), ("refused", "refused", ".3f"),
-    ("lost", "lost", ".4f"), ("attempts", "attempts", ".3f"), ("p50 ms", "p50_ms", ".0f"),
+    ("goodput", "goodput", ".3f"), ("worst", "worst_10s", ".3f"), ("refused", "refused", ".3f"),
+    ("lost", "lost", ".4f"), ("att/req", "attempts", ".3f"), ("p50 ms", "p50_ms", ".0f"),
     ("p99 ms", "p99_ms", ".0f"),
 )  # fmt: skip
 
