--- a/fleet/membership/core.py
+++ b/fleet/membership/core.py
@@ -75,7 +75,6 @@
         self._rival = 0  # the process that had our name when we took a new life because of it
         self.rival = ""  # its address, once it is sure that it lives
         self.quiet = False  # our name is another's: nothing is said under it
-        self._agreed_ms = 0.0
         self.refuted = self.conflicts = self.accused = self.buried = 0
 
     def handle(self, event: api.Event, now: float) -> list[api.Action]:
@@ -205,7 +204,6 @@
                 self._ask_for_the_name()
 
     def _begin(self, now: float) -> None:
-        self._agreed_ms = now
         self._join()
         self.timer(probing.PERIOD_MS * self.rng.random(), "period")
         self.timer(EXCHANGE_MS * (0.5 + self.rng.random()), "exchange")
@@ -311,7 +309,6 @@
             if now - self._exchanged_ms > AGAIN_MS:
                 self._exchange(source, now)
             return
-        member.heard_ms = now
         if member.life != head.life:
             return
         if not member.here():  # it does not know that it is buried
--- a/fleet/membership/view.py
+++ b/fleet/membership/view.py
@@ -24,7 +24,7 @@
     """One name, as it is believed to be."""
 
     __slots__ = (
-        "accusers", "address", "bits", "checked", "differs_ms", "digest", "facts", "heard_ms", "life", "name",
+        "accusers", "address", "bits", "checked", "differs_ms", "digest", "facts", "life", "name",
         "revision", "since_ms", "status", "timer", "uid", "version", "_rtt_ms", "_var_ms",
     )  # fmt: skip
 
@@ -32,7 +32,7 @@
         self.name, self.life, self.revision, self.status, self.uid = name, -1, 0, DEAD, 0
         self.address, self.version, self.facts = "", -1, dict[str, Fact]()
         self.accusers: list[str] = []  # of what it is suspected for, at most `MOST_ACCUSERS`
-        self.since_ms = self.heard_ms = now
+        self.since_ms = now
         self._rtt_ms, self._var_ms = START_RTT_MS, START_VAR_MS
         self.digest, self.differs_ms = 0, -1.0  # of its view; since when it differs from ours
         self.timer = 0  # that of its suspicion
--- a/lab/processes/gates.py
+++ b/lab/processes/gates.py
@@ -6,9 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
-import struct
 from collections.abc import Callable
 
 from lab.processes.block import Address
@@ -17,13 +15,6 @@
 OPEN, HANGING, SHUT = "open", "hanging", "shut"
 
 
-def reset(sock: socket.socket) -> None:
-    """Close so that the other side sees a reset."""
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 class Gate:
     """One listening socket; `accepted` gets each connection."""
 
--- a/lab/processes/relay.py
+++ b/lab/processes/relay.py
@@ -18,7 +18,6 @@
 from lab.servers import Clock
 
 DIAL_S = 3.0
-MOST_DATAGRAM = 65_507
 RETRY_MS = 50.0  # how often a connection over a cut link is tried again
 
 
--- a/lab/runner.py
+++ b/lab/runner.py
@@ -19,7 +19,6 @@
 from lab.results import Result
 from lab.scenario import Scenario
 
-HOSTS = ("processes", "virtual")
 END_S = 10.0  # for a worker to clear up after itself
 
 
--- a/lab/world.py
+++ b/lab/world.py
@@ -138,10 +138,6 @@
         if self.now() < 1000.0 * self.scenario.day.length_s:
             self.after(BELIEF_MS, self._beliefs)
 
-    def node_zone(self, name: str) -> str:
-        """Where a node is."""
-        return self.names.zone(name)
-
     def agent(self, node: str) -> Agent:
         """The part of discovery that is on a node's machine."""
         return self.registries[int(node in self.names.inner)].agents[node]
@@ -294,12 +290,7 @@
 
     def _terminate(self, name: str, fault: Terminate) -> None:
         self.signal(name, "term")
-        self.after(1000.0 * fault.kill_s, self._end_node, name, fault.back_s)
-
-    def _end_node(self, name: str, back_s: float) -> None:
-        self.signal(name, "kill")
-        if back_s:
-            self.after(1000.0 * back_s, self.start_node, name)
+        self.after(1000.0 * fault.kill_s, self.kill, name, fault.back_s)
 
     def _silence(self, fault: Silence, agent: Agent, on: bool) -> None:
         if fault.late_s:
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -16,7 +16,7 @@
 from fleet.census import Census
 from fleet.duties import messages as duties
 from fleet.membership.core import Membership
-from fleet.messages import STATUSES, About, Ack, Fact, Head, Ping
+from fleet.messages import STATUSES, About, Ack, Fact, Ping
 from fleet.wire import MOST_STATE, Refused, Wire
 from orchidferry import VERSION, logs
 from orchidferry.config import Address, Config, FleetConfig, address, now_ms
@@ -268,10 +268,7 @@
         if kind == PROBE:
             message = self._wire.read(data)
             number = message.number if isinstance(message, Ping) else 0
-            head = Head(
-                self.core.name, self.core.life, self.core.revision, self.core.digest(), self.core.alive()
-            )
-            return self._wire.write(Ack(head, number, self.core.name, self.core.life, []))
+            return self._wire.write(Ack(self.core.head(), number, self.core.name, self.core.life, []))
         state = self._wire.read_state(data)
         answer = self._wire.write_state(self.core.state())
         sender = next((r.address for r in state.records if r.name == state.head.name), "")
