--- a/dunlinloft/fleetcli.py
+++ b/dunlinloft/fleetcli.py
@@ -172,3 +172,65 @@
         return BAD_FILE
     out.print(f"{duty} is handed over to {to or 'whoever is next'}", highlight=False)
     return SUCCESS
+
+
+def state(door: str, as_json: bool) -> int:
+    """Print what members share, with ages; the exit status is 1 where a fallback is in force."""
+    try:
+        found = read(door, "/admin/shared")
+    except NoDoor as problem:
+        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
+        return BAD_FILE
+    limits, homes = found["limits"], found["affinity"]
+    fallback = (limits["in_use"] and limits["fallback"]) or (homes["in_use"] and homes["cut_off"])
+    if as_json:
+        print(json.dumps(found, indent=2))
+        return UNKEPT if fallback else SUCCESS
+    out.print(f"as {found['self']} has it; shared are {', '.join(found['share'])}", highlight=False)
+    for line in (*_verdicts(found), *_limits(limits), *_homes(homes)):
+        out.print(line, highlight=False)
+    columns = ("kind", "of", "version", "age", "by way of", "bytes")
+    rows = Table(*columns, box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    for r in found["records"]:
+        way, age = escape(r["from"] or "itself"), f"{r['age_s']:.2f} s"
+        rows.add_row(r["kind"], escape(r["writer"]), str(r["version"]), age, way, str(r["bytes"]))
+    out.print(rows)
+    return UNKEPT if fallback else SUCCESS
+
+
+def _verdicts(found: dict[str, Any]) -> list[str]:
+    if "verdicts" not in found["share"]:
+        return []
+    lines = []
+    for v in found["verdicts"]:
+        whom = ", ".join(v["classes"]) or "all classes"
+        what = [f"avoided for {whom}"] if v["avoid"] else []
+        what += [f"{v['slow']:.1f} times slower than its peers"] if v["slow"] > 1.0 else []
+        lines.append(f"[yellow]server {escape(v['name'])}: {escape(', '.join(what))}[/]")
+    return lines or ["no server is spoken against"]
+
+
+def _limits(limits: dict[str, Any]) -> list[str]:
+    if not limits["in_use"]:
+        return []
+    known = f"demand of {limits['known']} of {limits['counted']} members is known"
+    lines = [f"[yellow]{known}; the others count with even parts[/]" if limits["fallback"] else known]
+    for tenant, part in limits["parts"].items():
+        lines.append(f"{escape(tenant)}: {part['part_per_s']:.1f} of {part['quota_per_s']:.0f} a second here")
+    return [*lines, f"loops together allow {limits['retry_share']:.0%} of retries"]
+
+
+def _homes(homes: dict[str, Any]) -> list[str]:
+    if not homes["in_use"]:
+        return []
+    lines = [f"keyed requests have homes in {', '.join(homes['homes'])}"]
+    if homes["cut_off"]:
+        lines.append("[red]too few members are heard: repeats of keyed requests are refused[/]")
+    for zone in homes["out"]:
+        how = "keys go elsewhere" if zone in homes["open"] else "the others do not all know yet"
+        lines.append(f"[yellow]{escape(zone)} is out for this node: {how}[/]")
+    for name, zones in homes["others"].items():
+        if zones:
+            lines.append(f"[yellow]{escape(name)} sends keys of {escape(', '.join(zones))} elsewhere[/]")
+    counts = [f"{count} {why}" for why, count in sorted(homes["counts"].items())]
+    return [*lines, f"so far {', '.join(counts)}"] if counts else lines
--- a/dunlinloft/labcli.py
+++ b/dunlinloft/labcli.py
@@ -37,18 +37,17 @@
     json_file: str | None,
     html_file: str | None,
     logs: str | None,
+    changes: tuple[str, ...] = (),
 ) -> int:
-    """Play a scenario; the exit status."""
+    """Play a scenario, with these changes; the exit status."""
     try:
-        scenario = load(name)
+        scenario = load(name, changes)
         wanted = read_seeds(seeds)
         if host == "processes":
             from lab.processes.day import unfit
 
             if why := unfit(scenario):
                 raise BadScenario(f"{name}: {why}")
-        elif scenario.nodes.fleet:
-            raise BadScenario(f"{name}: nodes.fleet: with --host processes only; see `lab members`")
     except (BadScenario, BadSeeds) as problem:
         return _bad(problem)
     results = summary(scenario, host)
--- a/fleet/census.py
+++ b/fleet/census.py
@@ -33,6 +33,10 @@
         """How many count."""
         return max(len(self._missing), self._file[1] if self._floor else 0)
 
+    def counted(self) -> frozenset[str]:
+        """The names of those that count, as far as they have been seen."""
+        return frozenset(self._missing)
+
     def see(self, here: set[str], now: float) -> None:
         """Take in who is there now, this process too."""
         for name in here:
--- a/fleet/messages.py
+++ b/fleet/messages.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from fleet.duties import messages as duties
+from fleet.shared import messages as shared
 
 VERSION = 1
 Fact = str | float | bool
@@ -16,7 +17,7 @@
 STATUSES = ("alive", "suspect", "dead", "left")
 
 # What a message costs in bytes, near enough to fill a datagram: checked against `fleet.wire` by a test.
-HEAD_BYTES, RECORD_BYTES = 44, 21
+HEAD_BYTES, RECORD_BYTES, ENTRY_BYTES = 44, 21, 26
 
 
 class Record(Struct, array_like=True, gc=False):
@@ -101,10 +102,10 @@
 
 
 class About(Struct, array_like=True, tag=6, gc=False):
-    """Something about a duty."""
+    """Something about a duty, or about shared state."""
 
     head: Head
-    content: duties.Message
+    content: duties.Message | shared.Message
     records: list[Record] = []
 
 
@@ -120,4 +121,7 @@
 
 def size_of(message: Message) -> int:
     """Bytes that a message takes, about."""
-    return HEAD_BYTES + len(message.head.name) + sum(record.size() for record in message.records)
+    size = HEAD_BYTES + len(message.head.name) + sum(record.size() for record in message.records)
+    if isinstance(message, About) and isinstance(message.content, shared.Pour):
+        size += sum(ENTRY_BYTES + len(e.writer) + len(e.content) for e in message.content.entries)
+    return size
--- /dev/null
+++ b/fleet/shared/__init__.py
@@ -0,0 +1,1 @@
+"""State that processes share, each value with a bound on its staleness: `docs/shared.md`."""
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -185,8 +185,9 @@
         wait = self._wait(work, status, advice_ms)
         harmless = status in REFUSALS or status == UNREACHED or cls.effect == "safe"
         everywhere = cls.effect == "keyed" and cls.group == "all" and passed < cls.window_ms
+        again = cls.effect == "keyed" and self._spec.repeats and passed + wait < cls.window_ms
         more = work.tries < self._spec.tries and passed + wait < cls.deadline_ms
-        if more and (harmless or everywhere):
+        if more and (harmless or everywhere or again):
             self._clock.after(wait, self._try, work)
         elif status in REFUSALS or status == UNREACHED:
             self._close(work, "refused")
--- a/lab/compare.py
+++ b/lab/compare.py
@@ -13,6 +13,7 @@
 from lab.results import BadResults, Result, Results
 
 FIGURES = ("goodput", "worst_10s", "late", "refused", "failed", "lost", "attempts", "p50_ms", "p99_ms")
+MORE = ("quota.", "sick_", "strayed", "fleet_")  # shown where the first file has them
 LEAST_SEEDS = 3  # for an interval; fewer show figures only
 LEAST_RANKS = 6  # seeds from which the signed-rank test can say 5% at all
 RESAMPLES = 4000
@@ -33,6 +34,7 @@
     names += sorted(
         name for name in one[0].figures if name.startswith("class.") and name.endswith(".goodput")
     )
+    names += [name for name in one[0].figures if name.startswith(MORE) and one[0].figures[name]]
     shared = [name for name in names if name in one[0].figures and name in other[0].figures]
     left = sum(not (r.counted and not r.crashed) for r in (*first.results, *second.results))
     note = f"{len(seeds)} seeds in common; {METHOD}" + (f"; {left} runs did not count" if left else "")
--- a/lab/day.py
+++ b/lab/day.py
@@ -40,7 +40,7 @@
     def result(self, plan: Plan, at: float, took_s: float) -> Result:
         """What it came to."""
         breaks = self.oracle.finish(at)
-        figures = self.figures.totals()
+        figures = self.figures.totals() | {"strayed": float(self.oracle.strayed)}
         series = self.figures.series()
         return Result(
             plan.seed, figures, breaks, dict(self.oracle.counts), missed(plan.scenario.expect, figures),
--- a/lab/figures.py
+++ b/lab/figures.py
@@ -5,6 +5,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable
+from itertools import pairwise
 from typing import Any
 
 import numpy as np
@@ -14,9 +15,12 @@
 from lab import records as r
 from lab.names import CALLERS
 from lab.plan import Plan
+from lab.scenario import Tenant
 
 OUTCOMES = ("in_time", "late", "refused", "failed", "lost", "left")
 MOST_MS = 60_000  # of a delay that a histogram takes
+AVOIDED_MS = 2_000.0  # a server that falls ill should be known to be so by then
+SETTLED_S = 5.0  # quotas are looked at from then on
 FIRST_MS = 1_000.0  # what starts before is there from the beginning
 PERCENTILES = (50.0, 90.0, 99.0)
 
@@ -40,6 +44,33 @@
     beliefs: dict[str, dict[str, list[float]]] = {}  # by node and figure, with `at_s` among them
 
 
+def quota_figures(beliefs: dict[str, dict[str, list[float]]], tenants: list[Tenant]) -> dict[str, float]:
+    """How quotas were kept by all nodes together, second by second, from their own counts.
+
+    `quota.T.over`: the most that was taken as within the quota in a second, over it, as a share of it;
+    `quota.T.turned`: of all requests the share that was taken as over the quota while it was not used up.
+    """
+    found: dict[str, float] = {}
+    for tenant in tenants:
+        if not tenant.quota_per_s:
+            continue
+        seconds: dict[float, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        for mine in beliefs.values():
+            for key, place in ((f"within.{tenant.name}", 0), (f"over.{tenant.name}", 1)):
+                counts = mine.get(key, [])
+                times = mine["at_s"][-len(counts) :] if counts else []
+                for (_, before), (at, count) in pairwise(zip(times, counts, strict=True)):
+                    seconds[round(at)][place] += count - before if count >= before else count
+        late = [second for at, second in sorted(seconds.items()) if at >= SETTLED_S]
+        if not late:
+            continue
+        quota, asked = tenant.quota_per_s, sum(within + over for within, over in late)
+        found[f"quota.{tenant.name}.over"] = max(0.0, *(within / quota - 1.0 for within, _ in late))
+        needless = sum(max(0.0, min(over, quota - within)) for within, over in late)
+        found[f"quota.{tenant.name}.turned"] = needless / asked if asked else 0.0
+    return found
+
+
 class Figures:
     """Told every record; `totals` and `series` say what it came to."""
 
@@ -56,6 +87,8 @@
         self._asked = self._sent = self._refused = self._tries = self._inner = 0
         self._statuses: dict[int, int] = defaultdict(int)
         self._beliefs: dict[str, dict[str, list[float]]] = {}
+        self._sick: dict[str, float] = {}  # servers that a fault has hold of, and since when
+        self._sick_attempts = self._sick_late = 0
         self.spans: list[Span] = []
         self.late_ms = 0.0
         first = plan.names.tiers[0]
@@ -93,6 +126,10 @@
             self._refused += 1
 
     def _on_arrived(self, record: r.Arrived) -> None:
+        since = self._sick.get(record.server)
+        if since is not None:
+            self._sick_attempts += 1
+            self._sick_late += record.began > since + AVOIDED_MS
         if record.server in self._first:
             self._sent += 1
             self._attempts[self._second(record.at)] += 1
@@ -116,6 +153,11 @@
             mine.setdefault(name, []).append(round(value, 3))
 
     def _on_fault(self, record: r.Faulted) -> None:
+        if record.name.endswith(":serverfault"):
+            for name in record.whom:
+                self._sick.pop(name, None)
+                if record.on:
+                    self._sick[name] = record.at
         if record.on:
             self.spans.append(Span(record.name, record.at / 1000.0, math.inf, record.whom[:40]))
             return
@@ -168,6 +210,12 @@
         found["attempts"] = self._sent / max(1, self._asked)
         found["unreached"] = self._statuses[r.UNREACHED] / max(1, self._asked)
         found["closed"] = self._statuses[r.CLOSED] / max(1, self._asked)
+        found["sick_attempts"] = float(self._sick_attempts)
+        found["sick_late"] = float(self._sick_late)
+        told = [mine["fleet_sent_bytes"][-1] for mine in self._beliefs.values() if "fleet_sent_bytes" in mine]
+        if told:
+            found["fleet_bytes_s"] = sum(told) / len(told) / self._plan.scenario.day.length_s
+        found |= quota_figures(self._beliefs, self._plan.scenario.tenants)
         if self._tenants:
             found["worst_tenant"] = min(good / count for good, count in self._tenants.values() if count)
         found["worst_10s"] = self._worst_window()
--- a/lab/oracle.py
+++ b/lab/oracle.py
@@ -19,12 +19,14 @@
 from lab.lines import machine
 from lab.names import CALLERS
 from lab.plan import Plan
+from lab.scenario import Class
 
 RULES = {
     "second-answer": "a request gets one final answer",
     "lost": "a request that a living node took is answered within its time",
     "duplicate": "an unsafe request that may have run is not sent again",
     "group": "a keyed request that may have run stays within its group",
+    "strayed": "where affinity is shared a key stays in one group while its window runs, at any node",
     "window": "a keyed request is sent again only within its window",
     "false-refusal": "what may have run is not refused, unless a repeat is harmless everywhere",
     "attempts": "a request has no more attempts than the settings allow",
@@ -74,6 +76,31 @@
         self.first_ran = math.inf
 
 
+class Keys:
+    """Where the attempts with each key went that may have run, while its window runs."""
+
+    def __init__(self) -> None:
+        self._went: dict[str, list[tuple[float, str, str, str | int]]] = {}  # when, id, server, group
+        self._order: deque[tuple[float, str]] = deque()
+
+    def arrived(self, key: str, group: str | int, record: r.Arrived, window_ms: float) -> str | None:
+        """One more; the server of another group that had one before, if there is such."""
+        while self._order and self._order[0][0] < record.at - window_ms:
+            self._went.pop(self._order.popleft()[1], None)
+        if key not in self._went:
+            self._order.append((record.at, key))
+        went = self._went.setdefault(key, [])
+        other = next((server for _, _, server, its in went if its != group), None)
+        went.append((record.at, record.id, record.server, group))
+        return other
+
+    def turned(self, key: str, id: str, server: str) -> None:
+        """One has been turned away: it never ran."""
+        went = self._went.get(key)
+        if went is not None:
+            self._went[key] = [one for one in went if one[1:3] != (id, server)]
+
+
 class Oracle:
     """Told every record in order; `breaks` and `counts` say what was wrong."""
 
@@ -90,8 +117,9 @@
         }
         self.breaks: list[Break] = []
         self.counts: Counter[str] = Counter()
-        self.excused = 0
+        self.excused = self.strayed = 0
         self._open: dict[str, _Taken] = {}
+        self._keys = Keys()
         self._over: deque[tuple[float, str]] = deque()
         self._asked = self._closed = 0
         self._told: dict[str, dict[str, tuple[str, float, float]]] = defaultdict(dict)
@@ -241,9 +269,22 @@
                 if passed > allowed and passed > allowed + self._allowance(record.node, at, record.at):
                     self._break("window", record.at, record.node, f"{record.id} again after {passed:.0f} ms")
         taken.attempts.append((record.server, record.began))
+        if cls.effect == "keyed" and cls.group != "all" and taken.asked.key:
+            self._check_key(taken, record, cls)
         if taken.answered in REFUSALS:
             self._refused(taken, record.at)
 
+    def _check_key(self, taken: _Taken, record: r.Arrived, cls: Class) -> None:
+        """What one key asks for goes to one group: counted, and a rule where affinity is shared."""
+        group = self._group(record.server, cls.group)
+        where = self._keys.arrived(taken.asked.key, group, record, cls.window_ms)
+        if where is None:
+            return
+        self.strayed += 1
+        if "affinity" in self._plan.scenario.nodes.share:
+            what = f"{taken.asked.key}: at {where}, then {record.server}"
+            self._break("strayed", record.at, record.node, what)
+
     def _group(self, server: str, group: str) -> str | int:
         return self._zones[server] if group == "zone" else self._cells[server] if group == "cell" else ""
 
@@ -253,6 +294,7 @@
             self._served[record.id].add(record.server)
         elif record.how == "turned" and taken is not None:
             taken.attempts = [attempt for attempt in taken.attempts if attempt[0] != record.server]
+            self._keys.turned(taken.asked.key, record.id, record.server)
 
     def _check_list(self, record: r.Arrived) -> None:
         told = self._told[record.node].get(record.server)
--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -246,6 +246,8 @@
                 "bind": text(self.block.peer(place)),
                 "advertise": text(self.block.alias(place)),
                 "voters": list(self.names.nodes)[:VOTERS] if len(self.names.nodes) >= VOTERS else [],
+                "share": list(nodes.share),
+                "groups": list(self.names.zones),
                 "seeds": [text(self.block.alias(n)) for n in range(min(SEEDS, len(self.places)))],
             }
         path = self._folder / self._file(name, ".json")
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -9,6 +9,7 @@
 import difflib
 import math
 import tomllib
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -52,7 +53,8 @@
     count: Count = 3
     memory_mb: Positive = 96.0
     sockets: Annotated[int, Meta(ge=64)] = 512
-    fleet: bool = False  # whether they are members of one fleet; with processes only
+    fleet: bool = False  # whether they are members of one fleet
+    share: list[Literal["verdicts", "limits", "affinity"]] = []  # what its members share
     cpu_ms: NotNegative = (
         0.5  # of a core, for a request; virtual nodes take so long, real ones what they take
     )
@@ -141,6 +143,7 @@
     try_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.6  # of the deadline that one try may take
     backoff_ms: Span = 100.0
     honours: Share = 0.3  # share of them that wait as `Retry-After` says
+    repeats: bool = False  # whether they ask for keyed work again that may have run, within its window
     impatient: Share = 0.0  # share that leave at a random time before the answer is due
     notice_s: Span = msgspec.field(default_factory=lambda: [1.4, 3.9])  # until the front sees a node dead
 
@@ -341,12 +344,38 @@
     return None
 
 
-def parse(text: str, source: str = "scenario") -> Scenario:
-    """Read a scenario's text; `BadScenario` names the line or path, and what was expected there."""
+def _change(raw: dict[str, Any], change: str) -> None:
+    """Put `path=value` into a scenario's raw values, the value written as in TOML."""
+    path, equals, value = change.partition("=")
+    *above, key = path.strip().split(".")
+    try:
+        found = tomllib.loads(f"value = {value}")["value"]
+    except tomllib.TOMLDecodeError:
+        equals = ""
+    if not equals or not key:
+        raise BadScenario(f"{change!r}: expected path=value, with the value written as in TOML")
+    place: Any = raw
+    for step in above:
+        if isinstance(place, list) and step.isdigit() and int(step) < len(place):
+            place = place[int(step)]
+        elif isinstance(place, dict):
+            place = place.setdefault(step, {})
+    if not isinstance(place, dict):
+        raise BadScenario(f"{change!r}: there is no {path.strip()}")
+    place[key] = found
+
+
+def parse(text: str, source: str = "scenario", changes: Sequence[str] = ()) -> Scenario:
+    """Read a scenario's text; `BadScenario` names the line or path, and what was expected there.
+
+    `changes` are put in first, each as `path=value`.
+    """
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as problem:
         raise BadScenario(f"{source}: not TOML: {problem}") from None
+    for change in changes:
+        _change(raw, change)
     if unknown := _unknown(raw, msgspec.inspect.type_info(Scenario), ""):
         raise BadScenario(f"{source}: {unknown}")
     try:
@@ -368,6 +397,10 @@
         called = [item.name for item in items]
         if len(set(called)) < len(called):
             raise BadScenario(f"{source}: {where}: two have the same name")
+    if scenario.nodes.share and not scenario.nodes.fleet:
+        raise BadScenario(f"{source}: nodes.share: needs nodes.fleet")
+    if "affinity" in scenario.nodes.share and (scenario.nodes.count < 3 or len(scenario.network.zones) < 2):
+        raise BadScenario(f"{source}: nodes.share: affinity needs three nodes and two zones, or more")
     for n, tier in enumerate(scenario.tiers):
         if tier.calls and n + 1 == len(scenario.tiers):
             raise BadScenario(f"{source}: tiers[{n}].calls: there is no tier behind the last")
@@ -381,13 +414,13 @@
                 raise BadScenario(f"{source}: faults[{n}].{key}: {problem}") from None
 
 
-def load(name: str) -> Scenario:
-    """Read a scenario by its file's path, or by the name of one that is shipped."""
+def load(name: str, changes: Sequence[str] = ()) -> Scenario:
+    """Read a scenario by its file's path, or by the name of one that is shipped; `changes` as for `parse`."""
     path = Path(name)
     if not path.is_file() and (SHIPPED / f"{name}.toml").exists():
         path = SHIPPED / f"{name}.toml"
     try:
-        return parse(path.read_text(encoding="utf-8"), str(path.name))
+        return parse(path.read_text(encoding="utf-8"), str(path.name), changes)
     except OSError as problem:
         known = ", ".join(sorted(file.stem for file in SHIPPED.glob("*.toml")))
         raise BadScenario(f"{name}: {problem.strerror or problem}; shipped are {known}") from None
--- a/lab/virtual/fleet.py
+++ b/lab/virtual/fleet.py
@@ -15,15 +15,12 @@
 
 from fleet import interface as api
 from fleet.membership.core import Membership
-from fleet.messages import Fact, Message, State, size_of
+from fleet.messages import Fact
 from lab.lines import Ill, Lines
 from lab.names import Names
 from lab.scenario import Network, Nodes, Scenario
-from lab.servers import Clock
+from lab.virtual.meeting import Meeting, Process
 
-STREAM_LIMIT_MS = 1_500.0  # for an exchange or a probe over a stream
-TIMERS_FIRST_MS = 5.0
-STARVED_EVERY_MS, STARVED_RUNS_MS = 800.0, 80.0  # a starved process runs so long, so often
 WALL_MS = 1_700_000_000_000  # what clocks say when a run begins
 CORE: type[Membership] = Membership
 
@@ -32,25 +29,7 @@
     """Something that must hold does not; says the seed and the time."""
 
 
-class Process:
-    """One process that hosts a core."""
-
-    def __init__(self, fleet: Fleet, name: str, core: Membership) -> None:
-        self.fleet, self.name, self.core = fleet, name, core
-        self.alive, self.stopped, self.starved = True, False, False
-        self.phase_ms = fleet.rng.random() * STARVED_EVERY_MS
-        self.frozen: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
-        self.keys: dict[str, tuple[int, bool, int, int]] = {}
-
-    def wait_ms(self, now: float) -> float:
-        """How long until it runs."""
-        if not self.starved:
-            return 0.0
-        into = (now + self.phase_ms) % STARVED_EVERY_MS
-        return 0.0 if into < STARVED_RUNS_MS else STARVED_EVERY_MS - into
-
-
-class Fleet(Clock):
+class Fleet(Meeting):
     """Members, links between them, and the oracle."""
 
     def __init__(
@@ -66,18 +45,13 @@
         names = Names(Scenario("fleet", nodes=Nodes(count=size), network=network))
         self.names = list(names.nodes)
         self.zones = names.nodes
-        self.lines = Lines(names, 0.2, 10.0, network.jitter, self, seed)
+        super().__init__(self.rng, Lines(names, 0.2, 10.0, network.jitter, self, seed))
         self._core = core
         self._seeds = [f"addr:{name}" for name in self.names[:seeds]]
-        self.by_address: dict[str, Process] = {}
         self.processes: dict[str, Process] = {}
-        self.bytes, self.datagrams = Counter[str](), Counter[str]()
-        self.stream_bytes = Counter[str]()
         self.false_deaths: list[tuple[float, str, str]] = []
         self.flaps = Counter[str]()
-        self.notes = Counter[str]()
         self.watch: Callable[[Process, api.Changed], None] = lambda process, change: None
-        self.record: list[tuple[str, str, Message]] | None = None  # datagrams, to be sent again later
         self.wall_error: dict[str, float] = {}
         for n, name in enumerate(self.names):
             self.after(0.0 if at_once else 20.0 * n, self.launch, name)
@@ -141,117 +115,15 @@
 
     def cont(self, name: str) -> None:
         """SIGCONT: what has come meanwhile is worked off."""
-        process = self.processes[name]
-        process.stopped = False
-        frozen, process.frozen = process.frozen, []
-        for do, args in frozen[-5000:]:  # a socket's buffer holds no more
-            do(*args)
+        self.wake(self.processes[name])
 
     def living(self) -> list[Process]:
         """Those that run."""
         return [process for process in self.processes.values() if process.alive and not process.stopped]
 
-    def turn(self, process: Process, do: Callable[..., None], *args: Any) -> None:
-        """Do something in a process, when it runs."""
-        if not process.alive:
-            return
-        if process.stopped:
-            process.frozen.append((do, args))
-            return
-        wait = process.wait_ms(self._now)
-        if wait:
-            self.after(wait, self.turn, process, do, *args)
-        else:
-            do(*args)
-
-    def reach_in(self, process: Process, event: api.Event) -> None:
-        """Something has come from outside: whoever was kept from running sees to its timers first."""
-        wait = process.wait_ms(self._now)
-        if wait and process.alive and not process.stopped:
-            self.after(wait + TIMERS_FIRST_MS, self.reach_in, process, event)
-        else:
-            self.turn(process, self.give, process, event)
-
-    def give(self, process: Process, event: api.Event) -> None:
-        """Give a core an event and do what it says."""
-        if not process.alive:
-            return
-        for action in process.core.handle(event, self._now):
-            match action:
-                case api.Post():
-                    self.post(process, action.address, action.message)
-                case api.SetTimer():
-                    self.after(
-                        action.delay_ms, self.turn, process, self.give, process, api.Fired(action.token)
-                    )
-                case api.Exchange():
-                    self._exchange(process, action.address, action.state)
-                case api.Dial():
-                    self._dial(process, action.address, action.number)
-                case api.Changed():
-                    self._changed(process, action)
-                case api.Note():
-                    self.notes[action.event] += 1
-
-    # Links
-
-    def post(self, process: Process, address: str, message: Message) -> None:
-        """A datagram goes out."""
-        size = size_of(message)
-        self.bytes[process.name] += size
-        self.datagrams[process.name] += 1
-        target = self.by_address.get(address)
-        if target is None:
-            return
-        if self.record is not None and len(self.record) < 50_000:
-            self.record.append((process.core.address, address, message))
-        for took in self.lines.between(process.name, target.name).datagram(size):
-            self.after(took, self.deliver, address, process.core.address, message)
-
-    def deliver(self, address: str, source: str, message: Message) -> None:
-        """A datagram comes in, at whoever is at this address by now."""
-        target = self.by_address.get(address)
-        if target is not None and target.alive:
-            self.reach_in(target, api.Heard(message, source))
-
-    def _round_trips(self, a: str, b: str, trips: int, size: int) -> float | None:
-        """How long a stream takes for so many round trips; None where it does not come up in time."""
-        there, back = self.lines.between(a, b), self.lines.between(b, a)
-        if there.cut or back.cut or there.refuse:
-            return None
-        took = sum(there.stream_ms(size) + back.stream_ms(size) for _ in range(trips))
-        return took if took < STREAM_LIMIT_MS else None
-
-    def _exchange(self, process: Process, address: str, state: State) -> None:
-        size = 40 + sum(record.size() for record in state.records)
-        self.stream_bytes[process.name] += size
-        target = self.by_address.get(address)
-        took = None if target is None else self._round_trips(process.name, target.name, 2, 1000)
-        if target is None or took is None or not target.alive:
-            self.after(STREAM_LIMIT_MS, self.turn, process, self.give, process, api.Missed(address))
-            return
-        self.after(took * 0.75, self.turn, target, self._met, target, process, address, state, took * 0.25)
-
-    def _met(self, target: Process, process: Process, address: str, state: State, back_ms: float) -> None:
-        answer = target.core.state()
-        self.stream_bytes[target.name] += 40 + sum(record.size() for record in answer.records)
-        self.give(target, api.Met(state, process.core.address, False))
-        self.after(back_ms, self.reach_in, process, api.Met(answer, address, True))
-
-    def _dial(self, process: Process, address: str, number: int) -> None:
-        target = self.by_address.get(address)
-        took = None if target is None else self._round_trips(process.name, target.name, 2, 60)
-        if target is not None and took is not None:
-            self.stream_bytes[process.name] += 120
-            self.after(took * 0.75, self.turn, target, self._dialled, target, process, number, took * 0.25)
-
-    def _dialled(self, target: Process, process: Process, number: int, back_ms: float) -> None:
-        event = api.Ponged(number, target.core.name, target.core.life)
-        self.after(back_ms, self.reach_in, process, event)
-
     # The oracle
 
-    def _changed(self, process: Process, change: api.Changed) -> None:
+    def changed(self, process: Process, change: api.Changed) -> None:
         member = process.core.view.members[change.name]
         key, before = member.key(), process.keys.get(change.name)
         if before is not None and key < before:
--- a/lab/virtual/host.py
+++ b/lab/virtual/host.py
@@ -4,10 +4,11 @@
 
 import heapq
 import math
+import random
 from collections import defaultdict
 from collections.abc import Callable
 from itertools import count
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lab import records
 from lab.callers import Done, Order
@@ -21,7 +22,11 @@
 from nickelbridge import interface as api
 from orchidferry.config import server_id
 
+if TYPE_CHECKING:
+    from lab.virtual.member import NodeMeeting
+
 START_MS = 300.0  # until a process that was started takes callers
+STARVED = 0.3  # of a core, with less than which a node's timers come late
 POLL_MS = 100.0  # the front asks each node so often
 NOTED_MS = 1.5 * POLL_MS  # what its rhythm adds, on average, until it sees one dead and then acts on it
 
@@ -42,7 +47,12 @@
         self._old: dict[str, list[VirtualNode]] = defaultdict(list)  # processes that end beside a new one
         self._lives = count(1)
         self._dones: dict[str, tuple[str, Done]] = {}  # requests that wait for an answer, and where
+        self.meeting: NodeMeeting | None = None
         super().__init__(plan, sinks)
+        if self.scenario.nodes.fleet:
+            from lab.virtual.member import NodeMeeting  # only where it is wanted
+
+            self.meeting = NodeMeeting(self, random.Random(f"{plan.seed}fleet"))
 
     # Time
 
@@ -107,7 +117,7 @@
             self._wind_up(node)
             self.after(POLL_MS * 0.5, self._admit, name, node, False)
         elif what == "stop":
-            node.stopped = True
+            node.stop()
             self.after(self.plan.notice_ms, self._unless_back, name, node)
         elif what == "cont":
             node.cont()
@@ -119,6 +129,7 @@
 
     def _wind_up(self, node: VirtualNode) -> None:
         node.ending, node.draining_ms = True, self._now
+        node.leave()
         self.after(451.0, node.end_if_done)
 
     def ended(self, node: VirtualNode) -> None:
@@ -137,6 +148,9 @@
 
     def hog(self, name: str, share: float) -> None:
         self.nodes[name].share = share
+        member = self.nodes[name].member
+        if member is not None:
+            member.starved = share < STARVED
 
     def skew(self, name: str, wall_ms: float, drift: float) -> None:
         self.nodes[name].skew(wall_ms, drift)
@@ -159,6 +173,7 @@
 
     def _upgrade(self, name: str, old: VirtualNode) -> None:
         """A new process beside the old; once it is ready the old one is told to end."""
+        old.hand_over()
         new = self.node_type(self, name, self.plan.seed * 1_000_003 + next(self._lives), old.max_attempts)
         new.handle(api.Started())
         self._old[name].append(old)
--- /dev/null
+++ b/lab/virtual/member.py
@@ -0,0 +1,166 @@
+"""The fleet's part of a virtual node: the same cores that `orchidferry` hosts, over the lab's links."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from fleet import interface as api
+from fleet.census import Census
+from fleet.membership.core import Membership
+from fleet.messages import About, Fact
+from fleet.shared import messages as shared
+from fleet.shared.core import AFFINITY, Shared, mark
+from lab.virtual.meeting import Meeting, Process
+from nickelbridge import interface as node_api
+from nickelbridge.interface import Result
+from orchidferry.config import key_id
+from orchidferry.peers import COUNT_S
+from orchidferry.shared import HOW, KNOWN_S, bound, hearsay, known, quotas, window_ms
+
+if TYPE_CHECKING:
+    from lab.virtual.host import VirtualHost
+    from lab.virtual.node import VirtualNode
+
+WALL_MS = 1_700_000_000_000  # what clocks say when a day begins
+SEEDS = 3  # nodes whose addresses the others are given
+CORE: type[Shared] = Shared
+
+
+class NodeMeeting(Meeting):
+    """All members of a day."""
+
+    def __init__(self, host: VirtualHost, rng: random.Random) -> None:
+        super().__init__(rng, host.lines)
+        self._host = host
+        self.share = frozenset(host.scenario.nodes.share)
+        self.shared_bytes = 0
+        names = [*host.names.nodes, *host.names.inner]
+        self.seeds = [f"addr:{name}" for name in names[:SEEDS]]
+
+    def now(self) -> float:
+        return self._host.now()
+
+    def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
+        self._host.after(delay_ms, do, *args)
+
+    def changed(self, process: Process, change: api.Changed) -> None:
+        if isinstance(process, Member):
+            process.recount()
+
+    def spoken(self, process: Process, message: About) -> None:
+        if isinstance(process, Member) and isinstance(message.content, shared.Message):
+            process.give_shared(shared.Heard(message.content, message.head.name))
+
+    def join(self, node: VirtualNode) -> Member:
+        """A node's process starts as a member."""
+        address = f"addr:{node.name}"
+        wall = int(WALL_MS + self._host.now())
+        settings = node.settings
+        facts: dict[str, Fact] = {"zone": settings.zone, "tier": float(settings.tier), "program": "1"}
+        uid, rng = wall << 16 | self.rng.getrandbits(16), random.Random(self.rng.getrandbits(64))
+        core = Membership(node.name, address, self.seeds, uid, wall, rng, facts)
+        member = self.by_address[address] = Member(self, node, core, rng)
+        self.give(member, api.Begin())
+        member.begin()
+        return member
+
+
+class Member(Process):
+    """One node's process among the others."""
+
+    def __init__(self, meeting: NodeMeeting, node: VirtualNode, core: Membership, rng: random.Random) -> None:
+        super().__init__(meeting, node.name, core)
+        self._meeting, self._node = meeting, node
+        settings = node.settings
+        self._tier = float(settings.tier)
+        self.census = Census(node.name, settings.number, settings.nodes)
+        self._place = settings.number, settings.nodes
+        groups = node.zones if AFFINITY in meeting.share else []
+        self.shared = CORE(
+            node.name, core.life, settings.zone, settings.tier, meeting.share, quotas(settings), groups,
+            window_ms(settings), rng, node.now(),
+        )  # fmt: skip
+        self._marks = {mark(cls.name): cls.name for cls in settings.classes}
+        self._starts: dict[int, int] = {}
+
+    def now(self) -> float:
+        return self._node.now()
+
+    def begin(self) -> None:
+        """The process can be reached."""
+        if self._meeting.share:
+            self._do(self.shared.begin())
+            self._know()
+        self._count()
+
+    def later(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
+        """Do something later, in this process."""
+        self._meeting.after(delay_ms, self._meeting.turn, self, do, *args)
+
+    def _count(self) -> None:
+        self.recount()
+        self.later(1000.0 * COUNT_S, self._count)
+
+    def recount(self) -> None:
+        """As a node does: its place among those that count."""
+        here = {
+            m.name for m in self.core.view.members.values() if m.here() and m.facts.get("tier") == self._tier
+        }
+        self.census.see(here | {self.name}, self.now())
+        place = self.census.place()
+        if place != self._place:
+            self._place = place
+            self._node.placed(*place)
+
+    def give_shared(self, event: shared.Event) -> None:
+        """Give the core of what is shared an event, and do what it says."""
+        if self.alive:
+            self._do(self.shared.handle(event, self.now()))
+
+    def _do(self, actions: list[shared.Action]) -> None:
+        for action in actions:
+            match action:
+                case shared.Tell():
+                    member = self.core.view.get(action.name)
+                    if member is not None and member.here():
+                        self._meeting.post(self, member.address, About(self.core.head(), action.message, []))
+                case shared.SetTimer():
+                    self.later(action.delay_ms, self.give_shared, shared.Fired(action.token))
+                case shared.Warn():
+                    self._node.handle(hearsay(action.verdicts, self._marks))
+                case shared.Part():
+                    self._node.handle(node_api.Parts(action.quotas, action.retry_share))
+
+    def _know(self) -> None:
+        self.give_shared(known(self._node.balancer, self._starts, self.now()))
+        here = {m.name: m.life for m in self.core.view.members.values() if m.here()}
+        census = self.census
+        self.give_shared(
+            shared.Seen(self.core.life, here, census.counted(), census.base(), self.core.health.score)
+        )
+        self.later(1000.0 * KNOWN_S, self._know)
+
+    # What happens at the node
+
+    def listed(self, starts: dict[int, int]) -> None:
+        """Its list names these servers, with a mark of each one's start."""
+        self._starts |= starts
+
+    def asked(self, tenant: str) -> None:
+        """A request has come."""
+        self.give_shared(shared.Asked(tenant))
+
+    def ended(self, server: int, cls: str, result: Result, ms: float) -> None:
+        """An attempt is over."""
+        how = HOW.get(result)
+        if how is not None:
+            self.give_shared(shared.Ended(server, cls, how, ms))
+
+    def place(self, cls: node_api.RequestClass, key: str, again: bool) -> tuple[str | None, bool]:
+        """The zone that a request is bound to, if it is to any, and whether that can be known."""
+        if AFFINITY not in self._meeting.share or not bound(cls):
+            return None, True
+        place = self.shared.place(key_id(key.encode()), again, self.now())
+        return (place.group or None), not place.why
--- a/lab/virtual/node.py
+++ b/lab/virtual/node.py
@@ -8,8 +8,10 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+from fleet import interface as fleet_api
 from lab import records
 from lab.callers import Done, Order
 from lab.records import UNREACHED
@@ -21,12 +23,13 @@
 from nickelbridge.logic import Balancer
 from nickelbridge.settings import read_settings
 from orchidferry.__main__ import ACCEPT_ON_S
-from orchidferry.config import STATUSES
-from orchidferry.node import MARGIN_MS
+from orchidferry.config import STATUSES, start_mark
+from orchidferry.node import KNOWN_AGAIN_S, MARGIN_MS
 from orchidferry.upstream import IDLE_SHARE
 
 if TYPE_CHECKING:
     from lab.virtual.host import VirtualHost
+    from lab.virtual.member import Member
 
 REQUEST_BYTES, ANSWER_BYTES = 400, 500
 DRAIN_TAKES_MS = 1900.0  # after a drain's begin, nothing new is taken from then on
@@ -78,6 +81,10 @@
         self.written = 0
         self._cpu_ms = host.scenario.nodes.cpu_ms
         self._tier = host.scenario.tiers[int(name in host.names.inner)]
+        self.zones = host.names.zones
+        self.member: Member | None = None
+        if host.meeting is not None:
+            self.member = host.meeting.join(self)
         self.tell_list(host.agent(name).index, host.agent(name).whole(), True)
 
     # Clocks and turns
@@ -111,6 +118,14 @@
         frozen, self._frozen = self._frozen, []
         for do, args in frozen:
             self.turn(do, *args)
+        if self.member is not None:
+            self.member.meeting.wake(self.member)
+
+    def stop(self) -> None:
+        """SIGSTOP."""
+        self.stopped = True
+        if self.member is not None:
+            self.member.stopped = True
 
     def come(self, order: Order, done: Done) -> None:
         """A request's last byte has come to its machine: it is worked on when there is a core for it."""
@@ -133,7 +148,31 @@
         live = self._live[order.id] = Live(order, now + order.budget_ms, done)
         self.after(order.budget_ms, self._overdue, order.id, live)
         ttl = max(0.0, order.budget_ms - MARGIN_MS)
-        self.handle(api.Request(order.id, order.name, ttl, order.tenant or None, False))
+        pin, known = self._bound(order)
+        if not known:
+            return self._finish(order.id, 503, "", 1000.0 * KNOWN_AGAIN_S)
+        self.handle(api.Request(order.id, order.name, ttl, order.tenant or None, False, pin=pin))
+
+    def _bound(self, order: Order) -> tuple[str | None, bool]:
+        """What the fleet says of a request: the zone that it is bound to, and whether that can be known."""
+        if self.member is None:
+            return None, True
+        if order.tenant:
+            self.member.asked(order.tenant)
+        if not order.key:
+            return None, True
+        return self.member.place(self.balancer.classes[order.name], order.key, order.again)
+
+    def leave(self) -> None:
+        """Say goodbye to the fleet."""
+        if self.member is not None and self.member.alive:
+            self.member.meeting.give(self.member, fleet_api.Leave())
+            self.member.alive = False
+
+    def hand_over(self) -> None:
+        """Another process of this node goes on as the same member."""
+        if self.member is not None:
+            self.member.alive = False
 
     def gone(self, id: str) -> None:
         """Its caller has left."""
@@ -281,6 +320,9 @@
                 report,
             )
         )
+        if self.member is not None:
+            number = self._host.numbers[attempt.server.name]
+            self.member.ended(number, attempt.live.order.name, result, took)
 
     # Lists, and what operators do
 
@@ -301,6 +343,9 @@
             listed.append(
                 api.ServerEntry(number, server.zone, "", server.cell, STATUSES[entry.status], 1.0, started)
             )
+        if self.member is not None:
+            numbers = self._host.numbers
+            self.member.listed({numbers[entry.name]: start_mark(entry.since_ms) for entry in entries})
         kind = api.ListKind.SAVED if whole else api.ListKind.CHANGES
         self.handle(api.ServerList(kind, index, listed))
 
@@ -310,9 +355,19 @@
         self.settings = read_settings(settings(self._host.plan, self.name, max_attempts))
         self.handle(api.Reconfigured(self.settings))
 
+    def placed(self, number: int, nodes: int) -> None:
+        """The fleet has this node at another place."""
+        self.settings = replace(self.settings, number=number, nodes=nodes)
+        self.handle(api.Reconfigured(self.settings))
+
     def belief(self) -> dict[str, float]:
         """What it would say at its door."""
-        return {
+        shares: dict[str, float] = {}
+        for tenant, (within, over) in self.balancer.shares.items():
+            shares |= {f"within.{tenant}": float(within), f"over.{tenant}": float(over)}
+        if self.member is not None:
+            shares["fleet_sent_bytes"] = float(self.member.meeting.bytes[self.name])
+        return shares | {
             "inflight": float(len(self._live)),
             "hosts_listed": float(len(self.balancer.fleet.servers)),
             "hosts_down": float(self.balancer.avoided(self.now())),
@@ -322,6 +377,8 @@
     def die(self) -> None:
         """End at once; what it held is gone, and its connections are reset."""
         self.alive = False
+        if self.member is not None:
+            self.member.alive = False
         live, self._live = self._live, {}
         for one in live.values():
             for attempt in one.attempts:
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -80,6 +80,7 @@
     repeat: Repeat = Repeat.UNSAFE
     group: Group = Group.ALL
     window_ms: float = 0.0
+    affine: bool = False  # requests with a key go to the server that holds what the key needs
 
 
 @dataclass(slots=True)
@@ -220,6 +221,8 @@
     tenant: str | None = None
     client_retry: bool = False
     whole: bool = True  # else its body is still coming, and its time runs from `RequestWhole`
+    pin: str | int | None = None  # the group that it is bound to before it is sent
+    key: int | None = None  # of what it is about, for classes that are `affine`
 
 
 @dataclass(slots=True)
@@ -268,6 +271,39 @@
     token: int
 
 
+@dataclass(slots=True)
+class Verdict:
+    """What this copy and others together think of a server.
+
+    `avoid`: as one that is ejected, for these classes, or for all where none are named; `slow`: its delay
+    over its peers'; `trial`: one call may go there all the same.
+    """
+
+    server: int
+    avoid: bool = False
+    classes: frozenset[str] = frozenset()
+    slow: float = 1.0
+    trial: bool = False
+
+
+@dataclass(slots=True)
+class Hearsay:
+    """Verdicts that others share; those of before are void. The worst come first."""
+
+    verdicts: list[Verdict]
+
+
+@dataclass(slots=True)
+class Parts:
+    """This copy's parts of tenants' quotas, a second; and of the retries of a loop, those that all allow.
+
+    A tenant that is not named has an even part.
+    """
+
+    quotas: dict[str, float]
+    retry_share: float = 1.0
+
+
 Event = (
     Started
     | Reconfigured
@@ -279,6 +315,8 @@
     | StreamStarted
     | ClientGone
     | TimerFired
+    | Hearsay
+    | Parts
 )
 
 # Actions: what the node is asked to do.
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -9,9 +9,10 @@
 import random
 from collections import deque
 from collections.abc import Iterable
+from dataclasses import replace
 
+from nickelbridge import affine, subset
 from nickelbridge import interface as api
-from nickelbridge import subset
 from nickelbridge.averages import ClassRecord, Rate, SlidingCount
 from nickelbridge.bucket import Bucket
 from nickelbridge.interface import Group, Health, ListKind, Repeat, Result
@@ -54,6 +55,10 @@
 PATIENCE, PATIENCE_LEAST = 8.0, 0.1  # times its usual delay: the longest that an attempt is waited for;
 # at least so much of its aim, as the node itself may be late by more than a few milliseconds
 COLD_SHARE = 0.5  # of the stated cold budget that all copies together use
+OUTWEIGHED = 1.0  # answers of its own, since it heard, from which a copy believes itself alone
+TOLD_SILENT = 3.0  # times as long as to be taken for lost here: by chance one call in many takes that long
+RETURN_MS = 2_000.0  # a server that others no longer warn of comes back to each copy within this time
+AFFINE = 1.25  # times its part of what is out, which a server may hold of those that belong to it
 ASK_SHARE = 0.1  # of the asking interval: mean wait before asking again after a failure
 
 NEVER_RAN = frozenset((Result.REFUSED, Result.UNREACHABLE, Result.MOOT))
@@ -71,6 +76,7 @@
         # nu10, the answer rate that the gains are tuned to; KI times the integral of the error, a rate; r
         self.tuned_rate = self.integral = self.allowed_rate = 0.0
         self.target_share = TARGET_SHARE  # tau0 over the aim: more where the tier's own delay is close to it
+        self.share = 1.0  # of the retries that this loop would allow, those that copies together do
         self._excess = self._shed = 0.0  # integral for first sends, by nu1; the share of them to shed
 
     def answered(self, delay_ms: float, aim_ms: float, now: float, served: bool) -> None:
@@ -122,7 +128,8 @@
     def retry_probability(self, now: float) -> float:
         """Count a failure; its retry's probability is r over the measured failure rate."""
         self.failures.count(1.0, now)
-        return min(1.0, self.allowed_rate / self.failures.per_s()) if self.tuned_rate else 1.0
+        if not self.tuned_rate: return self.share
+        return min(1.0, min(self.allowed_rate, self.share * self.tuned_rate) / self.failures.per_s())
 
 
 class Server:
@@ -138,6 +145,8 @@
         self.used_ms = now  # when a connection to it was last in use
         self.heard_ms = now  # when it last gave a sign of life
         self.suspicion = 0.0  # log odds that it fails much more often than its peers
+        self.told: api.Verdict | None = None  # what others say of it, and
+        self.own = self.fast = 0.0  # answers had since, without a failure; and without a slow one
         self.limit = math.inf  # how much it may hold from here, once it has turned an attempt away
         self.budget = Bucket(rng.random(), now)  # while cold; random, as all copies learn of it at once
         self.update(entry)
@@ -145,6 +154,8 @@
     def update(self, entry: api.ServerEntry) -> None:
         self.zone, self.cell, self.share = entry.zone, entry.cell, max(entry.share, 0.0)
         self.part = self.share  # of it that is this copy's to use
+        started = getattr(self, "started_ms", entry.started_ms)
+        if started != entry.started_ms: self.told = None  # said of its former start
         self.in_service, self.started_ms = entry.health is Health.IN_SERVICE, entry.started_ms
 
     def warmth(self, now: float, settings: api.Settings) -> float:
@@ -158,6 +169,7 @@
         return 1.0 + (self.slowness - 1.0) * math.exp((self.slow_ms - now) / SLOW_MS)  # old evidence fades
 
     def judge(self, ratio: float, now: float) -> None:
+        self.fast = self.fast + 1.0 if ratio < SLOW_FROM else 0.0
         slowness = self._slowness_at(now)
         self.slowness, self.slow_ms = slowness + (min(ratio, SLOW_MOST) - slowness) / SLOW_SAMPLES, now
 
@@ -168,6 +180,7 @@
         overdue = (now - sent_ms) / (usual_share * aim_ms) / OVERDUE if usual_share else 0.0
         queue = self.queue * math.exp((self.report_ms - now) / REPORT_MS)
         slowness = max(self._slowness_at(now), overdue, SLOW_FROM)
+        if self.told is not None: slowness = max(slowness, 1.0 + (self.told.slow - 1.0) * 0.5**self.fast)
         return math.pow(SLOW_FROM / slowness, SLOW_POWER) / (1.0 + queue) ** 3
 
     def silent(self, now: float, usual_share: float) -> bool:
@@ -181,6 +194,21 @@
             self.shut_ms = now + EJECT_MS * 2.0 ** min(self.shuts, EJECT_DOUBLINGS) * (0.5 + rng.random())
             self.shuts += 1
 
+    def hear(self, verdict: api.Verdict | None, now: float, rng: random.Random) -> None:
+        """Take what others say now. Whoever is warned of no longer returns to each copy at its own time."""
+        was, is_ = self.told is not None and self.told.avoid, verdict is not None and verdict.avoid
+        if is_ and not was: self.own = 0.0
+        if verdict is not None and (self.told is None or self.told.slow == 1.0): self.fast = 0.0
+        if was and not is_ and self.own < OUTWEIGHED:
+            self.shut_ms = max(self.shut_ms, now + RETURN_MS * rng.random())
+        self.told = verdict
+
+    def warned(self, cls: str) -> bool:
+        """Whether others warn of it, and this copy has had no answers of its own that say otherwise."""
+        told = self.told
+        if told is None or not told.avoid or told.trial or self.own >= OUTWEIGHED: return False
+        return not told.classes or cls in told.classes
+
     def group(self, group: Group) -> str | int | None:
         """The group that drops repeats here, as a value to compare; None where all do."""
         return self.zone if group is Group.ZONE else self.cell if group is Group.CELL else None
@@ -258,7 +286,8 @@
         self.bound = False  # to an answer that flows
         self.last: Server | None = None
         self.ran_ms: float | None = None  # when the first attempt that may have run was sent
-        self.pin: str | int | None = None  # and the group that it went to
+        self.pin = event.pin  # the group that it went to, or has to go to from the first
+        self.key = event.key if cls.affine else None
 
 
 class Balancer:
@@ -279,6 +308,8 @@
         self.rotation = Rotation(self._rng)
         self.fleet = Fleet(settings, self._rng)
         self._quotas: dict[str | None, tuple[float, Bucket]] = {}  # this copy's part of each tenant's
+        self._parts: dict[str, float] = {}  # of quotas, where copies share them by demand
+        self.shares: dict[str | None, list[int]] = {}  # requests within each tenant's quota, and over it
         self._know_tenants()
         # A tick to spare at both edges of the window that the budget of attempts is counted over.
         self._taken = SlidingCount(settings.resend_span_ms - settings.tick_ms)
@@ -306,13 +337,32 @@
             case api.Started() if self.settings.follow_list: self._actions.append(api.Subscribe())
             case api.Sharing(): self._processes = max(1, event.processes)
             case api.Reconfigured(): self._on_settings(event.settings, now_ms)
+            case api.Hearsay(): self._on_hearsay(event, now_ms)
+            case api.Parts(): self._on_parts(event)
         return self._actions
 
     def _know_tenants(self) -> None:
         buckets = {name: bucket for name, (_, bucket) in self._quotas.items()}
+        even = {t.name: t.quota_per_s / self.settings.nodes for t in self.settings.tenants if t.quota_per_s}
         self._quotas = {
-            t.name: (t.quota_per_s / self.settings.nodes / 1000.0, buckets.get(t.name, Bucket(math.inf, 0.0)))
-            for t in self.settings.tenants if t.quota_per_s}  # fmt: skip
+            name: (self._parts.get(name, part) / 1000.0, buckets.get(name, Bucket(math.inf, 0.0)))
+            for name, part in even.items()}  # fmt: skip
+
+    def _on_parts(self, event: api.Parts) -> None:
+        self._parts, self.controller.share = dict(event.quotas), event.retry_share
+        self._know_tenants()
+
+    def _on_hearsay(self, event: api.Hearsay, now: float) -> None:
+        """Take what others say of servers; with what is ejected here it is half of them at most."""
+        told = {verdict.server: verdict for verdict in event.verdicts}
+        out = {s.id for s in self.fleet.ready if now < s.shut_ms}
+        room = int(EJECT_SHARE * len(self.fleet.ready))
+        for verdict in event.verdicts:
+            if verdict.avoid and len(out | {verdict.server}) > max(room, len(out)):
+                told[verdict.server] = replace(verdict, avoid=False)
+            elif verdict.avoid: out.add(verdict.server)
+        for server in self.fleet.servers.values(): server.hear(told.get(server.id), now, self._rng)
+        self._release(now)
 
     def _on_settings(self, settings: api.Settings, now: float) -> None:
         """Take new settings; what was measured stays, and calls under way keep their class."""
@@ -335,6 +385,20 @@
         servers = self.fleet.servers.values()
         return sum(now < s.shut_ms or s in lost or not s.in_service for s in servers)
 
+    def silent(self, now: float) -> list[int]:
+        """The servers that hold calls and have been silent for so long that others should know."""
+        held = [server for server in self.fleet.servers.values() if server.out]
+        return [server.id for server in held if server.silent(now, TOLD_SILENT * self._share)]
+
+    def zones(self, now: float) -> dict[str, tuple[int, int]]:
+        """Of each zone's servers in service how many are fit to take calls here, and how many there are."""
+        lost, found = self._lost(now), dict[str, tuple[int, int]]()
+        for s in self.fleet.servers.values():
+            if s.in_service:
+                fit, listed = found.get(s.zone, (0, 0))
+                found[s.zone] = fit + (now >= s.shut_ms and s not in lost), listed + 1
+        return found
+
     def _on_request(self, event: api.Request, now: float) -> None:
         call = self._calls[event.id] = Call(event, self.classes[event.cls], now)
         self.record.asked(event.cls)
@@ -342,12 +406,13 @@
         if event.tenant in self._quotas:
             per_ms, bucket = self._quotas[event.tenant]
             call.over_share = not bucket.take(per_ms, max(1.0, QUOTA_MS * per_ms), now)
+            self.shares.setdefault(event.tenant, [0, 0])[call.over_share] += 1
         if self._shed(call, now): return self._end(call)
         self._attempt(call, now)
 
     def _attempt(self, call: Call, now: float) -> None:
         crowded = self._crowded(call, now)
-        server = None if crowded else self.rotation.pick(self._candidates(call, now))
+        server = None if crowded else self._pick(call, now)
         if crowded or (server is None and call.ran_ms is None and self.fleet.ready):
             self._hold(call, now)
         elif server is None or not self._send(call, server, now):
@@ -409,7 +474,7 @@
                 call = queue[0]
                 if call.held and call.id in self._calls:
                     crowded = self._crowded(call, now)
-                    server = None if crowded else self.rotation.pick(self._candidates(call, now))
+                    server = None if crowded else self._pick(call, now)
                     if server is None:
                         break
                     call.held, call.token = False, 0
@@ -425,11 +490,19 @@
         worth *= self.settings.over_share_worth if over_share else 1.0  # a flooding tenant waits behind
         return worth / max(1.0, self.record.delay_ms[name] or self._share * self._known[name].aim_ms)
 
+    def _pick(self, call: Call, now: float) -> Server | None:
+        """Where the call's next attempt goes: the next in the rotation, or where its key belongs."""
+        found = self._candidates(call, now)
+        if call.key is None or not found: return self.rotation.pick(found)
+        members = [(server.id, weight, server.inflight) for server, weight in found]
+        return found[affine.choose(call.key, members, AFFINE)][0]
+
     def _candidates(self, call: Call, now: float) -> list[tuple[Server, float]]:
         """The servers that may get the call's next attempt, with their weights."""
         paced: list[tuple[Server, float, float]] = []
         full = total = 0.0
-        for server in self.fleet.ready if call.ran_ms is None else self.fleet.group(call):
+        free = call.ran_ms is None and call.pin is None
+        for server in self.fleet.ready if free else self.fleet.group(call):
             weight = server.part
             if server.started_ms is not None:
                 warmth = server.warmth(now, self.settings)
@@ -449,8 +522,9 @@
             weight *= pace + even * (1.0 - pace)
             # A slow or stuck server shows first by what it holds: passed over till its peers hold alike.
             room = server.inflight < min(server.limit, max(1.0, fair * weight))
-            (found if room and now >= server.shut_ms else crowded).append((server, weight))
-        self._weight = total if call.ran_ms is None else self._weight
+            fit = now >= server.shut_ms and not (server.told and server.warned(call.cls.name))
+            (found if room and fit else crowded).append((server, weight))
+        self._weight = total if free else self._weight
         found = found or [(server, weight) for server, weight in crowded if server.inflight < server.limit]
         if call.last is not None and len(found) > 1:  # elsewhere than last time, where there is a choice
             found = [(server, weight) for server, weight in found if server is not call.last]
@@ -467,7 +541,7 @@
         cls, left = call.cls, call.ends_ms - now if call.whole else call.ttl_ms
         if call.id not in self._calls or call.out or left <= self.settings.tick_ms: return False  # rule 1
         if call.attempts >= self.settings.max_attempts or not self._repeatable(call, now): return False
-        if call.ran_ms is not None and server.group(cls.group) != call.pin: return False  # rule 2
+        if call.pin is not None and server.group(cls.group) != call.pin: return False  # rule 2
         if not server.in_service or self.fleet.servers.get(server.id) is not server: return False  # rule 3
         if call.attempts and not self._in_budget(now): return False  # rule 5
         warmth = server.warmth(now, self.settings)
@@ -475,6 +549,7 @@
             if self._cold_budget(server, warmth, now) < 1.0:
                 return False  # rule 4
             server.budget.tokens -= 1.0
+        if server.told is not None and server.told.trial: server.told.trial = False
         if call.attempts: self._further.add(now)
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
@@ -645,6 +720,7 @@
         if result not in (Result.SERVED, Result.ERROR, Result.RESET):
             return
         bad = result is not Result.SERVED
+        server.own = 0.0 if bad else server.own + 1.0
         # Fast errors look like low delay: weigh failing half its calls against failing like its peers.
         peers = max(ERROR_FLOOR, min(self._errors, BAD_RATIO))
         self._errors += (bad - self._errors) / PEER_SAMPLES
--- a/nickelbridge/settings.py
+++ b/nickelbridge/settings.py
@@ -84,6 +84,7 @@
             repeat=word(c, "semantics", REPEATS),
             group=word(c, "dedup_scope", GROUPS) if c.get("semantics") == "dedup" else api.Group.ALL,
             window_ms=get(c, "window_ms", NUMBER) if c.get("semantics") == "dedup" else 0.0,
+            affine=opt(c, "affine", bool, False),
         )
         for c in objects(env, "classes")
     ]
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -10,7 +10,8 @@
 import os
 import re
 import time
-from dataclasses import dataclass
+import zlib
+from dataclasses import dataclass, field
 
 from nickelbridge import interface as api
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, read_settings, word
@@ -25,6 +26,10 @@
 }
 
 
+SHARED = ("verdicts", "limits", "affinity")
+LEAST_AFFINE = 3  # nodes: of two, one that hears nothing of the other can't know who is cut off
+
+
 class BadConfig(Exception):
     """A configuration that no node can be started with."""
 
@@ -37,6 +42,9 @@
     whole: bool
     entries: list[api.ServerEntry]
     addresses: dict[int, Address]
+    starts: dict[int, int] = field(
+        default_factory=dict
+    )  # a mark of each server's start, the same at all nodes
 
 
 @dataclass(slots=True)
@@ -48,6 +56,8 @@
     advertise: str  # what the others are told
     seeds: list[str]  # addresses that are asked who is there
     voters: list[str]  # names of those whose majority gives duties; none: there are no duties
+    share: frozenset[str] = frozenset()  # what it shares with them: see `SHARED`
+    groups: tuple[str, ...] = ()  # zones that keyed requests have their homes in, the same at all nodes
 
 
 @dataclass(slots=True)
@@ -78,7 +88,17 @@
 
     Of 64 bits, so that two names never share one; `hash()` differs from one process to the next.
     """
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+    return key_id(name.encode())
+
+
+def key_id(key: bytes) -> int:
+    """What a request is about, as a number of 64 bits that is the same at all nodes."""
+    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big")
+
+
+def start_mark(since_ms: float) -> int:
+    """Two bytes that tell one start of a server from the next, at all nodes alike; 0: long ago."""
+    return 1 + zlib.crc32(str(int(since_ms)).encode()) % 65535 if since_ms > 0 else 0
 
 
 def address(text: str) -> Address:
@@ -111,6 +131,7 @@
     offset_ms = now_ms() - time.time() * 1000.0
     entries: list[api.ServerEntry] = []
     addresses: dict[int, Address] = {}
+    starts: dict[int, int] = {}
     for item in objects(obj, "endpoints"):
         server = server_id(get(item, "name", str))
         since_ms = opt(item, "since_ms", NUMBER, 0)
@@ -126,7 +147,8 @@
             )
         )
         addresses[server] = address_at(item, "address")
-    return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses)
+        starts[server] = start_mark(since_ms)
+    return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses, starts)
 
 
 def key_paths(obj: Json) -> frozenset[str]:
@@ -190,7 +212,31 @@
     address_at(fleet, "bind")
     advertise = fleet["bind"] if fleet.get("advertise") is None else get(fleet, "advertise", str)
     address(advertise)
-    return FleetConfig(get(fleet, "name", str), fleet["bind"], advertise, seeds, voters)
+    share, groups = _read_shared(fleet, opt(obj, "settings", dict, {}))
+    return FleetConfig(get(fleet, "name", str), fleet["bind"], advertise, seeds, voters, share, groups)
+
+
+def _read_shared(fleet: Json, settings: Json) -> tuple[frozenset[str], tuple[str, ...]]:
+    """What is shared, and the homes of keyed requests."""
+    share = opt(fleet, "share", list, [])
+    for n, part in enumerate(share):
+        if part not in SHARED:
+            text = f"share[{n}] is {part!r:.60}, which is none of {', '.join(SHARED)}"
+            raise Malformed(text, (share, n, SHARED[0]))
+    groups = opt(fleet, "groups", list, [])
+    if not all(isinstance(group, str) for group in groups) or len(set(groups)) < len(groups):
+        raise Malformed(
+            f"'groups' must be names of zones, each once, not {groups!r:.60}", (fleet, "groups", [])
+        )
+    if "affinity" in share:
+        if len(groups) < 2:
+            raise Malformed(
+                "'groups' must name the zones, two or more, to share affinity", (fleet, "groups", [])
+            )
+        if opt(settings, "siblings", int, 1) < LEAST_AFFINE:
+            text = f"share: affinity needs {LEAST_AFFINE} nodes or more in settings.siblings"
+            raise Malformed(text, (fleet, "share", []))
+    return frozenset(share), tuple(groups)
 
 
 def parse_config(obj: Json) -> Config:
--- a/orchidferry/duties.py
+++ b/orchidferry/duties.py
@@ -58,7 +58,7 @@
 
     def heard(self, message: Message) -> None:
         """A datagram has come that may be about duties."""
-        if isinstance(message, About):
+        if isinstance(message, About) and isinstance(message.content, duties.Message):
             self.take(message.content, message.head.name)
         elif isinstance(message, Ack):
             self.watch.hear(message.head.name, message.head.digest, now_ms())
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -18,7 +18,7 @@
 from nickelbridge.logic import Balancer
 from orchidferry import logs
 from orchidferry.bodies import Memory
-from orchidferry.config import Address, Config, FleetConfig, Listing, now_ms
+from orchidferry.config import Address, Config, FleetConfig, Listing, key_id, now_ms
 from orchidferry.discovery import Discovery
 from orchidferry.figures import Figures
 from orchidferry.frontend import Answering, Frontend, Message, Reply, Unacceptable
@@ -27,10 +27,12 @@
 
 if TYPE_CHECKING:
     from orchidferry.peers import Peers
+    from orchidferry.shared import SharedHost
 
 MARGIN_MS = 10.0  # of a budget: it ran before the request was read, and the answer takes its time
 SPARE_SOCKETS = 24  # of the limit: listener, discovery, event loop, log, and sockets half closed
 PLENTY_SHARE = 0.25  # of the limit: with so much room idle callers may stay
+KNOWN_AGAIN_S = 0.5  # what is advised to a repeat whose place is not known yet
 PUSHED_RETRY_S = 0.5  # on average after a failure of the node's own agent, where lists come unasked
 
 
@@ -157,6 +159,7 @@
         )
         self._reserved = SPARE_SOCKETS + (MOST_CALLERS if config.management is not None else 0)
         self._peers: Peers | None = None
+        self._shared: SharedHost | None = None  # what is shared with them
         if config.fleet is not None:
             self._meet(config.fleet)
 
@@ -164,7 +167,10 @@
         """Become a member of a fleet; a node alone does not even load what that needs."""
         from orchidferry import peers
 
-        self._peers = peers.Peers(self._loop, self.config, fleet, self._placed, self._live.__len__)
+        self._peers = peers.Peers(
+            self._loop, self.config, fleet, self._placed, self._live.__len__, self._balancer, self._handle
+        )
+        self._shared = self._peers.shared
         self._reserved += peers.SOCKETS
         for name, read in self._peers.figures().items():
             self.figures.gauge(name, read)
@@ -172,6 +178,8 @@
         if self._peers.work is not None:
             self.door.add("/admin/duties", "GET", self._peers.work.show)
             self.door.add_ask("/admin/duties/hand-over", "POST", self._peers.work.hand_over)
+        if self._shared is not None:
+            self.door.add("/admin/shared", "GET", self._shared.show)
 
     def _placed(self, number: int, nodes: int) -> None:
         """The fleet has this node at another place: its part of servers and budgets follows."""
@@ -200,6 +208,8 @@
         self._handle(api.Reconfigured(settings))
         if self._peers is not None:
             self._peers.told(settings.number, settings.nodes)
+        if self._shared is not None:
+            self._shared.know(settings)
         self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
@@ -263,15 +273,33 @@
             raise Unacceptable("Idempotency-Key is missing")  # servers could not drop its repeats
         if message.id in self._live:
             raise Unacceptable("a request with this X-Call-Id is open")
+        pin, key, known = self._bound(message)
         live = self._live[message.id] = Live(self, message, answering)
         whole = message.body.whole
         if whole:
             self._run_time(live)
         ttl_ms = max(0.0, message.budget_ms - MARGIN_MS)
-        event = api.Request(message.id, message.cls, ttl_ms, message.tenant, message.again, whole)
+        if not known:  # it may have run in a zone that only another node knows of
+            self._finish(
+                message.id, Reply(503, b"not known yet where it belongs", retry_after_s=KNOWN_AGAIN_S)
+            )
+            return live
+        event = api.Request(message.id, message.cls, ttl_ms, message.tenant, message.again, whole, pin, key)
         self._handle(event)
         return live
 
+    def _bound(self, message: Message) -> tuple[str | None, int | None, bool]:
+        """The zone and the key that a request is bound to, if it is to any; whether that can be known."""
+        cls, pin, known = self._balancer.classes[message.cls], None, True
+        if self._shared is not None:
+            self._shared.asked(message.tenant)
+        if message.key is None or not (cls.affine or self._shared is not None):
+            return None, None, True
+        key = key_id(message.key)
+        if self._shared is not None:
+            pin, known = self._shared.place(cls, key, message.again)
+        return pin, key, known
+
     def _run_time(self, live: Live, limited: bool = True) -> None:
         live.whole_ms = now_ms()
         live.ends_ms = live.whole_ms + live.message.budget_ms
@@ -418,6 +446,8 @@
             self._finish(event.id, Reply(200, answer.body, answer.content_type))
         event.settled = self._live.get(event.id) is not live
         self._handle(event)
+        if self._shared is not None:
+            self._shared.ended(event.server, live.message.cls, event.result, event.duration_ms)
 
     # Discovery
 
@@ -449,6 +479,8 @@
             else:
                 self._in_service.discard(entry.server)
         self._handle(api.ServerList(kind, listing.index, listing.entries))
+        if self._shared is not None:
+            self._shared.listed(listing)
 
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -17,10 +17,14 @@
 from fleet.duties import messages as duties
 from fleet.membership.core import Membership
 from fleet.messages import STATUSES, About, Ack, Fact, Ping
+from fleet.shared import messages as shared
 from fleet.wire import MOST_STATE, Refused, Wire
+from nickelbridge.interface import Event
+from nickelbridge.logic import Balancer
 from orchidferry import VERSION, logs
 from orchidferry.config import Address, Config, FleetConfig, address, now_ms
 from orchidferry.duties import DutyHost
+from orchidferry.shared import SharedHost
 
 SOCKETS = 28  # of the node's limit: two of its own, and what follows
 MOST_IN, MOST_OUT = 16, 8  # streams at a time
@@ -55,6 +59,8 @@
         fleet: FleetConfig,
         placed: Callable[[int, int], None],
         load: Callable[[], int],
+        balancer: Balancer | None = None,
+        told: Callable[[Event], None] = lambda event: None,
     ) -> None:
         self._loop, self._fleet, self._placed, self._load = loop, fleet, placed, load
         self._wire = Wire(fleet.name)
@@ -80,6 +86,9 @@
         self.work: DutyHost | None = None
         if fleet.voters:
             self.work = DutyHost(loop, self, config.name, fleet.voters, rng)
+        self.shared: SharedHost | None = None
+        if fleet.share and balancer is not None:
+            self.shared = SharedHost(loop, self, fleet, settings, balancer, told, rng)
         self._udp: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -123,6 +132,8 @@
         self.handle(api.Begin())
         if self.work is not None:
             self.work.begin()
+        if self.shared is not None:
+            self.shared.begin()
         self._loop.call_later(COUNT_S, self._count)
         self._loop.call_later(LOAD_S, self._tell_load)
 
@@ -177,6 +188,8 @@
         self.handle(api.Heard(message, f"{sender[0]}:{sender[1]}"))
         if self.work is not None and not self.core.quiet:
             self.work.heard(message)
+        if self.shared is not None and not self.core.quiet:
+            self.shared.heard(message)
 
     def _refuse(self, reason: str) -> None:
         self.counts["refused"] += 1
@@ -334,13 +347,15 @@
     def _close(self) -> None:
         if self._udp is not None:
             self._udp.close()
+        if self.shared is not None:
+            self.shared.close()
         for task in self._tasks:
             task.cancel()
 
-    def tell(self, name: str, content: duties.Message) -> None:
-        """Say something about a duty to a member, or to this process itself."""
+    def tell(self, name: str, content: duties.Message | shared.Message) -> None:
+        """Say something about a duty or shared state to a member, or of a duty to this process itself."""
         if name == self.core.name:
-            if self.work is not None:
+            if self.work is not None and isinstance(content, duties.Message):
                 self._loop.call_soon(self.work.take, content, name)
             return
         member = self.core.view.get(name)
@@ -358,7 +373,8 @@
     def figures(self) -> dict[str, Callable[[], int]]:
         """Gauges beside the node's own."""
         core = self.core
-        return {
+        more = self.shared.figures() if self.shared is not None else {}
+        return more | {
             "fleet_members": core.alive,
             "fleet_suspects": lambda: sum(m.status == 1 for m in core.view.members.values()),
             "fleet_divergent": lambda: core.divergence(now_ms())[0],
@@ -367,6 +383,7 @@
             "fleet_conflicts": lambda: core.conflicts,
             "fleet_refused": lambda: self.counts["refused"],
             "fleet_errors": lambda: self.counts["errors"],
+            "fleet_sent_bytes": lambda: self.counts["sent_bytes"],
         }
 
     def show(self) -> tuple[int, dict[str, Any]]:
--- /dev/null
+++ b/orchidferry/shared.py
@@ -0,0 +1,240 @@
+"""Hosts the state that the fleet's members share: tells it what happens here, and the module what follows.
+
+Its messages ride on the members' datagrams. Whatever fails is the fleet's, and the node serves on by its
+own knowledge: what others said is taken back first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from fleet.messages import About, Message
+from fleet.shared import messages as shared
+from fleet.shared.core import AFFINITY, LIMITS, PARTS, VERDICTS, Shared, mark
+from nickelbridge import interface as api
+from nickelbridge.interface import Result
+from nickelbridge.logic import Balancer
+from orchidferry import logs
+from orchidferry.config import FleetConfig, Listing, now_ms
+
+if TYPE_CHECKING:
+    from orchidferry.peers import Peers
+
+KNOWN_S = 0.25  # how often the fleet's part hears what the node knows
+HOW = {
+    Result.SERVED: "good", Result.ERROR: "error", Result.RESET: "lost", Result.TIMEOUT: "lost",
+    Result.UNREACHABLE: "lost",
+}  # fmt: skip
+
+
+def window_ms(settings: api.Settings) -> float:
+    """The longest time within which servers drop the repeats of a keyed request."""
+    return max((cls.window_ms for cls in settings.classes if bound(cls)), default=0.0)
+
+
+def bound(cls: api.RequestClass) -> bool:
+    """Whether requests of a class are to stay in one zone, wherever they come in."""
+    return cls.repeat is api.Repeat.KEYED and cls.group is api.Group.ZONE
+
+
+def quotas(settings: api.Settings) -> dict[str, float]:
+    """The tenants' quotas over all nodes, requests a second."""
+    return {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s}
+
+
+def known(balancer: Balancer, starts: dict[int, int], now: float) -> shared.Known:
+    """What a node knows of its servers and its loop now."""
+    listed = {server: starts.get(server, 0) for server in balancer.fleet.servers}
+    loop = balancer.controller
+    return shared.Known(
+        listed, frozenset(balancer.silent(now)), balancer.zones(now), loop.allowed_rate, loop.tuned_rate
+    )
+
+
+def hearsay(verdicts: list[shared.Verdict], marks: dict[int, str]) -> api.Hearsay:
+    """The fleet's verdicts in the module's terms."""
+    return api.Hearsay(
+        [
+            api.Verdict(
+                v.server, v.avoid, frozenset(marks[m] for m in v.classes if m in marks), v.slow, v.trial
+            )
+            for v in verdicts
+            if not v.classes or any(m in marks for m in v.classes)
+        ]
+    )
+
+
+class SharedHost:
+    """This process's part in what the fleet shares."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, peers: Peers, fleet: FleetConfig, settings: api.Settings,
+        balancer: Balancer, told: Callable[[api.Event], None], rng: random.Random,
+    ) -> None:  # fmt: skip
+        self._loop, self._peers, self._balancer, self._told = loop, peers, balancer, told
+        self.core = Shared(
+            peers.core.name, peers.core.life, settings.zone, settings.tier, fleet.share, quotas(settings),
+            list(fleet.groups), window_ms(settings), rng, now_ms(),
+        )  # fmt: skip
+        self._affine = AFFINITY in fleet.share
+        self._starts: dict[int, int] = {}
+        self._names: dict[int, str] = {}
+        self._marks: dict[int, str] = {}
+        self._over = False
+        self.know(settings)
+
+    def know(self, settings: api.Settings) -> None:
+        """These settings are in force now."""
+        self._marks |= {mark(cls.name): cls.name for cls in settings.classes}
+        self.core.limits.quotas = quotas(settings)
+
+    def begin(self) -> None:
+        """The process can be reached."""
+        self._do(self.core.begin())
+        self._know()
+
+    def heard(self, message: Message) -> None:
+        """A datagram has come that may be about shared state."""
+        if isinstance(message, About) and isinstance(message.content, shared.Message):
+            self._give(shared.Heard(message.content, message.head.name))
+
+    def _give(self, event: shared.Event) -> None:
+        if self._over:
+            return
+        try:
+            self._do(self.core.handle(event, now_ms()))
+        except Exception:
+            self._fail(type(event).__name__)
+
+    def _fail(self, what: str) -> None:
+        """An error of the fleet's: the node goes on by its own knowledge."""
+        self._peers.counts["errors"] += 1
+        logs.exception("fleet error", "the shared state's part, handling %(what)s", what=what)
+        self._alone()
+
+    def _alone(self) -> None:
+        self._told(api.Hearsay([]))
+        self._told(api.Parts({}))
+
+    def _do(self, actions: list[shared.Action]) -> None:
+        for action in actions:
+            match action:
+                case shared.Tell():
+                    self._peers.tell(action.name, action.message)
+                case shared.SetTimer():
+                    self._loop.call_later(action.delay_ms / 1000.0, self._give, shared.Fired(action.token))
+                case shared.Warn():
+                    self._told(hearsay(action.verdicts, self._marks))
+                case shared.Part():
+                    self._told(api.Parts(action.quotas, action.retry_share))
+
+    def _know(self) -> None:
+        if self._over:
+            return
+        try:
+            self._do(self.core.handle(known(self._balancer, self._starts, now_ms()), now_ms()))
+        except Exception:
+            self._fail("what the node knows")
+        self._seen()
+        self._loop.call_later(KNOWN_S, self._know)
+
+    def _seen(self) -> None:
+        core, census = self._peers.core, self._peers.census
+        here = {m.name: m.life for m in core.view.members.values() if m.here()} if not core.quiet else {}
+        self._give(shared.Seen(core.life, here, census.counted(), census.base(), core.health.score))
+
+    # What happens at the node
+
+    def listed(self, listing: Listing) -> None:
+        """News of the list: the servers that it names, each with a mark of its start."""
+        self._starts |= listing.starts
+        self._names |= {server: f"{host}:{port}" for server, (host, port) in listing.addresses.items()}
+        gone = [entry.server for entry in listing.entries if entry.health is api.Health.GONE]
+        for server in gone:
+            self._starts.pop(server, None)
+            self._names.pop(server, None)
+
+    def asked(self, tenant: str | None) -> None:
+        """A request has come."""
+        if tenant is not None:
+            self._give(shared.Asked(tenant))
+
+    def ended(self, server: int, cls: str, result: Result, ms: float) -> None:
+        """An attempt is over."""
+        how = HOW.get(result)
+        if how is not None:
+            self._give(shared.Ended(server, cls, how, ms))
+
+    def place(self, cls: api.RequestClass, key: int, again: bool) -> tuple[str | None, bool]:
+        """The zone that a request is bound to, if it is to any, and whether that can be known."""
+        if not self._affine or not bound(cls):
+            return None, True
+        try:
+            place = self.core.place(key, again, now_ms())
+        except Exception:
+            self._fail("a key")
+            return None, not again
+        return (place.group or None), not place.why
+
+    # What operators see
+
+    def figures(self) -> dict[str, Callable[[], int]]:
+        """Gauges beside the node's own."""
+        core = self.core
+        return {
+            "fleet_avoided": lambda: sum(verdict.avoid for verdict in core.verdicts),
+            "fleet_parts_fallback": lambda: int(core.part.fallback),
+            "fleet_keys_elsewhere": lambda: core.affinity.counts["elsewhere"],
+            "fleet_keys_refused": lambda: sum(
+                count for why, count in core.affinity.counts.items() if why != "elsewhere"
+            ),
+            "fleet_records": lambda: sum(1 for _ in core.store.all()),
+        }
+
+    def show(self) -> tuple[int, dict[str, Any]]:
+        """All that the door tells of shared state."""
+        core, now = self.core, now_ms()
+        affinity = core.affinity
+        records = [
+            {
+                "kind": shared.KINDS[kind], "writer": writer, "version": held.version,
+                "age_s": round(held.age_ms(now) / 1000.0, 2), "from": held.source, "bytes": len(held.data),
+            }
+            for kind, writer, held in sorted(core.store.all(), key=lambda item: (item[0], item[1]))
+        ]  # fmt: skip
+        return 200, {
+            "self": core.name,
+            "share": [part for part in PARTS if part in core.parts],
+            "verdicts": [
+                {
+                    "name": self._names.get(v.server, f"{v.server:016x}"), "avoid": v.avoid, "slow": v.slow,
+                    "classes": [self._marks.get(m, str(m)) for m in sorted(v.classes)],
+                }
+                for v in core.verdicts
+            ],
+            "limits": {
+                "in_use": LIMITS in core.parts, "fallback": core.part.fallback, "known": core.limits.known,
+                "counted": core.seen.base, "retry_share": core.part.retry_share,
+                "parts": {
+                    tenant: {"part_per_s": round(part, 2), "quota_per_s": core.limits.quotas.get(tenant, 0.0)}
+                    for tenant, part in core.part.quotas.items()
+                },
+            },
+            "affinity": {
+                "in_use": AFFINITY in core.parts, "homes": affinity.groups, "out": sorted(affinity.out),
+                "open": sorted(group for group, at in affinity.out.items() if at <= now < affinity.acked_ms),
+                "cut_off": now >= affinity.whole_ms, "elsewhere": len(affinity.keys),
+                "counts": dict(affinity.counts),
+                "others": {name: sorted(other.out) for (name, _), other in affinity.elsewhere.items()},
+            },
+            "verdicts_in_use": VERDICTS in core.parts,
+            "counts": dict(core.store.counts) | {"untold": core.witness.untold, "capped": core.pool.capped},
+            "records": records,
+        }  # fmt: skip
+
+    def close(self) -> None:
+        """Nothing more."""
+        self._over = True
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from nickelbridge import affine, logic
 from nickelbridge import interface as api
-from nickelbridge import logic
 from nickelbridge.averages import SlidingCount
 from nickelbridge.interface import Result
 from tests.helpers import KEYED, SAFE, UNSAFE, Node, ends, entries, sends, settings, timers
@@ -788,3 +788,91 @@
 
     assert let_in(0.0) > 30
     assert let_in(20_000.0) == pytest.approx(let_in(0.0), abs=2)
+
+
+def hearsay(node: Node, *verdicts: api.Verdict) -> None:
+    node.do(api.Hearsay(list(verdicts)))
+
+
+def test_a_server_that_others_warn_of_gets_nothing_until_its_own_answers_say_otherwise() -> None:
+    node = Node(servers=4)
+    hearsay(node, api.Verdict(2, avoid=True))
+    assert 2 not in node.serve(20)
+    hearsay(node, api.Verdict(2, avoid=True, trial=True))
+    assert node.serve(20).count(2) >= 2  # one was tried, and answered
+    hearsay(node, api.Verdict(2, avoid=True, classes=frozenset({"keyed"})))
+    assert 2 in node.serve(20)
+
+
+def test_a_warning_for_one_class_leaves_the_others() -> None:
+    node = Node(servers=4)
+    hearsay(node, api.Verdict(2, avoid=True, classes=frozenset({"keyed"})))
+    assert 2 in node.serve(8)
+
+
+def test_half_of_the_servers_at_most_are_taken_away_by_hearsay() -> None:
+    node = Node(servers=4)
+    hearsay(node, *(api.Verdict(n, avoid=True) for n in range(4)))
+    assert set(node.serve(20)) == {2, 3}  # the worst come first
+
+
+def test_a_server_no_longer_warned_of_comes_back_to_each_copy_at_its_own_time() -> None:
+    back = []
+    for salt in range(40):
+        node = Node(servers=4, salt=salt)
+        hearsay(node, api.Verdict(2, avoid=True))
+        hearsay(node)
+        back.append(node.balancer.fleet.servers[2].shut_ms - node.now)
+    assert 0.0 <= min(back) < 0.2 * logic.RETURN_MS and 0.8 * logic.RETURN_MS < max(back) <= logic.RETURN_MS
+
+
+def test_what_is_said_of_a_server_is_void_once_it_has_started_anew() -> None:
+    node = Node(servers=4)
+    hearsay(node, api.Verdict(2, avoid=True))
+    node.list_all([api.ServerEntry(n, started_ms=-1e6 if n == 2 else None) for n in range(4)])
+    assert 2 in node.serve(8)
+
+
+def test_a_request_bound_to_a_zone_goes_nowhere_else() -> None:
+    node = Node(servers=0, classes=[replace(KEYED, group=api.Group.ZONE)])
+    node.list_all([api.ServerEntry(n, zone="wien" if n % 3 else "linz") for n in range(9)])
+    for n in range(12):
+        [send] = sends(node.do(api.Request(f"p{n}", "keyed", 5_000.0, pin="linz")))
+        assert send.server % 3 == 0
+        node.end(f"p{n}", Result.SERVED)
+    node.do(api.Request("q", "keyed", 5_000.0, pin="linz"))
+    first = node.sent["q"][0]
+    [timer] = timers(node.end("q", Result.UNREACHABLE))
+    [send] = sends(node.do(api.TimerFired(timer.token), timer.delay_ms))
+    assert send.server in {0, 3, 6} - {first}
+
+
+def test_shared_parts_of_quotas_are_in_force_until_taken_back() -> None:
+    tenants = [api.Tenant("t", quota_per_s=40.0)]
+    balancer = logic.Balancer(replace(settings(), tenants=tenants, nodes=4), 1)
+
+    def within(at: float) -> int:
+        before = balancer.shares.get("t", [0, 0])[0]
+        for n in range(100):
+            balancer.handle(api.Request(f"{at}{n}", "safe", 100.0, "t"), at + 10.0 * n)
+        return balancer.shares["t"][0] - before
+
+    within(0.0)
+    assert within(1_000.0) == pytest.approx(10, abs=1)
+    balancer.handle(api.Parts({"t": 30.0}), 2_000.0)
+    within(2_000.0)
+    assert within(3_000.0) == pytest.approx(30, abs=1)
+    balancer.handle(api.Parts({}), 4_000.0)
+    within(4_000.0)
+    assert within(5_000.0) == pytest.approx(10, abs=1)
+
+
+def test_keys_stay_with_their_server_within_the_bound_and_move_little() -> None:
+    members = [(n, 1.0, 0) for n in range(12)]
+    homes = {key: affine.choose(key, members, 1.25) for key in range(3_000)}
+    assert max(list(homes.values()).count(n) for n in range(12)) < 1.35 * 3_000 / 12
+    fewer = members[:11]
+    moved = sum(affine.choose(key, fewer, 1.25) != at for key, at in homes.items() if at != 11)
+    assert moved == 0
+    full = [(n, 1.0, 10 if n != homes[7] else 20) for n in range(12)]
+    assert affine.choose(7, full, 1.25) != homes[7]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -304,3 +304,61 @@
     for (_, who, token), (after, _, _) in pairwise(held):
         late = [at for at, *what in told if what == [who, "stops", token] and at > after]
         assert not late or who in stopped
+
+
+@pytest.mark.parametrize(
+    ("share", "groups", "siblings", "place"),
+    [
+        (["verdict"], [], 3, "share[0] is 'verdict', which is none of verdicts, limits, affinity"),
+        (["affinity"], [], 3, "'groups' must name the zones, two or more"),
+        (["affinity"], ["linz", "linz"], 3, "'groups' must be names of zones, each once"),
+        (["affinity"], ["linz", "wien"], 2, "affinity needs 3 nodes or more"),
+    ],
+)
+def test_a_share_that_can_t_be_is_refused_with_its_place(
+    tmp_path: Path, share: list[str], groups: list[str], siblings: int, place: str
+) -> None:
+    fleet = {"name": "linz", "bind": "127.0.0.1:7400", "seeds": [], "share": share, "groups": groups}
+    with pytest.raises(BadConfig, match=re.escape(place)):
+        config(tmp_path, nodes=siblings, fleet=fleet)
+
+
+def test_processes_share_what_they_see_and_say_so_at_their_doors(tmp_path: Path) -> None:
+    """A server that errs, a zone that hangs and a kill: rules always, and what the doors tell in the end."""
+    day = """
+name = "shared"
+[day]
+length_s = 16
+[nodes]
+count = 4
+fleet = true
+share = ["verdicts", "limits", "affinity"]
+[[tiers]]
+servers = 9
+[[tenants]]
+name = "spedition"
+share = 1.0
+quota_per_s = 30
+[arrivals]
+rate_per_s = 40
+skew = 2
+[callers]
+repeats = true
+[[faults]]
+kind = "server"
+at_s = 4
+for_s = 10
+servers = ["a1"]
+errors = 1.0
+[[faults]]
+kind = "kill"
+at_s = 6
+nodes = ["n2"]
+back_s = 2
+"""
+    result = play_processes(parse(day), 3, lambda share: None, None, tmp_path)
+    assert result.broken == {}
+    told = result.series.beliefs["n1"]
+    assert max(told["fleet_avoided"]) == 1.0  # together they knew
+    assert min(told["fleet_parts_fallback"][-3:]) == 0.0 and told["fleet_errors"][-1] == 0.0
+    assert told["fleet_records"][-1] >= 4.0
