--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -74,6 +74,27 @@
     sys.exit(fleetcli.duties(door, as_json))
 
 
+@fleet.command("state")
+@click.option("--door", required=True, help="Where a node's `management` listens, as host:port.")
+@click.option("--json", "as_json", is_flag=True, help="All that the door tells.")
+def fleet_state(door: str, as_json: bool) -> None:
+    """What the members share, with ages; exit status 1 where a fallback is in force."""
+    from dunlinloft import fleetcli
+
+    sys.exit(fleetcli.state(door, as_json))
+
+
+@fleet.command("ledger")
+@click.option("--set", "entries", multiple=True, metavar="KEY=VALUE", help="Such as limit/TENANT=120.")
+@click.option("--door", required=True, help="Where the holder's `management` listens, as host:port.")
+@click.option("--json", "as_json", is_flag=True, help="All that the door tells.")
+def fleet_ledger(entries: tuple[str, ...], door: str, as_json: bool) -> None:
+    """The fleet's small records; exit status 1 where an entry is not kept."""
+    from dunlinloft import fleetcli
+
+    sys.exit(fleetcli.ledger(door, entries, as_json))
+
+
 @fleet.command("hand-over")
 @click.argument("duty")
 @click.option("--to", default="", help="The member that should hold it; whoever is next where not given.")
@@ -85,6 +106,38 @@
     sys.exit(fleetcli.hand_over(door, duty, to))
 
 
+@main.command("explore")
+@click.argument("system", type=click.Choice(["duties", "ledger", "membership"]))
+@click.option("--depth", type=click.IntRange(1), default=40, show_default=True, help="Moves to a state.")
+@click.option("--states", type=click.IntRange(1), default=100_000, show_default=True, help="At most.")
+@click.option(
+    "--walk", "moves", type=click.IntRange(0), default=100_000, show_default=True, help="At random."
+)
+@click.option("--seed", type=int, default=1, show_default=True, help="Of the walk.")
+@click.option("--jobs", type=click.IntRange(1), default=1, show_default=True, help="Processes.")
+@click.option("--trace", type=click.Path(dir_okay=False), help="Write what breaks something here.")
+@click.option("--replay", "again", type=click.Path(dir_okay=False), help="Play such a trace instead.")
+def explore(
+    system: str,
+    depth: int,
+    states: int,
+    moves: int,
+    seed: int,
+    jobs: int,
+    trace: str | None,
+    again: str | None,
+) -> None:
+    """Try all orders of events on the fleet's cores, and walk at random beyond.
+
+    Exit status: 0 where nothing broke, 1 where something did, 2 for a bad file.
+    """
+    from dunlinloft import explorecli
+
+    if again is not None:
+        sys.exit(explorecli.replay_file(system, again))
+    sys.exit(explorecli.explore(system, depth, states, seed, moves, jobs, trace))
+
+
 @main.group()
 def lab() -> None:
     """Play days of a fleet, in virtual time or with real processes, and look at what came of them."""
@@ -98,6 +151,7 @@
 @click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Save the results here.")
 @click.option("--html", "html_file", type=click.Path(dir_okay=False), help="Make a page of them here.")
 @click.option("--logs", type=click.Path(file_okay=False), help="Write all that happened to this folder.")
+@click.option("--set", "changes", multiple=True, metavar="PATH=VALUE", help="Such as nodes.count=50.")
 def lab_run(
     scenario: str,
     host: str,
@@ -106,6 +160,7 @@
     json_file: str | None,
     html_file: str | None,
     logs: str | None,
+    changes: tuple[str, ...],
 ) -> None:
     """Play SCENARIO, a file or the name of a shipped one.
 
@@ -113,7 +168,7 @@
     """
     from dunlinloft import labcli
 
-    sys.exit(labcli.run(scenario, host, seeds, jobs, json_file, html_file, logs))
+    sys.exit(labcli.run(scenario, host, seeds, jobs, json_file, html_file, logs, changes))
 
 
 @lab.command("compare")
--- a/dunlinloft/fleetcli.py
+++ b/dunlinloft/fleetcli.py
@@ -234,3 +234,49 @@
             lines.append(f"[yellow]{escape(name)} sends keys of {escape(', '.join(zones))} elsewhere[/]")
     counts = [f"{count} {why}" for why, count in sorted(homes["counts"].items())]
     return [*lines, f"so far {', '.join(counts)}"] if counts else lines
+
+
+def ledger(door: str, entries: tuple[str, ...], as_json: bool) -> int:
+    """Enter rows where there are any, each as KEY=VALUE, then print the ledger; the exit status."""
+    status = SUCCESS
+    try:
+        for entry in entries:
+            key, equals, value = entry.partition("=")
+            if not key or not equals:
+                raise NoDoor(f"{entry!r}: expected KEY=VALUE")
+            query = urllib.parse.urlencode({"key": key, "value": value})
+            number = read(door, f"/admin/ledger/enter?{query}", "POST")["entry"]
+            state = _end_of(door, number)
+            out.print(f"{key}: {state}", highlight=False)
+            status = status if state == "kept" else UNKEPT
+        found = read(door, "/admin/ledger")
+    except NoDoor as problem:
+        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
+        return BAD_FILE
+    if as_json:
+        print(json.dumps(found, indent=2))
+        return status
+    if not found["here"]:
+        holder = found["holder"] or "nobody"
+        out.print(f"{found['self']} does not hold the ledger; {holder} does: ask there", highlight=False)
+        return status
+    if found["lost"]:
+        out.print("[red]rows may be lost: a majority of the voters has forgotten. Enter what is missing[/]")
+    rows = Table("key", "value", "token", box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    for row in found["rows"]:
+        rows.add_row(escape(row["key"]), escape(row["value"]), str(row["token"]))
+    out.print(f"the ledger is {found['step']}, token {found['token']}", highlight=False)
+    out.print(rows)
+    return status
+
+
+def _end_of(door: str, number: int) -> str:
+    """How an entry ended, as soon as that is known."""
+    state = "under way"
+    for _ in range(20):
+        found = read(door, "/admin/ledger")["entries"]
+        state = next((str(entry["state"]) for entry in found if entry["entry"] == number), "unknown")
+        if state != "under way":
+            break
+        time.sleep(0.1)
+    return state
--- a/fleet/duties/core.py
+++ b/fleet/duties/core.py
@@ -1,32 +1,44 @@
 """All duties of one process: its vote, its candidacies, and who should stand when.
 
-Who stands follows preference: each duty has its own order of members (rendezvous hashing, Thaler and
-Ravishankar 1998), so duties spread over the fleet, and the order is the same at all that see the same
-members. A holder that is there keeps its duty: nobody stands against it.
+Who stands follows preference: fewest duties first, zones by turns, then an order of the duty's own
+(rendezvous hashing, Thaler and Ravishankar 1998), the same at all that see the same members. A holder that
+is there keeps its duty: nobody stands against it.
 """
 
 from __future__ import annotations
 
 import hashlib
 import random
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
 from fleet.duties.candidate import DRIFT, TERM_MS, Candidate
+from fleet.duties.ledger import DUTY as LEDGER
+from fleet.duties.ledger import Keeper, Ledger
 from fleet.duties.messages import (
     Accepted,
     Action,
     Ballot,
+    Enter,
     Event,
     Fired,
     HandOver,
     Heard,
+    LedgerPage,
+    LedgerRead,
+    LedgerStored,
+    LedgerWrite,
+    Message,
     Promise,
     Recall,
     Recalled,
     Release,
     Seen,
     SetTimer,
+    Settled,
+    Start,
+    Stop,
     Tell,
     Work,
 )
@@ -38,9 +50,20 @@
 LOOK, STAND = "look", "stand"
 
 
-def order(duty: str, names: frozenset[str]) -> list[str]:
-    """Members in the order in which they should hold a duty."""
-    return sorted(names, key=lambda name: hashlib.blake2b(f"{duty}/{name}".encode(), digest_size=8).digest())
+def order(duty: str, seen: Seen, place: int = 0) -> list[str]:
+    """Members in the order in which they should hold a duty, the `place`-th of all.
+
+    Those that hold fewest others come first; of these the zones take turns with the duties, so that the loss
+    of one takes few; then by rendezvous hashing.
+    """
+    others = Counter(holder for other, (holder, _) in seen.claims.items() if other != duty)
+    zones = sorted({seen.zones.get(name, "") for name in seen.here})
+
+    def rank(name: str) -> tuple[int, int, bytes]:
+        turn = (zones.index(seen.zones.get(name, "")) - place) % len(zones)
+        return others[name], turn, hashlib.blake2b(f"{duty}/{name}".encode(), digest_size=8).digest()
+
+    return sorted(seen.here, key=rank)
 
 
 class Duties:
@@ -59,6 +82,12 @@
         }
         for duty, candidate in self.candidates.items():
             candidate.timer = partial(self._set_for, duty)
+        # The ledger, if it is among the duties: what this process keeps as a voter, and writes as the holder.
+        with_ledger = LEDGER in duties
+        self.keeper = Keeper(name, voters, rng.getrandbits(31)) if with_ledger and name in voters else None
+        self.ledger = Ledger(voters, rng) if with_ledger else None
+        if self.ledger is not None:
+            self.ledger.timer = self._set_ledger
         self._seen = Seen(frozenset((name,)), {})
         self._timers: dict[int, tuple[str, str, Ballot]] = {}
         self._token = 0
@@ -90,6 +119,8 @@
                 if candidate is not None and event.to != self.name:
                     candidate.release(event.to, now)
                     self._take(candidate)
+            case Enter():
+                self._enter(event, now)
             case Work() if event.duty in self.candidates:
                 self.candidates[event.duty].state = event.state
         return self._actions
@@ -106,13 +137,54 @@
         self._timers[self._token] = what, duty, ballot
         self._actions.append(SetTimer(self._token, max(0.0, delay_ms)))
 
+    def _set_ledger(self, delay_ms: float, tick: int) -> None:
+        self._set(LEDGER, LEDGER, (tick, "", 0), delay_ms)
+
     def _take(self, candidate: Candidate) -> None:
         self._actions += candidate.actions
+        if candidate.duty == LEDGER and self.ledger is not None:
+            for action in candidate.actions:
+                if isinstance(action, Start):
+                    self.ledger.start(action.token)
+                elif isinstance(action, Stop):
+                    self.ledger.stop()
+            self._take_ledger()
         candidate.actions = []
 
+    def _take_ledger(self) -> None:
+        if self.ledger is not None:
+            self._actions += self.ledger.actions
+            self.ledger.actions = []
+
+    def _enter(self, event: Enter, now: float) -> None:
+        """A row for the ledger: only who holds it at this instant may begin to write."""
+        why = "this process does not hold the ledger"
+        if self.ledger is not None and self.holds(LEDGER, now):
+            why = self.ledger.write(event.key, event.value, event.wanted)
+            self._take_ledger()
+        if why:
+            self._actions.append(Settled(event.wanted, False, why))
+
+    def _about_ledger(self, message: Message, sender: str, now: float) -> None:
+        answer: Message | None = None
+        match message:
+            case LedgerRead() if self.keeper is not None:
+                answer = self.keeper.read(message)
+            case LedgerWrite() if self.keeper is not None:
+                answer = self.keeper.write(message)
+            case LedgerPage() if not message.token and self.keeper is not None:
+                self._actions += self.keeper.learn(message, sender)
+            case LedgerPage() | LedgerStored() if self.ledger is not None and self.holds(LEDGER, now):
+                self.ledger.hear(message, sender)
+                self._take_ledger()
+        if answer is not None:
+            self._actions.append(Tell(sender, answer))
+
     def _heard(self, event: Heard, now: float) -> None:
         message = event.message
         candidate = self.candidates.get(message.duty)
+        if isinstance(message, LedgerRead | LedgerPage | LedgerWrite | LedgerStored):
+            return self._about_ledger(message, event.sender, now)
         if isinstance(message, Recall | Recalled):
             return self._recollect(message, event.sender)
         if isinstance(message, Promise | Accepted):
@@ -143,8 +215,14 @@
         if what == LOOK:
             if self.voter is not None:
                 self._actions += [Tell(*question) for question in self.voter.ask()]
+            if self.keeper is not None:
+                self._actions += self.keeper.ask()
             self._look(now)
             self._set(LOOK, "", ballot, LOOK_MS * (0.8 + 0.4 * self._rng.random()))
+        elif what == LEDGER:
+            if self.ledger is not None and self.holds(LEDGER, now):
+                self.ledger.fired(ballot[0])
+                self._take_ledger()
         elif what == STAND:
             self._standing.discard(duty)
             candidate = self.candidates[duty]
@@ -164,10 +242,11 @@
         """Stand for what nobody holds, each in its turn."""
         if not self._seen.well:
             return
-        for duty, candidate in self.candidates.items():
+        for place, (duty, candidate) in enumerate(sorted(self.candidates.items())):
             if duty in self._standing or candidate.rests(now) or not self._vacant(duty):
                 continue
-            rank = order(duty, self._seen.here).index(self.name) if self.name in self._seen.here else 0
+            here = self.name in self._seen.here
+            rank = order(duty, self._seen, place).index(self.name) if here else 0
             self._standing.add(duty)
             wait = min(MOST_STAND_MS, rank * STAND_MS)
             self._set(STAND, duty, (0, "", 0), wait * (0.9 + 0.2 * self._rng.random()))
--- a/fleet/duties/messages.py
+++ b/fleet/duties/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from msgspec import Struct
 
@@ -86,7 +86,85 @@
     tokens: dict[str, int]
 
 
-Message = Prepare | Promise | Propose | Accepted | Release | Recall | Recalled
+class LedgerRow(Struct, array_like=True, gc=False, frozen=True):
+    """A row of the ledger, under the token of the tenure that wrote it, the `seq`-th of that tenure."""
+
+    key: str
+    token: int
+    seq: int
+    value: bytes
+
+    def stamp(self) -> tuple[int, int]:
+        """Of two rows of a key the one with the greater stamp holds."""
+        return self.token, self.seq
+
+
+class LedgerRead(Struct, array_like=True, tag=31, gc=False):
+    """What do you keep beyond this key? With a token: refuse lower ones from now on."""
+
+    duty: str
+    token: int
+    try_: int
+    after: str
+
+
+class LedgerPage(Struct, array_like=True, tag=32, gc=False):
+    """This, and whether there is more; under which base, after which token was shown.
+
+    `lost`: rows that were acknowledged may be gone. `blank`: I have started anew and know nothing.
+    """
+
+    duty: str
+    token: int
+    try_: int
+    after: str
+    base: int
+    shown: int
+    lost: bool
+    blank: bool
+    rows: list[LedgerRow]
+    more: bool
+    life: int  # of the voter that says so: a promise is its, and not that of whoever comes after it
+
+
+class LedgerWrite(Struct, array_like=True, tag=33, gc=False):
+    """Keep these: page `page` of `pages` of a new base, or, with no pages, more rows of the base.
+
+    `life`: the base is for a voter that has started anew, and for this life of it alone.
+    """
+
+    duty: str
+    token: int
+    number: int
+    page: int
+    pages: int
+    lost: bool
+    rows: list[LedgerRow]
+    life: int = 0
+
+
+class LedgerStored(Struct, array_like=True, tag=34, gc=False):
+    """I keep what that message had."""
+
+    duty: str
+    token: int
+    number: int
+    life: int
+
+
+Message = (
+    Prepare
+    | Promise
+    | Propose
+    | Accepted
+    | Release
+    | Recall
+    | Recalled
+    | LedgerRead
+    | LedgerPage
+    | LedgerWrite
+    | LedgerStored
+)
 
 
 # Events
@@ -114,6 +192,7 @@
     here: frozenset[str]
     claims: dict[str, tuple[str, int]]  # by duty: holder and token
     well: bool = True  # whether this process gets its turns: else it does not stand
+    zones: dict[str, str] = field(default_factory=dict)  # by member
 
 
 @dataclass(slots=True)
@@ -132,7 +211,16 @@
     state: bytes
 
 
-Event = Heard | Fired | Seen | HandOver | Work
+@dataclass(slots=True)
+class Enter:
+    """Operators, or a part of the fleet, want a row in the ledger; `Settled(wanted)` answers."""
+
+    key: str
+    value: bytes
+    wanted: int
+
+
+Event = Heard | Fired | Seen | HandOver | Work | Enter
 
 
 # Actions
@@ -172,4 +260,22 @@
     why: str
 
 
-Action = Tell | SetTimer | Start | Stop
+@dataclass(slots=True)
+class Opened:
+    """The ledger takes rows: so many were found; `lost`: some that were acknowledged may be gone."""
+
+    token: int
+    rows: int
+    lost: bool
+
+
+@dataclass(slots=True)
+class Settled:
+    """What becomes of `Enter(wanted)`: kept by a majority; else not known to be kept, or `why` not taken."""
+
+    wanted: int
+    kept: bool
+    why: str = ""
+
+
+Action = Tell | SetTimer | Start | Stop | Opened | Settled
--- a/fleet/shared/core.py
+++ b/fleet/shared/core.py
@@ -16,6 +16,7 @@
 from fleet.shared.messages import (
     BINDINGS,
     FINDINGS,
+    ORDERS,
     PULSE,
     Action,
     Asked,
@@ -26,6 +27,8 @@
     Fired,
     Heard,
     Known,
+    Ordered,
+    Orders,
     Part,
     Pulse,
     Seen,
@@ -71,6 +74,9 @@
         self._known = Known({}, frozenset(), {}, 0.0, 0.0)
         self._timers: dict[int, str] = {}
         self._token = 0
+        self._quotas = dict(quotas)
+        self.orders: dict[str, float] = {}  # operators' limits, by tenant, and the token they came with
+        self.orders_token = 0
         self._looked_ms = self._pulsed_ms = self._found_ms = -1e18
         self._read: dict[str, tuple[int, int]] = {}  # bindings that were taken in, by writer
         self._speaks = False  # findings were told, and not yet that there are none
@@ -97,6 +103,8 @@
                 return [*self.spread.hear(event.message, event.sender, now)]
             case Fired():
                 return self._fired(event.token, now)
+            case Ordered():
+                self._tell_orders(event, now)
             case Known():
                 self._known = event
                 self.witness.known(event.starts, event.silent, now)
@@ -127,6 +135,24 @@
             return [*actions, self._timer(LOOK, LOOK_MS * (0.9 + 0.2 * self._rng.random()))]
         return []
 
+    def know(self, quotas: dict[str, float]) -> None:
+        """The file's quotas are these now; what operators have set goes before them."""
+        self._quotas = dict(quotas)
+        self.limits.quotas = self._quotas | {t: q for t, q in self.orders.items() if t in self._quotas}
+
+    def _tell_orders(self, event: Ordered, now: float) -> None:
+        says = Orders(event.token, event.limits)
+        held = self.store.get(ORDERS, self.name)
+        if (event.token, event.limits) != (self.orders_token, self.orders) or held is None:
+            self.store.write(ORDERS, encode(says), says, now)
+            self._obey(says)
+
+    def _obey(self, says: Orders) -> None:
+        """What the holder of the greatest token says; what it said stays in force when it is gone."""
+        if says.token >= self.orders_token:
+            self.orders_token, self.orders = says.token, dict(says.limits)
+            self.know(self._quotas)
+
     # Looking
 
     def _look(self, now: float) -> list[Action]:
@@ -135,6 +161,9 @@
             for writer, held in self.store.read(PULSE, max(limits.BOUND_MS, FRESH_MS), now)
             if isinstance(held.content, Pulse)
         ]
+        for kind, writer, held in list(self.store.all()):
+            if kind == ORDERS and writer != self.name and isinstance(held.content, Orders):
+                self._obey(held.content)
         actions: list[Action] = []
         if AFFINITY in self.parts:
             self._bind(pulses, now)
--- a/fleet/shared/messages.py
+++ b/fleet/shared/messages.py
@@ -11,8 +11,8 @@
 import msgspec
 from msgspec import Struct
 
-FINDINGS, PULSE, BINDINGS = 1, 2, 3
-KINDS = {FINDINGS: "findings", PULSE: "pulse", BINDINGS: "bindings"}
+FINDINGS, PULSE, BINDINGS, ORDERS = 1, 2, 3, 4
+KINDS = {FINDINGS: "findings", PULSE: "pulse", BINDINGS: "bindings", ORDERS: "orders"}
 
 
 class Entry(Struct, array_like=True, gc=False):
@@ -100,13 +100,21 @@
     keys: list[tuple[int, str, int]]  # key, group, ms that it is bound for still
 
 
+class Orders(Struct, array_like=True, gc=False):
+    """What operators have set in the ledger, by whoever holds it: limits by tenant, requests a second."""
+
+    token: int
+    limits: dict[str, float]
+
+
 encode = msgspec.msgpack.Encoder().encode
 _findings = msgspec.msgpack.Decoder(Findings)
 _pulse = msgspec.msgpack.Decoder(Pulse)
 _bindings = msgspec.msgpack.Decoder(Bindings)
+_orders = msgspec.msgpack.Decoder(Orders)
 
 
-def decode(kind: int, content: bytes) -> Findings | Pulse | Bindings | None:
+def decode(kind: int, content: bytes) -> Findings | Pulse | Bindings | Orders | None:
     """What a record says; None where that can't be read, or the kind is not known."""
     try:
         match kind:
@@ -116,6 +124,8 @@
                 return _pulse.decode(content)
             case 3:
                 return _bindings.decode(content)
+            case 4:
+                return _orders.decode(content)
     except (msgspec.DecodeError, UnicodeDecodeError):
         pass
     return None
@@ -170,6 +180,14 @@
     ms: float
 
 
+@dataclass(slots=True)
+class Ordered:
+    """This process holds the ledger by this token, and these limits are in it."""
+
+    token: int
+    limits: dict[str, float]
+
+
 @dataclass(slots=True)
 class Known:
     """What this node knows now: the servers its list names, each with a mark of its start; those silent.
@@ -184,7 +202,7 @@
     tuned: float
 
 
-Event = Heard | Fired | Seen | Asked | Ended | Known
+Event = Heard | Fired | Seen | Asked | Ended | Known | Ordered
 
 # Actions
 
--- a/fleet/shared/store.py
+++ b/fleet/shared/store.py
@@ -9,13 +9,25 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from fleet.shared.messages import BINDINGS, FINDINGS, KINDS, PULSE, Bindings, Entry, Findings, Pulse, decode
+from fleet.shared.messages import (
+    BINDINGS,
+    FINDINGS,
+    KINDS,
+    ORDERS,
+    PULSE,
+    Bindings,
+    Entry,
+    Findings,
+    Orders,
+    Pulse,
+    decode,
+)
 
 DRIFT = 0.02  # rates of two clocks differ by so much at most: time that passed here is taken for more
-MOST = {FINDINGS: 600, PULSE: 500, BINDINGS: 1100}  # bytes of a record's content
+MOST = {FINDINGS: 600, PULSE: 500, BINDINGS: 1100, ORDERS: 1000}  # bytes of a record's content
 MOST_WRITERS = 2048  # of a kind; beyond that the oldest that nobody in view wrote goes, then the oldest
 
-Content = Findings | Pulse | Bindings
+Content = Findings | Pulse | Bindings | Orders
 Key = tuple[int, str]
 
 
--- /dev/null
+++ b/lab/explore/duties.py
@@ -0,0 +1,279 @@
+"""Leases: three voters, two candidates, clocks at the ends of the drift, restarts from nothing.
+
+The cores are the very ones; what repeats a lost message or waits between tries is left out, as messages may
+come late and twice anyway and a try may begin at any time. Who was the holder may act at any time with the
+token that it had, as a process does that stood still in the middle of its work.
+"""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Any
+
+from fleet.duties.candidate import END, IDLE, RENEW, STOP_MS, Candidate
+from fleet.duties.guard import Guard
+from fleet.duties.messages import Accepted, Ballot, Promise, Recall, Recalled, Start, Stop, Tell
+from fleet.duties.voter import Voter
+from lab.explore.copying import EVEN, clone, mark
+from lab.explore.net import Net
+from lab.explore.search import Move
+
+DUTY = "d"
+TERM_MS, DRIFT = 1000.0, 0.35  # a drift so great that what it is for shows in few moves
+JUST_MS = 0.5  # after an instant at which something ends
+VOTERS, CANDIDATES = ("v1", "v2", "v3"), ("a", "b")
+RATES = {"v1": 1.15, "v2": 1.15, "v3": 1.0, "a": 0.85, "b": 1.15}  # within the drift of each other
+
+
+class State:
+    """All processes at one instant."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.voters: dict[str, Voter] = {}
+        self.candidates: dict[str, Candidate] = {}
+        self.net = Net()
+        self.timers: list[tuple[str, str, float, Ballot]] = []  # whose, what, when by its clock
+        self.guard = Guard()
+        self.tries, self.restarts, self.copies, self.releases, self.waits = 0, 0, 0, 0, 0
+        self.last = 0  # the greatest token of a tenure
+        self.marks: dict[str, str] = {}  # of each process, as long as it has not changed
+        self.broken = ""
+
+    def clock(self, name: str) -> float:
+        """A process's own time."""
+        return self.now * RATES[name]
+
+
+class Duties:
+    """The system; bounds are how often each may happen."""
+
+    name = "duties"
+
+    def __init__(
+        self, held: bool = True, tries: int = 2, restarts: int = 1, copies: int = 1, releases: int = 1,
+        waits: int = 6,
+    ) -> None:  # fmt: skip
+        self._held = held
+        self._most = {"tries": tries, "restarts": restarts, "copies": copies, "releases": releases}
+        self._most["waits"] = waits
+
+    def initial(self) -> State:
+        """All voters vote and remember; with `held` the first candidate is the holder."""
+        state = State()
+        state.voters = {name: self._voter(name, -10.0 * TERM_MS) for name in VOTERS}
+        for name, voter in state.voters.items():
+            for other in VOTERS:
+                if other != name:
+                    voter.learn(Recalled("", voter.number, True, {}), other)
+        state.candidates = {name: Candidate(*self._candidate(name, 1)) for name in CANDIDATES}
+        self._bind(state)
+        if self._held:
+            state = self.apply(state, ("try", "a"))
+            while not state.candidates["a"].held:
+                state = self.apply(state, ("deliver", state.net.names[0]))
+            state.net, state.tries = Net(), 0
+        return state
+
+    def _voter(self, name: str, began: float) -> Voter:
+        return Voter(name, list(VOTERS), began, TERM_MS, DRIFT)
+
+    def _candidate(self, name: str, life: int) -> tuple[Any, ...]:
+        return DUTY, name, life, list(VOTERS), EVEN, _no_wall, TERM_MS, DRIFT
+
+    def _bind(self, state: State) -> None:
+        for name, candidate in state.candidates.items():
+            candidate.timer = partial(self._timer, state, name)
+            candidate._wall_ms = _no_wall
+
+    def _timer(self, state: State, name: str, what: str, delay_ms: float, ballot: Ballot) -> None:
+        if what in (END, RENEW):
+            state.timers.append((name, what, state.clock(name) + delay_ms, ballot))
+
+    def _copy(self, state: State) -> State:
+        copy = object.__new__(State)
+        copy.__dict__ = dict(state.__dict__)
+        copy.voters, copy.candidates = dict(state.voters), dict(state.candidates)
+        copy.guard, copy.net, copy.timers = clone(state.guard), state.net.copy(), list(state.timers)
+        copy.marks = dict(state.marks)
+        return copy
+
+    def _voter_of(self, state: State, name: str) -> Voter:
+        """A voter that may be changed."""
+        voter: Voter = clone(state.voters[name])
+        state.voters[name] = voter
+        state.marks.pop(name, None)
+        return voter
+
+    def _candidate_of(self, state: State, name: str) -> Candidate:
+        """A candidate that may be changed."""
+        candidate: Candidate = clone(state.candidates[name])
+        state.candidates[name] = candidate
+        candidate.timer = partial(self._timer, state, name)
+        candidate._wall_ms = _no_wall
+        state.marks.pop(name, None)
+        return candidate
+
+    # Moves
+
+    def moves(self, state: State) -> list[Move]:
+        def spare(what: str) -> bool:
+            return bool(getattr(state, what) < self._most[what])
+
+        found = state.net.moves(spare("copies"))
+        found += [("fire", n) for n, t in enumerate(state.timers) if t[2] <= state.clock(t[0])]
+        for name, candidate in state.candidates.items():
+            if spare("tries") and not candidate.held and candidate.step == IDLE:
+                found.append(("try", name))
+            if spare("releases") and candidate.held:
+                found.append(("release", name))
+            if candidate.token > 0 and (candidate.holds(state.clock(name)) or candidate.token < state.last):
+                found.append(("act", name))
+            if spare("restarts"):
+                found.append(("restart", name))
+        if spare("restarts"):
+            found += [("restart", name) for name in VOTERS]
+        if spare("waits"):
+            found.append(("wait",))
+        return found
+
+    def apply(self, state: State, move: Move) -> State:
+        state = self._copy(state)
+        match move:
+            case ("deliver" | "copy", _):
+                state.copies += move[0] == "copy"
+                self._deliver(state, *state.net.take(move))
+            case ("fire", n):
+                name, what, _, ballot = state.timers.pop(n)
+                self._candidate_of(state, name).fired(what, ballot, state.clock(name))
+                self._take(state, name)
+            case ("try", name):
+                state.tries += 1
+                self._candidate_of(state, name).attempt(state.clock(name))
+                self._take(state, name)
+            case ("release", name):
+                state.releases += 1
+                self._candidate_of(state, name).release("", state.clock(name))
+                self._take(state, name)
+            case ("act", name):
+                token = state.candidates[name].token
+                if state.guard.obeys(DUTY, token) and token < max(state.guard.seen.values()):
+                    state.broken = f"an act of {name} with the old token {token} was obeyed"
+            case ("restart", name):
+                self._restart(state, name)
+            case ("wait",):
+                state.waits += 1
+                state.marks = {}
+                state.now = self._next(state)
+        self._check(state)
+        return state
+
+    def _next(self, state: State) -> float:
+        """Just after the next instant at which anything ends or comes due: in between nothing changes."""
+        ends = [at / RATES[name] for name, _, at, _ in state.timers]
+        for name, voter in state.voters.items():
+            ends += [
+                at / RATES[name] for at in (voter._silent_until, *(s.until_ms for s in voter._slots.values()))
+            ]
+        ends += [(c.until_ms - STOP_MS) / RATES[name] for name, c in state.candidates.items() if c.held]
+        return min((at for at in ends if at > state.now), default=state.now + TERM_MS) + JUST_MS
+
+    def _restart(self, state: State, name: str) -> None:
+        """From nothing: all that it knew is gone."""
+        state.restarts += 1
+        state.marks.pop(name, None)
+        if name in VOTERS:
+            voter = state.voters[name] = self._voter(name, state.clock(name))
+            for other, question in voter.ask():
+                state.net.add(other, name, question)
+            return
+        old = state.candidates[name]
+        candidate = state.candidates[name] = Candidate(*self._candidate(name, old._life + 1))
+        candidate.timer = partial(self._timer, state, name)
+        state.timers = [timer for timer in state.timers if timer[0] != name]
+
+    def _deliver(self, state: State, to: str, sender: str, message: Any) -> None:
+        if to in state.candidates:
+            if isinstance(message, Promise | Accepted):
+                self._candidate_of(state, to).hear(message, sender, state.clock(to))
+                self._take(state, to)
+            return
+        voter = self._voter_of(state, to)
+        if isinstance(message, Recall):
+            state.net.add(sender, to, voter.recall(message))
+        elif isinstance(message, Recalled):
+            voter.learn(message, sender)
+        elif (answer := voter.hear(message, state.clock(to))) is not None:
+            state.net.add(sender, to, answer)
+
+    def _take(self, state: State, name: str) -> None:
+        candidate = state.candidates[name]
+        for action in candidate.actions:
+            match action:
+                case Tell():
+                    state.net.add(action.name, name, action.message)
+                case Start():
+                    if action.token <= state.last:
+                        state.broken = f"{name} began with token {action.token} after {state.last}"
+                    state.last = max(state.last, action.token)
+                    state.guard.obeys(DUTY, action.token)
+                case Stop():
+                    pass
+        candidate.actions = []
+
+    def _check(self, state: State) -> None:
+        holders = [name for name, c in state.candidates.items() if c.holds(state.clock(name))]
+        if len(holders) > 1 and not state.broken:
+            state.broken = f"{' and '.join(holders)} hold it at {state.now:.0f} ms"
+
+    # Telling states apart
+
+    def mark(self, state: State) -> bytes:
+        """Voters that were not restarted are alike: only what each knows matters, not which it is."""
+        marks = state.marks
+        for name, voter in state.voters.items():
+            if name not in marks:
+                marks[name] = repr(mark(voter, state.clock(name)))
+        for name, candidate in state.candidates.items():
+            if name not in marks:
+                known = [self._known(candidate, attribute, state.clock(name)) for attribute in CANDIDATE]
+                marks[name] = repr(known)
+        timers = sorted((name, what, round(at - state.clock(name)), b) for name, what, at, b in state.timers)
+        rest = (
+            timers, state.tries, state.restarts, state.copies, state.releases, state.waits, state.last,
+            state.guard.seen, state.broken, marks["a"], marks["b"],
+        )  # fmt: skip
+        if state.restarts:
+            answers = [(c._promises, sorted(c._accepted)) for c in state.candidates.values()]
+            return repr((rest, answers, [marks[v] for v in VOTERS], state.net.marks())).encode()
+        about = {name: self._about(state, name) for name in VOTERS}
+        return repr((rest, sorted((about["v1"], about["v2"])), about["v3"])).encode()
+
+    def _about(self, state: State, name: str) -> str:
+        """All that there is of a voter: itself, messages to and from it, what the candidates have of it."""
+        sent = [
+            (to == name, sender if to == name else to, mark_.replace(name.encode(), b"v"))
+            for (to, sender, _), mark_ in zip(state.net.sent, state.net.marks(), strict=True)
+            if name in (to, sender)
+        ]
+        known = [(c._promises.get(name), name in c._accepted) for c in state.candidates.values()]
+        return repr((state.marks[name].replace(name, "v"), sorted(sent), known))
+
+    def _known(self, candidate: Candidate, attribute: str, now: float) -> Any:
+        value = getattr(candidate, attribute)
+        return round(max(-1.0, value - now), 1) if attribute.endswith("_ms") else value
+
+    def broken(self, state: State) -> str:
+        return state.broken
+
+    def tell(self, state: State, move: Move) -> str:
+        return state.net.tell(move) if move[0] in ("deliver", "copy") else " ".join(map(str, move))
+
+
+CANDIDATE = (
+    "step", "ballot", "_round", "_sent_ms", "until_ms", "token", "_proposed", "known", "held", "_life",
+)  # fmt: skip
+
+
+def _no_wall() -> int:
+    return 0
--- a/lab/virtual/duties.py
+++ b/lab/virtual/duties.py
@@ -16,7 +16,22 @@
 
 from fleet.duties.core import Duties
 from fleet.duties.guard import Guard
-from fleet.duties.messages import Event, Fired, HandOver, Heard, Message, Seen, SetTimer, Start, Stop, Tell
+from fleet.duties.ledger import DUTY as LEDGER
+from fleet.duties.messages import (
+    Enter,
+    Event,
+    Fired,
+    HandOver,
+    Heard,
+    Message,
+    Opened,
+    Seen,
+    SetTimer,
+    Settled,
+    Start,
+    Stop,
+    Tell,
+)
 
 WALL_MS = 1_700_000_000_000
 SEEN_MS = 300.0  # how often a process is told what is seen of the others
@@ -56,18 +71,78 @@
         return self.alive and not self.stopped and self.core.holds(duty, self.clock())
 
 
+class Book:
+    """What operators have entered, and what the ledger owes them: the oracle of the ledger."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._wanted = count(1)
+        self._keys: dict[int, str] = {}
+        self.acked: dict[str, int] = {}  # by key: the latest entry that was acknowledged,
+        self._found: dict[str, int] = {}  # and what the latest opening found
+        self._gone: set[int] = set()  # entries that an opening did not find: they are no more
+        self._token = 0
+        self.entered = self.kept = self.openings = self.losses = 0
+        self.open_ms: list[float] = []  # from each start of the duty to its opening
+
+    def enter(self, key: str) -> None:
+        """Operators enter a row, at whoever holds the ledger."""
+        for name in self._world.holders(LEDGER):
+            wanted = next(self._wanted)
+            self._keys[wanted] = key
+            self.entered += 1
+            self._world.give(self._world.processes[name], Enter(key, str(wanted).encode(), wanted))
+
+    def settled(self, action: Settled) -> None:
+        """An entry is acknowledged, or it is not known whether it is kept."""
+        if not action.kept:
+            return
+        self.kept += 1
+        key = self._keys[action.wanted]
+        if action.wanted in self._gone:
+            raise Broken(
+                f"{self._world._when()}: entry {action.wanted} is acknowledged, and a successor lacks it"
+            )
+        self.acked[key] = max(self.acked.get(key, 0), action.wanted)
+
+    def opened(self, process: Process, action: Opened) -> None:
+        """A holder says what there is: no less than was acknowledged, and nothing that was gone."""
+        self.openings += 1
+        started = max(
+            at for at, duty, name, _ in self._world.history if (duty, name) == (LEDGER, process.name)
+        )
+        self.open_ms.append(self._world.now - started)
+        if action.token < self._token:
+            return  # replaced meanwhile: whatever it writes is refused
+        self._token = action.token
+        ledger = process.core.ledger
+        rows = {} if ledger is None else {key: int(row.value) for key, row in ledger.rows.items()}
+        if action.lost:  # said plainly: then nothing is owed any more
+            self.losses += 1
+            self.acked.clear()
+            self._found.clear()
+        for key in {*self._keys.values()}:
+            found = rows.get(key, 0)
+            least = max(self.acked.get(key, 0), self._found.get(key, 0))
+            if found < least or found in self._gone:
+                what = f"{process.name} finds entry {found} of {key}, and {least} was acknowledged or found"
+                raise Broken(f"{self._world._when()}: {what}")
+            self._found[key] = found
+        self._gone |= {wanted for wanted, key in self._keys.items() if wanted > rows.get(key, 0)}
+
+
 class World:
     """Voters, candidates, links and faults."""
 
     def __init__(
         self, seed: int, members: int = 8, voters: int = 5, duties: int = 2, term_ms: float = 3000.0,
-        drift: float = 0.02, core: type[Duties] = Duties, loss: float = 0.0,
+        drift: float = 0.02, core: type[Duties] = Duties, loss: float = 0.0, ledger: bool = False,
     ) -> None:  # fmt: skip
         self.rng, self.seed, self.core = random.Random(seed), seed, core
         self.now, self.term_ms, self.drift, self.loss = 0.0, term_ms, drift, loss
         self.names = [f"m{n}" for n in range(members)]
         self.voters = self.names[:voters]
-        self.duties = [f"d{n}" for n in range(duties)]
+        self.duties = [f"d{n}" for n in range(duties)] + ([LEDGER] if ledger else [])
         self.lives = count(1)
         self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
         self._number = count()
@@ -82,6 +157,7 @@
         self.old: list[tuple[str, Message, str]] = []  # some that come again much later
         self.processes: dict[str, Process] = {}
         self._gone_ms: dict[str, float] = {}
+        self.book = Book(self)
         for name in self.names:
             self.start(name)
 
@@ -182,6 +258,10 @@
                     self.after(action.delay_ms / process.rate, self.turn, process, self.give, process, event)
                 case Start():
                     self._started(process, action)
+                case Opened():
+                    self.book.opened(process, action)
+                case Settled():
+                    self.book.settled(action)
                 case Stop():
                     process.working.pop(action.duty, None)
                     self.lost[action.why.partition(" ")[0]] += 1
--- a/orchidferry/duties.py
+++ b/orchidferry/duties.py
@@ -1,14 +1,17 @@
 """Hosts the fleet's duties: their messages ride on the members' datagrams, their claims on members' facts.
 
-What a duty does is here too: the divergence watch. Whatever fails is the fleet's, and the node serves on.
+What duties do is here too: the divergence watch, and the ledger's rows. Whatever fails is the fleet's, and
+the node serves on.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
-from collections import deque
+from collections import OrderedDict, deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs
 
@@ -16,6 +19,8 @@
 from fleet.duties import messages as duties
 from fleet.duties.core import Duties
 from fleet.duties.guard import Guard
+from fleet.duties.ledger import DUTY as LEDGER
+from fleet.duties.ledger import OPEN
 from fleet.duties.watch import DUTY as WATCH
 from fleet.duties.watch import Watch
 from fleet.messages import About, Ack, Message
@@ -25,11 +30,13 @@
 if TYPE_CHECKING:
     from orchidferry.peers import Peers
 
-ALL = (WATCH,)
+ALL = (WATCH, LEDGER)
 SEEN_S = 0.4  # how often the cores are told who is there
 WATCH_S = 0.5  # how often the watch asks some of the members
 CLAIM = "duty."  # facts that begin so say which duties a member holds, with the token
 MOST_HISTORY = 50
+MOST_ENTRIES = 64  # of operators whose end is remembered
+LIMIT = "limit/"  # rows that begin so hold an operators' limit for a tenant, in requests a second
 LATE_HEALTH = 2  # local health from which this process does not stand for duties
 
 
@@ -37,15 +44,24 @@
     """This process's part in the fleet's duties."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, peers: Peers, name: str, voters: list[str], rng: random.Random
+        self,
+        loop: asyncio.AbstractEventLoop,
+        peers: Peers,
+        name: str,
+        zone: str,
+        voters: list[str],
+        rng: random.Random,
     ) -> None:
         self._loop, self._peers, self._voters, self._rng = loop, peers, voters, rng
-        self._name = name
+        self._name, self._zone = name, zone
         self.core: Duties | None = None  # until the process is a member: a voter's silence begins then
         self.guard = Guard()
         self.watch = Watch()
         self._history: deque[dict[str, Any]] = deque(maxlen=MOST_HISTORY)
         self._claims: dict[str, tuple[str, int]] = {}
+        self._entries: OrderedDict[int, dict[str, Any]] = OrderedDict()  # of operators, and how each ended
+        self._entered = 0
+        self.ordered: Callable[[int, dict[str, float]], None] = lambda token, limits: None
         self._over = False
 
     def begin(self) -> None:
@@ -88,6 +104,13 @@
                     self._claim(action.duty, action.token)
                     if action.duty == WATCH:
                         self.watch.on_start(action.token, action.state)
+                case duties.Opened():
+                    text = "the ledger is open with %(rows)d rows, token %(token)d"
+                    lost = "; rows that were acknowledged may be lost: a majority of the voters has forgotten"
+                    text += lost if action.lost else ""
+                    logs.info("ledger open", text, rows=action.rows, token=action.token, lost=action.lost)
+                case duties.Settled():
+                    self._settled(action)
                 case duties.Stop():
                     if action.duty == WATCH:
                         self.watch.on_stop()
@@ -124,20 +147,80 @@
                 claims[duty] = self._name, candidate.token
         self._claims = claims
         well = core.health.score < LATE_HEALTH and not core.quiet and core.alive() > 1
-        self._give(duties.Seen(frozenset(here | {self._name}), claims, well))
+        zones = {m.name: str(m.facts.get("zone", "")) for m in core.view.members.values() if m.here()}
+        zones[self._name] = self._zone
+        self._give(duties.Seen(frozenset(here | {self._name}), claims, well, zones))
         self._loop.call_later(SEEN_S, self._see)
 
     def _watch(self) -> None:
         if self._over:
             return
+        self._order()
         if self.core is not None and self.core.holds(WATCH, now_ms()):
             self.watch.hear(self._name, self._peers.core.digest(), now_ms())
             for name in self.watch.ask(self._peers.core.view.here.names(), WATCH_S * 1000.0):
                 self._peers.ask_view(name)
         self._loop.call_later(WATCH_S, self._watch)
 
+    def _settled(self, action: duties.Settled) -> None:
+        entry = self._entries.get(action.wanted)
+        if entry is not None:
+            entry["state"] = "kept" if action.kept else "not taken" if action.why else "unknown"
+            entry["why"] = action.why
+
+    def _order(self) -> None:
+        """Whoever holds the ledger tells all what operators have set."""
+        ledger = self.core.ledger if self.core is not None else None
+        if self.core is None or ledger is None or ledger.step != OPEN:
+            return
+        if not self.core.holds(LEDGER, now_ms()):
+            return
+        limits: dict[str, float] = {}
+        for key, row in ledger.rows.items():
+            limit = _number(row.value) if key.startswith(LIMIT) else None
+            if limit is not None:
+                limits[key.removeprefix(LIMIT)] = limit
+        self.ordered(ledger.token, limits)
+
     # What operators see and do
 
+    def ledger(self) -> tuple[int, dict[str, Any]]:
+        """The ledger's rows, at whoever holds it; elsewhere who that is."""
+        ledger = self.core.ledger if self.core is not None else None
+        holder, token = self._claims.get(LEDGER, ("", 0))
+        held = self.core is not None and self.core.holds(LEDGER, now_ms())
+        rows = sorted(ledger.rows.values(), key=lambda row: row.key) if ledger is not None and held else []
+        return 200, {
+            "self": self._name, "holder": holder, "token": token, "here": held,
+            "step": ledger.step if ledger is not None and held else "",
+            "lost": ledger.lost if ledger is not None and held else False,
+            "rows": [
+                {"key": row.key, "value": row.value.decode("utf-8", "replace"), "token": row.token}
+                for row in rows
+            ],
+            "entries": list(self._entries.values()),
+        }  # fmt: skip
+
+    def enter(self, query: str) -> tuple[int, dict[str, Any]]:
+        """Enter a row; whether it is kept shows under `entries` a moment later."""
+        asked = {name: values[0] for name, values in parse_qs(query, keep_blank_values=True).items()}
+        key, value = asked.get("key", ""), asked.get("value", "")
+        if key.startswith(LIMIT) and _number(value.encode()) is None:
+            return 400, {"error": f"{key} takes a number of requests a second, not {value!r:.60}"}
+        if self.core is None or not self.core.holds(LEDGER, now_ms()):
+            holder = self._claims.get(LEDGER, ("", 0))[0]
+            return 409, {"error": f"{self._name} does not hold the ledger", "holder": holder}
+        self._entered += 1
+        entry = self._entries[self._entered] = {
+            "entry": self._entered, "key": key, "value": value, "state": "under way", "why": "",
+        }  # fmt: skip
+        while len(self._entries) > MOST_ENTRIES:
+            self._entries.popitem(last=False)
+        self._give(duties.Enter(key, value.encode(), self._entered))
+        if entry["state"] == "not taken":
+            return 409, {"error": entry["why"]}
+        return 202, {"entry": self._entered}
+
     def give_all_back(self) -> None:
         """This process goes, or drains: its duties are for others now."""
         for duty in ALL:
@@ -195,5 +278,14 @@
         self._over = True
 
 
+def _number(value: bytes) -> float | None:
+    """A limit as it is written: a finite number that is not negative."""
+    try:
+        found = float(value)
+    except ValueError:
+        return None
+    return found if 0.0 <= found < math.inf else None
+
+
 def _wall_ms() -> int:
     return int(time.time() * 1000.0)
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -178,6 +178,8 @@
         if self._peers.work is not None:
             self.door.add("/admin/duties", "GET", self._peers.work.show)
             self.door.add_ask("/admin/duties/hand-over", "POST", self._peers.work.hand_over)
+            self.door.add("/admin/ledger", "GET", self._peers.work.ledger)
+            self.door.add_ask("/admin/ledger/enter", "POST", self._peers.work.enter)
         if self._shared is not None:
             self.door.add("/admin/shared", "GET", self._shared.show)
 
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -85,10 +85,12 @@
         self.census = Census(config.name, settings.number, settings.nodes)
         self.work: DutyHost | None = None
         if fleet.voters:
-            self.work = DutyHost(loop, self, config.name, fleet.voters, rng)
+            self.work = DutyHost(loop, self, config.name, settings.zone, fleet.voters, rng)
         self.shared: SharedHost | None = None
         if fleet.share and balancer is not None:
             self.shared = SharedHost(loop, self, fleet, settings, balancer, told, rng)
+            if self.work is not None:
+                self.work.ordered = self.shared.ordered
         self._udp: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
--- a/orchidferry/shared.py
+++ b/orchidferry/shared.py
@@ -89,7 +89,7 @@
     def know(self, settings: api.Settings) -> None:
         """These settings are in force now."""
         self._marks |= {mark(cls.name): cls.name for cls in settings.classes}
-        self.core.limits.quotas = quotas(settings)
+        self.core.know(quotas(settings))
 
     def begin(self) -> None:
         """The process can be reached."""
@@ -146,6 +146,10 @@
         here = {m.name: m.life for m in core.view.members.values() if m.here()} if not core.quiet else {}
         self._give(shared.Seen(core.life, here, census.counted(), census.base(), core.health.score))
 
+    def ordered(self, token: int, limits: dict[str, float]) -> None:
+        """This process holds the ledger: what operators have set there is for all."""
+        self._give(shared.Ordered(token, limits))
+
     # What happens at the node
 
     def listed(self, listing: Listing) -> None:
@@ -217,6 +221,7 @@
             ],
             "limits": {
                 "in_use": LIMITS in core.parts, "fallback": core.part.fallback, "known": core.limits.known,
+                "orders": core.orders, "orders_token": core.orders_token,
                 "counted": core.seen.base, "retry_share": core.part.retry_share,
                 "parts": {
                     tenant: {"part_per_s": round(part, 2), "quota_per_s": core.limits.quotas.get(tenant, 0.0)}
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -9,10 +9,12 @@
 import pytest
 
 from fleet.duties.candidate import Candidate
-from fleet.duties.core import Duties
-from fleet.duties.messages import Accepted, Prepare, Promise, Propose, Recall
+from fleet.duties.core import Duties, order
+from fleet.duties.ledger import DUTY as LEDGER
+from fleet.duties.ledger import MOST_ROWS, Ledger
+from fleet.duties.messages import Accepted, Prepare, Promise, Propose, Recall, Seen
 from fleet.duties.voter import Voter
-from lab.virtual.duties import LATE_SEEN_MS, Broken, World
+from lab.virtual.duties import LATE_SEEN_MS, Broken, Process, World
 
 TERM_MS = 3000.0
 
@@ -38,7 +40,13 @@
 def forgetful(world: World, but: str) -> int:
     """How many voters, this one not counted, are dead or have not remembered yet."""
     others = (world.processes[name] for name in world.voters if name != but)
-    return sum(not p.alive or p.core.voter is None or not p.core.voter.remembers() for p in others)
+    return sum(not p.alive or not knows(p) for p in others)
+
+
+def knows(process: Process) -> bool:
+    """Whether a voter has heard from the others what it has forgotten."""
+    voter, keeper = process.core.voter, process.core.keeper
+    return voter is not None and voter.remembers() and (keeper is None or keeper.ready)
 
 
 def storm(world: World, for_ms: float, harsh: bool = False) -> None:
@@ -295,3 +303,92 @@
     monkeypatch.setattr("fleet.duties.core.Voter", Amnesiac)
     with pytest.raises(Broken, match=TWO):
         restart_voters_under_a_lease()
+
+
+def entering(world: World, for_ms: float) -> None:
+    """Operators enter rows all the while."""
+    for _ in range(int(for_ms / 150.0)):
+        world.book.enter(f"k{world.rng.randrange(5)}")
+        world.run(150.0)
+
+
+def test_nothing_that_the_ledger_acknowledged_is_lost_in_storms() -> None:
+    kept = openings = 0
+    for seed in range(12):
+        world = World(seed, 7, 5 if seed % 3 else 3, duties=1, loss=0.1 * (seed % 2), ledger=True)
+        world.run(8_000.0)
+        for _ in range(6):
+            storm(world, 2_000.0)
+            entering(world, 2_500.0)
+        assert not world.book.losses
+        kept, openings = kept + world.book.kept, openings + world.book.openings
+    assert kept > 300 and openings > 40, (kept, openings)
+
+
+def test_a_ledger_whose_majority_forgot_says_so_and_makes_nothing_up() -> None:
+    world = World(5, 5, 5, duties=0, ledger=True)
+    assert world.run(20_000.0, lambda: world.book.openings > 0) < 20_000.0
+    entering(world, 3_000.0)
+    assert world.book.kept > 5
+    holder = world.holders(LEDGER)[0]
+    for name in world.names[:3]:  # a majority starts anew at once
+        world.kill(name)
+        world.start(name)
+    if holder not in world.names[:3]:
+        world.kill(holder)
+        world.start(holder)
+    before = world.book.openings
+    assert world.run(40_000.0, lambda: world.book.openings > before) < 40_000.0
+    assert world.book.losses == 1
+    entering(world, 2_000.0)
+    assert world.book.acked  # it goes on from there
+
+
+def test_a_successor_that_writes_before_it_reads_is_caught() -> None:
+    def start(self: Ledger, token: int) -> None:
+        original(self, token)
+        patch.setattr(self._reading, "result", lambda: (0, 0, False, {}))
+        self._restore()
+
+    original = Ledger.start
+    with pytest.MonkeyPatch.context() as patch, pytest.raises(Broken, match="finds entry"):
+        patch.setattr(Ledger, "start", start)
+        for seed in range(6):
+            world = World(seed, 5, 3, duties=0, ledger=True)
+            world.run(8_000.0)
+            entering(world, 2_000.0)
+            for name in world.holders(LEDGER):
+                world.kill(name)
+            world.run(15_000.0)
+
+
+def test_a_ledger_of_a_thousand_rows_is_read_back_and_full_is_said() -> None:
+    world = World(2, 5, 5, duties=0, ledger=True)
+    assert world.run(20_000.0, lambda: world.book.openings > 0) < 20_000.0
+    for n in range(MOST_ROWS):
+        world.book.enter(f"row/{n}")
+        if n % 20 == 0:
+            world.run(40.0)
+    world.run(2_000.0)
+    assert world.book.kept == MOST_ROWS
+    world.book.enter("one too many")
+    world.run(500.0)
+    assert world.book.kept == MOST_ROWS
+    holder = world.holders(LEDGER)[0]
+    world.kill(holder)
+    assert world.run(30_000.0, lambda: world.book.openings > 1) < 30_000.0
+    assert world.book.open_ms[-1] < 5_000.0
+
+
+def test_duties_spread_over_members_and_zones() -> None:
+    names = [f"m{n}" for n in range(9)]
+    zones = {name: "abc"[n % 3] for n, name in enumerate(names)}
+    claims: dict[str, tuple[str, int]] = {}
+    for place, duty in enumerate(("d1", "d2", "d3", "d4")):
+        holder = order(duty, Seen(frozenset(names), claims, True, zones), place)[0]
+        claims[duty] = holder, 1
+    holders = [holder for holder, _ in claims.values()]
+    assert len(set(holders)) == 4 and {zones[holder] for holder in holders} == {"a", "b", "c"}
+    busy = Seen(frozenset(names), claims, True, zones)
+    assert order("d5", busy)[0] not in holders
+    assert set(order("d5", busy)) == set(names)
--- /dev/null
+++ b/tests/test_explore.py
@@ -0,0 +1,115 @@
+"""The explorer: it finds faults that are planted in the cores, and none in them as they are."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from fleet.duties.candidate import Candidate
+from fleet.duties.guard import Guard
+from fleet.duties.ledger import Ledger
+from fleet.duties.voter import Voter
+from lab.explore import duties as duties_system
+from lab.explore.duties import Duties
+from lab.explore.ledger import LedgerSystem
+from lab.explore.membership import MembershipSystem
+from lab.explore.search import System, digest, exhaust, replay, shorten, wander
+
+MOVES, STEPS = 40_000, 70
+
+
+def half_is_enough(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Candidate, "majority", lambda self: len(self._voters) // 2)
+
+
+def no_silence(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Voter, "votes", lambda self, now: True)
+
+
+def no_drift(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(duties_system, "DRIFT", 0.0)
+
+
+def tokens_not_compared(patch: pytest.MonkeyPatch) -> None:
+    def obeys(self: Guard, duty: str, token: int) -> bool:
+        self.seen[duty] = max(token, self.seen.get(duty, 0))
+        return True
+
+    patch.setattr(Guard, "obeys", obeys)
+
+
+def writes_before_it_reads(patch: pytest.MonkeyPatch) -> None:
+    """It has voters replace what they have by nothing, whatever it reads."""
+
+    def restore(self: Ledger) -> None:
+        patch.setattr(self._reading, "result", lambda: (0, 0, False, {}))
+        original(self)
+
+    original = Ledger._restore
+    patch.setattr(Ledger, "_restore", restore)
+
+
+PLANTS: list[tuple[Callable[[pytest.MonkeyPatch], None], Callable[[], System]]] = [
+    (half_is_enough, lambda: Duties(held=False)),
+    (no_silence, Duties),
+    (no_drift, lambda: Duties(tries=1, restarts=0, copies=0, releases=0)),
+    (tokens_not_compared, Duties),
+    (writes_before_it_reads, lambda: LedgerSystem(holders=2, writes=1, restarts=0)),
+]
+
+
+@pytest.mark.parametrize(("plant", "make"), PLANTS)
+def test_a_planted_fault_is_found_and_its_trace_replays(
+    plant: Callable[[pytest.MonkeyPatch], None], make: Callable[[], System]
+) -> None:
+    system = make()
+    with pytest.MonkeyPatch.context() as patch:
+        plant(patch)
+        found = wander(system, 1, STEPS, MOVES)
+        assert found.broken, f"nothing in {found.moves} moves"
+        trace = shorten(system, found.trace)
+        assert len(trace) <= len(found.trace)
+        assert replay(system, trace)[1]
+    assert not replay(system, trace)[1]  # the cores as they are don't break by it
+
+
+@pytest.mark.parametrize("make", [Duties, lambda: Duties(held=False), LedgerSystem, MembershipSystem])
+def test_nothing_is_found_in_the_cores_as_they_are(make: Callable[[], System]) -> None:
+    system = make()
+    found = wander(system, 7, STEPS, 6_000)
+    assert not found.broken and found.depth > STEPS // 2
+    found, _ = exhaust(system, 4, 3_000)
+    assert not found.broken and found.depth >= 2
+
+
+def test_states_are_never_changed_by_a_move() -> None:
+    systems: list[System] = [Duties(), LedgerSystem(), MembershipSystem()]
+    for system in systems:
+        state = system.initial()
+        for _ in range(12):
+            before = digest(system, state)
+            after = [system.apply(state, move) for move in system.moves(state)]
+            state.marks.clear()
+            assert digest(system, state) == before
+            state = after[len(after) // 2]
+
+
+def test_the_command_says_what_it_looked_at_and_replays_a_trace(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    from dunlinloft import explorecli
+
+    file = tmp_path / "trace.json"
+    with pytest.MonkeyPatch.context() as patch:
+        half_is_enough(patch)
+        assert explorecli.explore("duties", 3, 500, 1, 20_000, 1, str(file)) == 1
+        assert explorecli.replay_file("duties", str(file)) == 1
+    said = capsys.readouterr().out
+    assert "hold it" in said or "began with token" in said
+    assert explorecli.replay_file("duties", str(file)) == 0
+    file.write_text("{")
+    assert explorecli.replay_file("duties", str(file)) == 2
+    assert explorecli.explore("duties", 2, 500, 1, 0, 1, None) == 0
+    assert "states" in capsys.readouterr().out
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -44,8 +44,10 @@
 class Scene:
     """Members at the addresses of a block."""
 
-    def __init__(self, tmp_path: Path, names: list[str], file_nodes: int = 3) -> None:
-        self.block, self._path, self._nodes = Block(), tmp_path, file_nodes
+    def __init__(
+        self, tmp_path: Path, names: list[str], file_nodes: int = 3, voters: list[str] | None = None
+    ) -> None:
+        self.block, self._path, self._nodes, self._voters = Block(), tmp_path, file_nodes, voters or []
         self.placed: dict[str, list[tuple[int, int]]] = {name: [] for name in names}
         self.members = {name: self.make(name, n) for n, name in enumerate(names)}
         for member in self.members.values():
@@ -53,7 +55,9 @@
 
     def make(self, name: str, n: int) -> Peers:
         at = text(self.block.peer(n))
-        fleet = FleetConfig("linz", at, at, [text(self.block.peer(0)), text(self.block.peer(1))], [])
+        fleet = FleetConfig(
+            "linz", at, at, [text(self.block.peer(0)), text(self.block.peer(1))], self._voters
+        )
         made = config(self._path, name, n, self._nodes)
         note = self.placed[name]
         return Peers(asyncio.get_running_loop(), made, fleet, lambda *place: note.append(place), lambda: 3)
@@ -362,3 +366,27 @@
     assert max(told["fleet_avoided"]) == 1.0  # together they knew
     assert min(told["fleet_parts_fallback"][-3:]) == 0.0 and told["fleet_errors"][-1] == 0.0
     assert told["fleet_records"][-1] >= 4.0
+
+
+def test_the_door_enters_rows_in_the_ledger_and_says_what_is_wrong(tmp_path: Path) -> None:
+    async def test() -> None:
+        scene = Scene(tmp_path, ["n1", "n2", "n3"], voters=["n1", "n2", "n3"])
+        try:
+            hosts = [m.work for m in scene.members.values() if m.work is not None]
+            await until(lambda: any(h.ledger()[1]["step"] == "open" for h in hosts))
+            holder = next(h for h in hosts if h.ledger()[1]["here"])
+            other = next(h for h in hosts if h is not holder)
+            assert other.enter("key=a&value=b")[0] == 409
+            assert holder.enter("key=limit/t&value=many")[0] == 400
+            assert holder.enter("key=&value=b")[0] == 409
+            assert holder.enter("key=limit/t&value=12.5")[0] == 202
+            await until(lambda: holder.ledger()[1]["entries"][-1]["state"] == "kept")
+            holder.give_all_back()
+            await until(lambda: any(h.ledger()[1]["rows"] for h in hosts if h is not holder))
+            after = next(h for h in hosts if h.ledger()[1]["rows"]).ledger()[1]
+            assert [(row["key"], row["value"]) for row in after["rows"]] == [("limit/t", "12.5")]
+            assert not after["lost"]
+        finally:
+            scene.close()
+
+    run(test())
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -13,7 +13,7 @@
 from fleet.shared import affinity, limits, spread, store, verdicts
 from fleet.shared.core import Shared
 from fleet.shared.limits import part
-from fleet.shared.messages import PULSE, Asked, Cell, Entry, Findings, Pulse, encode
+from fleet.shared.messages import PULSE, Asked, Cell, Entry, Findings, Ordered, Pulse, encode
 from fleet.shared.verdicts import Pool
 from fleet.shared.witness import Witness
 from lab.virtual.shared import QUOTA, ZONES, Broken, World
@@ -316,3 +316,20 @@
     assert len(ages) == 40 * 39
     assert max(ages) < limits.BOUND_MS
     assert spread.PULL_MS < limits.SPREAD_MS
+
+
+def test_operators_limits_reach_all_and_an_old_holder_s_do_not() -> None:
+    world = World(4, members=5)
+    world.run(3_000.0)
+    world.give(world.processes["m1"], Ordered(7, {"t": 40.0, "unknown": 1.0}))
+    world.run(2_000.0)
+    assert {p.core.limits.quotas["t"] for p in world.processes.values()} == {40.0}
+    world.give(world.processes["m2"], Ordered(6, {"t": 90.0}))  # it does not know that it was replaced
+    world.run(2_000.0)
+    assert {p.core.limits.quotas["t"] for p in world.processes.values()} == {40.0}
+    world.kill("m1")
+    world.run(8_000.0)
+    assert {p.core.limits.quotas["t"] for p in world.processes.values() if p.alive} == {40.0}
+    world.give(world.processes["m3"], Ordered(8, {}))
+    world.run(2_000.0)
+    assert {p.core.limits.quotas["t"] for p in world.processes.values() if p.alive} == {QUOTA}
