--- a/dunlinloft/fleetcli.py
+++ b/dunlinloft/fleetcli.py
@@ -9,13 +9,13 @@
 import urllib.request
 from typing import Any
 
-from rich import box
 from rich.console import Console, Group
 from rich.live import Live
 from rich.markup import escape
 from rich.table import Table
 
 from dunlinloft.cli import BAD_FILE, SUCCESS, UNKEPT
+from dunlinloft.tables import PLAIN
 
 CALL_S = 3.0
 EVERY_S = 1.0
@@ -27,6 +27,11 @@
     """The door gives no answer of use; says why."""
 
 
+def _bad(problem: NoDoor) -> int:
+    err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
+    return BAD_FILE
+
+
 def read(door: str, path: str = "/admin/fleet", method: str = "GET") -> dict[str, Any]:
     """Ask a node's door."""
     try:
@@ -69,7 +74,7 @@
     if own["rival"]:
         head.append(f"[red]another machine has the name {escape(own['name'])}: {escape(own['rival'])}[/]")
     columns = ("member", "state", "for", "started", "rev", "accusers", "rtt ms", "agrees", "zone", "notes")
-    rows = Table(*columns, box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    rows = Table(*columns, **PLAIN)
     order = {"suspect": 0, "dead": 1, "alive": 2, "left": 3}
     for m in sorted(state["members"], key=lambda m: (order.get(m["state"], 9), m["name"])):
         facts = m["facts"]
@@ -100,8 +105,7 @@
     try:
         state = read(door)
     except NoDoor as problem:
-        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
-        return BAD_FILE
+        return _bad(problem)
     if as_json:
         print(json.dumps(state, indent=2))
     else:
@@ -128,8 +132,7 @@
     try:
         state = read(door, "/admin/duties")
     except NoDoor as problem:
-        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
-        return BAD_FILE
+        return _bad(problem)
     held = all(row["holder"] for row in state["duties"])
     if as_json:
         print(json.dumps(state, indent=2))
@@ -145,7 +148,7 @@
         f"as {state['self']} sees it, which {votes}; voters {', '.join(state['voters'])}", highlight=False
     )
     columns = ("duty", "holder", "token", "left", "why nobody")
-    rows = Table(*columns, box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    rows = Table(*columns, **PLAIN)
     for row in state["duties"]:
         left = f"{row['remaining_s']:.1f} s" if "remaining_s" in row else ""
         holder = escape(row["holder"]) or "[red]nobody[/]"
@@ -168,8 +171,7 @@
     try:
         read(door, f"/admin/duties/hand-over?{query}", "POST")
     except NoDoor as problem:
-        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
-        return BAD_FILE
+        return _bad(problem)
     out.print(f"{duty} is handed over to {to or 'whoever is next'}", highlight=False)
     return SUCCESS
 
@@ -179,8 +181,7 @@
     try:
         found = read(door, "/admin/shared")
     except NoDoor as problem:
-        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
-        return BAD_FILE
+        return _bad(problem)
     limits, homes = found["limits"], found["affinity"]
     fallback = (limits["in_use"] and limits["fallback"]) or (homes["in_use"] and homes["cut_off"])
     if as_json:
@@ -190,7 +191,7 @@
     for line in (*_verdicts(found), *_limits(limits), *_homes(homes)):
         out.print(line, highlight=False)
     columns = ("kind", "of", "version", "age", "by way of", "bytes")
-    rows = Table(*columns, box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    rows = Table(*columns, **PLAIN)
     for r in found["records"]:
         way, age = escape(r["from"] or "itself"), f"{r['age_s']:.2f} s"
         rows.add_row(r["kind"], escape(r["writer"]), str(r["version"]), age, way, str(r["bytes"]))
@@ -251,8 +252,7 @@
             status = status if state == "kept" else UNKEPT
         found = read(door, "/admin/ledger")
     except NoDoor as problem:
-        err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
-        return BAD_FILE
+        return _bad(problem)
     if as_json:
         print(json.dumps(found, indent=2))
         return status
@@ -262,7 +262,7 @@
         return status
     if found["lost"]:
         out.print("[red]rows may be lost: a majority of the voters has forgotten. Enter what is missing[/]")
-    rows = Table("key", "value", "token", box=box.SIMPLE_HEAD, padding=(0, 1), pad_edge=False)
+    rows = Table("key", "value", "token", **PLAIN)
     for row in found["rows"]:
         rows.add_row(escape(row["key"]), escape(row["value"]), str(row["token"]))
     out.print(f"the ledger is {found['step']}, token {found['token']}", highlight=False)
--- a/dunlinloft/labcli.py
+++ b/dunlinloft/labcli.py
@@ -4,15 +4,14 @@
 
 import sys
 from pathlib import Path
-from typing import Any
 
-from rich import box
 from rich.console import Console
 from rich.markup import escape
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
 from dunlinloft.cli import BAD_FILE, SUCCESS, UNKEPT
+from dunlinloft.tables import PLAIN
 from lab.oracle import RULES
 from lab.results import BadResults, Result, Results, read, summary, write
 from lab.runner import BadSeeds, Run, play_all, read_seeds
@@ -20,7 +19,6 @@
 
 MOST_LINES = 12  # of breaks that are printed for a seed
 PROGRESS = (TextColumn("{task.description}"), BarColumn(), TextColumn("{task.percentage:>3.0f}%"))
-PLAIN: dict[str, Any] = {"box": box.SIMPLE_HEAD, "padding": (0, 1), "pad_edge": False}
 out, err = Console(soft_wrap=False), Console(stderr=True, soft_wrap=True)
 
 
--- a/fleet/duties/core.py
+++ b/fleet/duties/core.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
 
+from fleet import rendezvous
 from fleet.duties.candidate import DRIFT, TERM_MS, Candidate
 from fleet.duties.ledger import DUTY as LEDGER
 from fleet.duties.ledger import Keeper, Ledger
@@ -61,7 +61,7 @@
 
     def rank(name: str) -> tuple[int, int, bytes]:
         turn = (zones.index(seen.zones.get(name, "")) - place) % len(zones)
-        return others[name], turn, hashlib.blake2b(f"{duty}/{name}".encode(), digest_size=8).digest()
+        return others[name], turn, rendezvous.rank(duty, name)
 
     return sorted(seen.here, key=rank)
 
--- a/fleet/duties/ledger.py
+++ b/fleet/duties/ledger.py
@@ -78,6 +78,14 @@
         """Where this voter's next page begins."""
         return self._after.get(voter, "")
 
+    def question(self, voter: str, token: int) -> Tell:
+        """What to ask a voter next, with a holder's token or none."""
+        return Tell(voter, LedgerRead(DUTY, token, self.try_, self.after(voter)))
+
+    def questions(self, voters: list[str], token: int) -> list[Tell]:
+        """The same, for those who have not told all."""
+        return [self.question(voter, token) for voter in voters if voter not in self.whole]
+
     def forget(self, voter: str) -> None:
         """It has to be read again."""
         for kept in (self._after, self._rows, self._lives, self.whole):
@@ -137,10 +145,7 @@
 
     def ask(self) -> list[Tell]:
         """Questions to the others while it does not know what there was."""
-        if not self.asks:
-            return []
-        missing = [v for v in self._others if v not in self._reading.whole]
-        return [Tell(v, LedgerRead(DUTY, 0, self._reading.try_, self._reading.after(v))) for v in missing]
+        return self._reading.questions(self._others, 0) if self.asks else []
 
     def learn(self, page: LedgerPage, sender: str) -> list[Tell]:
         """Another voter's answer to that."""
@@ -152,8 +157,7 @@
         else:
             self._blank.discard(sender)
             if self._reading.hear(page, sender):
-                after = self._reading.after(sender)
-                return [Tell(sender, LedgerRead(DUTY, 0, self._reading.try_, after))]
+                return [self._reading.question(sender, 0)]
         known = self._reading.whole
         if len(known) >= self._enough:
             self.asks = False
@@ -266,12 +270,7 @@
         self._ask()
 
     def _ask(self) -> None:
-        reading = self._reading
-        self.actions += [
-            Tell(voter, LedgerRead(DUTY, self.token, reading.try_, reading.after(voter)))
-            for voter in self._voters
-            if voter not in reading.whole
-        ]
+        self.actions += self._reading.questions(self._voters, self.token)
         self.timer(TRY_MS, self._tick)
 
     def write(self, key: str, value: bytes, wanted: int) -> str:
@@ -331,8 +330,7 @@
         if self.step != READING:
             return
         if self._reading.hear(message, sender):
-            after = self._reading.after(sender)
-            self.actions.append(Tell(sender, LedgerRead(DUTY, self.token, self._reading.try_, after)))
+            self.actions.append(self._reading.question(sender, self.token))
         elif len(self._reading.whole) >= self.majority():
             self._restore()
 
--- a/fleet/membership/core.py
+++ b/fleet/membership/core.py
@@ -96,7 +96,7 @@
             case api.Leave():
                 self._leave()
             case api.Begin():
-                self._begin(now)
+                self._begin()
         return self.actions
 
     # What others see of it
@@ -203,7 +203,7 @@
             case "return":
                 self._ask_for_the_name()
 
-    def _begin(self, now: float) -> None:
+    def _begin(self) -> None:
         self._join()
         self.timer(probing.PERIOD_MS * self.rng.random(), "period")
         self.timer(EXCHANGE_MS * (0.5 + self.rng.random()), "exchange")
--- a/fleet/membership/view.py
+++ b/fleet/membership/view.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections.abc import Iterable
 
 from fleet.messages import ALIVE, DEAD, LEFT, SUSPECT, Fact, Record
+from fleet.rendezvous import rank
 
 MOST_ACCUSERS = 4  # that are kept and told; more would change nothing
 MOST_BURIED = 4096  # records of the dead and the left; beyond that the oldest go
@@ -71,7 +71,7 @@
 
 def bits(name: str, life: int) -> int:
     """What a member adds to the digest of a view: the same at every process."""
-    return int.from_bytes(hashlib.blake2b(f"{name}/{life}".encode(), digest_size=8).digest(), "big")
+    return int.from_bytes(rank(name, life), "big")
 
 
 def _few(*accusers: Iterable[str]) -> list[str]:
--- /dev/null
+++ b/fleet/rendezvous.py
@@ -0,0 +1,10 @@
+"""Rendezvous hashing (Thaler and Ravishankar 1998): an order of members that all who know them share."""
+
+from __future__ import annotations
+
+import hashlib
+
+
+def rank(subject: str, member: str | int) -> bytes:
+    """A member's place for a subject: the same at every process, and unlike that for any other subject."""
+    return hashlib.blake2b(f"{subject}/{member}".encode(), digest_size=8).digest()
--- a/fleet/shared/core.py
+++ b/fleet/shared/core.py
@@ -157,12 +157,12 @@
 
     def _look(self, now: float) -> list[Action]:
         pulses = [
-            (writer, held.life, held.age_ms(now), held.content)
+            (writer, held.age_ms(now), held.content)
             for writer, held in self.store.read(PULSE, max(limits.BOUND_MS, FRESH_MS), now)
             if isinstance(held.content, Pulse)
         ]
-        for kind, writer, held in list(self.store.all()):
-            if kind == ORDERS and writer != self.name and isinstance(held.content, Orders):
+        for _, held in self.store.others(ORDERS):
+            if isinstance(held.content, Orders):
                 self._obey(held.content)
         actions: list[Action] = []
         if AFFINITY in self.parts:
@@ -174,18 +174,18 @@
             actions += self._warn(now)
         return actions
 
-    def _bind(self, pulses: list[tuple[str, int, float, Pulse]], now: float) -> None:
+    def _bind(self, pulses: list[tuple[str, float, Pulse]], now: float) -> None:
         """Take in what others bind, then decide what may be bound here."""
         own, counted = self.affinity, self.seen.counted
         self._read = {writer: read for writer, read in self._read.items() if writer in self.seen.here}
-        for kind, writer, held in self.store.all():
-            if kind != BINDINGS or writer == self.name or self._read.get(writer) == (held.life, held.version):
+        for writer, held in self.store.others(BINDINGS):
+            if self._read.get(writer) == (held.life, held.version):
                 continue
             if isinstance(held.content, Bindings):
                 self._read[writer] = held.life, held.version
                 own.told(writer, held.life, held.content, now)
         fresh, acks = [], []
-        for writer, _, age, pulse in pulses:
+        for writer, age, pulse in pulses:
             knows = False
             for name, life, epoch, there in pulse.heard:
                 if (name, life) != (self.name, self.store.life):  # a former life of ours is another
@@ -212,16 +212,15 @@
         pulse = Pulse(self.zone, self.tier, demand, allowed, tuned, heard)
         self.store.write(PULSE, encode(pulse), pulse, now)
 
-    def _limit(self, pulses: list[tuple[str, int, float, Pulse]], now: float) -> list[Action]:
+    def _limit(self, pulses: list[tuple[str, float, Pulse]], now: float) -> list[Action]:
         peers = [
             (writer, pulse)
-            for writer, _, age, pulse in pulses
+            for writer, age, pulse in pulses
             if age <= limits.BOUND_MS and pulse.tier == self.tier
         ]
         fresh = self.limits.hear(peers, now)
         quotas = self.limits.parts(self.seen.counted, self.seen.base, fresh, now)
-        loops = [pulse for _, pulse in peers]
-        share = retry_share(loops) if loops else 1.0
+        share = retry_share(pulse for _, pulse in peers)
         self.part = Part(quotas, round(share, 2), self.limits.fallback)
         told = self._told_part
         moved = any(abs(q - told.quotas.get(t, 0.0)) > CHANGED * q for t, q in quotas.items())
--- a/fleet/shared/limits.py
+++ b/fleet/shared/limits.py
@@ -132,9 +132,8 @@
                 others.append(floor + max((value for _, value in told), default=0.0) if told else floor)
             own = self._own.get(tenant)
             least = min((value for _, value in own.told), default=0.0) if own is not None else 0.0
-            found[tenant] = min(even, part(quota, floor + least, others)) if young else part(
-                quota, floor + least, others
-            )  # fmt: skip
+            own_part = part(quota, floor + least, others)
+            found[tenant] = min(even, own_part) if young else own_part
         return found
 
 
--- a/fleet/shared/spread.py
+++ b/fleet/shared/spread.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 
+from fleet.rendezvous import rank
 from fleet.shared.messages import Entry, Message, Pour, Pull, Tell
 from fleet.shared.store import DRIFT, Store
 
@@ -31,10 +31,6 @@
         self.sent: dict[int, float] = {}  # when each question was asked
 
 
-def _order(salt: str, name: str) -> bytes:
-    return hashlib.blake2b(f"{salt}/{name}".encode(), digest_size=8).digest()
-
-
 class Spread:
     """Pulls, answers, and knows from whom."""
 
@@ -66,8 +62,8 @@
         return partner if partner is not None and partner.life == life else Partner(life)
 
     def _next(self, salt: str) -> str:
-        own = _order(salt, self._store.name)
-        places = sorted((_order(salt, name), name) for name in self._here)
+        own = rank(salt, self._store.name)
+        places = sorted((rank(salt, name), name) for name in self._here)
         after = [name for place, name in places if place > own]
         return (after or [name for _, name in places] or [""])[0]
 
--- a/fleet/shared/store.py
+++ b/fleet/shared/store.py
@@ -124,8 +124,8 @@
 
     def read(self, kind: int, bound_ms: float, now: float) -> Iterator[tuple[str, Held]]:
         """Others' records of a kind that are surely no older than the bound, of those that are there."""
-        for (held_kind, writer), held in self._held.items():
-            if held_kind == kind and self._lives.get(writer) == held.life and held.age_ms(now) <= bound_ms:
+        for writer, held in self.others(kind):
+            if self._lives.get(writer) == held.life and held.age_ms(now) <= bound_ms:
                 yield writer, held
 
     def get(self, kind: int, writer: str) -> Held | None:
@@ -146,6 +146,12 @@
                 found.append((kind, writer, held.seq, held))
         return found[::-1]
 
+    def others(self, kind: int) -> Iterator[tuple[str, Held]]:
+        """All of a kind that others wrote, however old, also of strangers."""
+        for (held_kind, writer), held in self._held.items():
+            if held_kind == kind and writer != self.name:
+                yield writer, held
+
     def all(self) -> Iterator[tuple[int, str, Held]]:
         """Everything, for whoever shows it."""
         for (kind, writer), held in self._held.items():
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -152,8 +152,7 @@
         work.id, work.node, work.waits = f"{self._plan.seed:04x}{work.number:08x}{work.tries:04x}", node, True
         budget = min(left, self._spec.try_share * cls.deadline_ms) if work.tries < self._spec.tries else left
         key = f"k{self._plan.seed:x}{work.number:x}" if cls.effect == "keyed" else ""
-        tenants = self._plan.scenario.tenants
-        tenant = tenants[arrival.tenant].name if arrival.tenant >= 0 else ""
+        tenant = self._tenant(arrival)
         order = Order(work.id, arrival.cls, cls.name, budget, arrival.work_ms, key, tenant, work.tries > 1)
         self._orders.add(order)
         turn = work.tries
@@ -200,12 +199,15 @@
             wait = max(wait, min(advice_ms, MOST_ADVICE_MS))
         return max(wait, REACHING_AGAIN_MS) if status == UNREACHED else wait
 
+    def _tenant(self, arrival: Arrival) -> str:
+        """Whose request it is; "" where it is nobody's."""
+        return self._plan.scenario.tenants[arrival.tenant].name if arrival.tenant >= 0 else ""
+
     def _close(self, work: _Work, outcome: str) -> None:
         work.done = True
         self.open -= 1
         arrival = work.arrival
-        tenants = self._plan.scenario.tenants
-        tenant = tenants[arrival.tenant].name if arrival.tenant >= 0 else ""
+        tenant = self._tenant(arrival)
         passed = self._clock.now() - arrival.at_ms
         cls = self._classes[arrival.cls].name
         self._tell(
--- a/lab/explore/duties.py
+++ b/lab/explore/duties.py
@@ -8,14 +8,14 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import Any
+from typing import Any, Self
 
 from fleet.duties.candidate import END, IDLE, RENEW, STOP_MS, Candidate
 from fleet.duties.guard import Guard
 from fleet.duties.messages import Accepted, Ballot, Promise, Recall, Recalled, Start, Stop, Tell
 from fleet.duties.voter import Voter
 from lab.explore.copying import EVEN, clone, mark
-from lab.explore.net import Net
+from lab.explore.net import Explored, Net, Told
 from lab.explore.search import Move
 
 DUTY = "d"
@@ -25,27 +25,31 @@
 RATES = {"v1": 1.15, "v2": 1.15, "v3": 1.0, "a": 0.85, "b": 1.15}  # within the drift of each other
 
 
-class State:
+class State(Explored):
     """All processes at one instant."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.now = 0.0
         self.voters: dict[str, Voter] = {}
         self.candidates: dict[str, Candidate] = {}
-        self.net = Net()
         self.timers: list[tuple[str, str, float, Ballot]] = []  # whose, what, when by its clock
         self.guard = Guard()
-        self.tries, self.restarts, self.copies, self.releases, self.waits = 0, 0, 0, 0, 0
+        self.tries = self.restarts = self.releases = self.waits = 0
         self.last = 0  # the greatest token of a tenure
-        self.marks: dict[str, str] = {}  # of each process, as long as it has not changed
-        self.broken = ""
+
+    def copy(self) -> Self:
+        """With a guard of its own."""
+        copy = super().copy()
+        copy.guard = clone(self.guard)
+        return copy
 
     def clock(self, name: str) -> float:
         """A process's own time."""
         return self.now * RATES[name]
 
 
-class Duties:
+class Duties(Told):
     """The system; bounds are how often each may happen."""
 
     name = "duties"
@@ -67,7 +71,8 @@
                 if other != name:
                     voter.learn(Recalled("", voter.number, True, {}), other)
         state.candidates = {name: Candidate(*self._candidate(name, 1)) for name in CANDIDATES}
-        self._bind(state)
+        for name in CANDIDATES:
+            self._bind(state, name)
         if self._held:
             state = self.apply(state, ("try", "a"))
             while not state.candidates["a"].held:
@@ -81,37 +86,19 @@
     def _candidate(self, name: str, life: int) -> tuple[Any, ...]:
         return DUTY, name, life, list(VOTERS), EVEN, _no_wall, TERM_MS, DRIFT
 
-    def _bind(self, state: State) -> None:
-        for name, candidate in state.candidates.items():
-            candidate.timer = partial(self._timer, state, name)
-            candidate._wall_ms = _no_wall
+    def _bind(self, state: State, name: str) -> None:
+        candidate = state.candidates[name]
+        candidate.timer = partial(self._timer, state, name)
+        candidate._wall_ms = _no_wall
 
     def _timer(self, state: State, name: str, what: str, delay_ms: float, ballot: Ballot) -> None:
         if what in (END, RENEW):
             state.timers.append((name, what, state.clock(name) + delay_ms, ballot))
 
-    def _copy(self, state: State) -> State:
-        copy = object.__new__(State)
-        copy.__dict__ = dict(state.__dict__)
-        copy.voters, copy.candidates = dict(state.voters), dict(state.candidates)
-        copy.guard, copy.net, copy.timers = clone(state.guard), state.net.copy(), list(state.timers)
-        copy.marks = dict(state.marks)
-        return copy
-
-    def _voter_of(self, state: State, name: str) -> Voter:
-        """A voter that may be changed."""
-        voter: Voter = clone(state.voters[name])
-        state.voters[name] = voter
-        state.marks.pop(name, None)
-        return voter
-
     def _candidate_of(self, state: State, name: str) -> Candidate:
         """A candidate that may be changed."""
-        candidate: Candidate = clone(state.candidates[name])
-        state.candidates[name] = candidate
-        candidate.timer = partial(self._timer, state, name)
-        candidate._wall_ms = _no_wall
-        state.marks.pop(name, None)
+        candidate = state.changing(state.candidates, name)
+        self._bind(state, name)
         return candidate
 
     # Moves
@@ -138,11 +125,10 @@
         return found
 
     def apply(self, state: State, move: Move) -> State:
-        state = self._copy(state)
+        state = state.copy()
         match move:
             case ("deliver" | "copy", _):
-                state.copies += move[0] == "copy"
-                self._deliver(state, *state.net.take(move))
+                self._deliver(state, *state.take(move))
             case ("fire", n):
                 name, what, _, ballot = state.timers.pop(n)
                 self._candidate_of(state, name).fired(what, ballot, state.clock(name))
@@ -188,8 +174,8 @@
                 state.net.add(other, name, question)
             return
         old = state.candidates[name]
-        candidate = state.candidates[name] = Candidate(*self._candidate(name, old._life + 1))
-        candidate.timer = partial(self._timer, state, name)
+        state.candidates[name] = Candidate(*self._candidate(name, old._life + 1))
+        self._bind(state, name)
         state.timers = [timer for timer in state.timers if timer[0] != name]
 
     def _deliver(self, state: State, to: str, sender: str, message: Any) -> None:
@@ -198,7 +184,7 @@
                 self._candidate_of(state, to).hear(message, sender, state.clock(to))
                 self._take(state, to)
             return
-        voter = self._voter_of(state, to)
+        voter = state.changing(state.voters, to)
         if isinstance(message, Recall):
             state.net.add(sender, to, voter.recall(message))
         elif isinstance(message, Recalled):
@@ -263,12 +249,6 @@
         value = getattr(candidate, attribute)
         return round(max(-1.0, value - now), 1) if attribute.endswith("_ms") else value
 
-    def broken(self, state: State) -> str:
-        return state.broken
-
-    def tell(self, state: State, move: Move) -> str:
-        return state.net.tell(move) if move[0] in ("deliver", "copy") else " ".join(map(str, move))
-
 
 CANDIDATE = (
     "step", "ballot", "_round", "_sent_ms", "until_ms", "token", "_proposed", "known", "held", "_life",
--- a/lab/explore/ledger.py
+++ b/lab/explore/ledger.py
@@ -20,8 +20,8 @@
     Settled,
     Tell,
 )
-from lab.explore.copying import EVEN, clone, mark
-from lab.explore.net import Net
+from lab.explore.copying import EVEN, mark
+from lab.explore.net import Explored, Told
 from lab.explore.search import Move
 
 VOTERS, HOLDERS = ("v1", "v2", "v3"), ("h1", "h2", "h3")
@@ -29,22 +29,20 @@
 KEY = "k"
 
 
-class State:
+class State(Explored):
     """All processes at one instant."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.keepers: dict[str, Keeper] = {}
         self.ledgers: dict[str, Ledger] = {}
-        self.net = Net()
-        self.begun = self.writes = self.restarts = self.copies = 0
+        self.begun = self.writes = self.restarts = 0
         self.acked = 0  # the latest write that was acknowledged,
         self.known = 0  # and that which the latest opening found: older ones may never be found again
         self.gone: frozenset[int] = frozenset()  # writes that an opening did not find: they are no more
-        self.broken = ""
-        self.marks: dict[str, bytes] = {}
 
 
-class LedgerSystem:
+class LedgerSystem(Told):
     """The system; bounds are how often each may happen."""
 
     name = "ledger"
@@ -60,24 +58,9 @@
             keeper.ready, keeper.asks = True, False
         return state
 
-    def _copy(self, state: State) -> State:
-        copy = object.__new__(State)
-        copy.__dict__ = dict(state.__dict__)
-        copy.keepers, copy.ledgers = dict(state.keepers), dict(state.ledgers)
-        copy.net, copy.marks = state.net.copy(), dict(state.marks)
-        return copy
-
-    def _keeper(self, state: State, name: str) -> Keeper:
-        keeper: Keeper = clone(state.keepers[name])
-        state.keepers[name] = keeper
-        state.marks.pop(name, None)
-        return keeper
-
     def _ledger(self, state: State, name: str) -> Ledger:
-        ledger: Ledger = clone(state.ledgers[name])
-        state.ledgers[name] = ledger
+        ledger = state.changing(state.ledgers, name)
         ledger.timer = _no_timer
-        state.marks.pop(name, None)
         return ledger
 
     def moves(self, state: State) -> list[Move]:
@@ -91,11 +74,10 @@
         return found
 
     def apply(self, state: State, move: Move) -> State:
-        state = self._copy(state)
+        state = state.copy()
         match move:
             case ("deliver" | "copy", _):
-                state.copies += move[0] == "copy"
-                self._deliver(state, *state.net.take(move))
+                self._deliver(state, *state.take(move))
             case ("begin", name):
                 state.begun += 1
                 state.ledgers[name] = Ledger(list(VOTERS), EVEN)
@@ -120,7 +102,7 @@
                 self._ledger(state, to).hear(message, sender)
                 self._take(state, to)
             return
-        keeper = self._keeper(state, to)
+        keeper = state.changing(state.keepers, to)
         match message:
             case LedgerRead():
                 answer: LedgerPage | LedgerStored | None = keeper.read(message)
@@ -195,12 +177,6 @@
         parts = [renamed(state.marks[name]) for name in (*order, *HOLDERS) if name in state.marks]
         return b"".join(parts) + b"".join(sorted(map(renamed, state.net.marks())))
 
-    def broken(self, state: State) -> str:
-        return state.broken
-
-    def tell(self, state: State, move: Move) -> str:
-        return state.net.tell(move) if move[0] in ("deliver", "copy") else " ".join(map(str, move))
-
 
 def _no_timer(delay_ms: float, tick: int) -> None:
     """Nothing is repeated."""
--- a/lab/explore/membership.py
+++ b/lab/explore/membership.py
@@ -9,8 +9,8 @@
 from fleet import interface as api
 from fleet.membership.core import Membership
 from fleet.messages import DEAD, LEFT
-from lab.explore.copying import EVEN, clone, mark
-from lab.explore.net import Net
+from lab.explore.copying import EVEN, mark
+from lab.explore.net import Explored, Net, Told
 from lab.explore.search import Move
 
 NAMES = ("m1", "m2", "m3")
@@ -19,22 +19,20 @@
 Key = tuple[int, bool, int, int]
 
 
-class State:
+class State(Explored):
     """All members at one instant."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.now = 0.0
         self.cores: dict[str, Membership] = {}
         self.alive: dict[str, bool] = {}
-        self.net = Net()
         self.timers: dict[str, list[tuple[float, int]]] = {}
         self.keys: dict[tuple[str, str], Key] = {}  # as of each view
-        self.waits = self.kills = self.starts = self.copies = 0
-        self.broken = ""
-        self.marks: dict[str, bytes] = {}
+        self.waits = self.kills = self.starts = 0
 
 
-class MembershipSystem:
+class MembershipSystem(Told):
     """The system; bounds are how often each may happen."""
 
     name = "membership"
@@ -63,20 +61,9 @@
         state.marks.pop(name, None)
         self._give(state, name, api.Begin())
 
-    def _copy(self, state: State) -> State:
-        copy = object.__new__(State)
-        copy.__dict__ = dict(state.__dict__)
-        copy.cores, copy.alive, copy.keys = dict(state.cores), dict(state.alive), dict(state.keys)
-        copy.timers, copy.net, copy.marks = dict(state.timers), state.net.copy(), dict(state.marks)
-        return copy
-
     def _core(self, state: State, name: str) -> Membership:
-        old = state.cores[name]
-        core: Membership = clone(old)
-        core.prober._core = core
-        state.cores[name] = core
-        state.marks.pop(name, None)
-        return core
+        """A member that may be changed."""
+        return state.changing(state.cores, name)
 
     def moves(self, state: State) -> list[Move]:
         found = state.net.moves(state.copies < self._copies)
@@ -92,11 +79,10 @@
         return found
 
     def apply(self, state: State, move: Move) -> State:
-        state = self._copy(state)
+        state = state.copy()
         match move:
             case ("deliver" | "copy", _):
-                state.copies += move[0] == "copy"
-                to, sender, message = state.net.take(move)
+                to, sender, message = state.take(move)
                 if state.alive[to]:
                     self._core(state, to)
                     self._give(state, to, api.Heard(message, f"at {sender}"))
@@ -153,9 +139,3 @@
             state.broken,
         )  # fmt: skip
         return repr(rest).encode() + b"".join(state.marks[n] for n in NAMES) + b"".join(state.net.marks())
-
-    def broken(self, state: State) -> str:
-        return state.broken
-
-    def tell(self, state: State, move: Move) -> str:
-        return state.net.tell(move) if move[0] in ("deliver", "copy") else " ".join(map(str, move))
--- a/lab/explore/net.py
+++ b/lab/explore/net.py
@@ -4,13 +4,15 @@
 
 import bisect
 import hashlib
-from typing import Any
+from typing import Any, Self, TypeVar
 
 import msgspec
 
+from lab.explore.copying import clone
 from lab.explore.search import Move
 
 Sent = tuple[str, str, Any]  # to, from, message
+T = TypeVar("T")
 encode = msgspec.msgpack.Encoder().encode
 
 
@@ -65,6 +67,51 @@
         return f"{'again ' if move[0] == 'copy' else ''}{sender} to {to}: {shown(message)}"
 
 
+class Explored:
+    """The state of a system: what is in its dicts is never changed in place, but replaced by a clone.
+
+    Each system adds its processes. `marks` are kept of those that have not changed since.
+    """
+
+    def __init__(self) -> None:
+        self.net = Net()
+        self.copies = 0
+        self.marks: dict[str, Any] = {}
+        self.broken = ""
+
+    def copy(self) -> Self:
+        """A state that shares all processes, and nothing that holds them."""
+        copy = object.__new__(type(self))
+        for name, value in self.__dict__.items():
+            copied = value.copy() if isinstance(value, dict | list | Net) else value
+            copy.__dict__[name] = copied
+        return copy
+
+    def changing(self, processes: dict[str, T], name: str) -> T:
+        """One of its processes, as one that may be changed."""
+        process: T = clone(processes[name])
+        processes[name] = process
+        self.marks.pop(name, None)
+        return process
+
+    def take(self, move: Move) -> Sent:
+        """The message that comes by this move."""
+        self.copies += move[0] == "copy"
+        return self.net.take(move)
+
+
+class Told:
+    """What all systems say alike of a state and of a move."""
+
+    def broken(self, state: Explored) -> str:
+        """What must hold and does not."""
+        return state.broken
+
+    def tell(self, state: Explored, move: Move) -> str:
+        """A move as a person reads it."""
+        return state.net.tell(move) if move[0] in ("deliver", "copy") else " ".join(map(str, move))
+
+
 def shown(message: Any) -> str:
     """A message as a person reads it."""
     fields = ", ".join(f"{name}={getattr(message, name)!r:.40}" for name in message.__struct_fields__)
--- a/lab/members.py
+++ b/lab/members.py
@@ -15,8 +15,9 @@
 import numpy as np
 
 from fleet.membership.core import Membership
-from lab.virtual.fleet import Broken, Fleet
+from lab.virtual.fleet import Fleet
 from lab.virtual.plain import PlainPing
+from lab.virtual.scene import Broken
 
 LIMIT_MS = 60_000.0  # for anything that is waited for: what takes longer counts as this
 CORES: dict[str, type[Membership]] = {"swim": Membership, "plain": PlainPing}
--- a/lab/processes/agent.py
+++ b/lab/processes/agent.py
@@ -11,7 +11,7 @@
 
 from lab import records
 from lab.processes.block import text
-from lab.registry import Agent, Entry
+from lab.registry import Agent, Entry, told
 
 if TYPE_CHECKING:
     from lab.processes.host import ProcessHost
@@ -88,9 +88,8 @@
 
     def _tell(self, entries: list[Entry], whole: bool = False) -> None:
         self._watch = None
-        told = [(entry.name, entry.status, entry.since_ms) for entry in entries]
         now = self._host.now()
-        self._host.tell(records.Told(now, self._agent.node, self._agent.index, whole, told))
+        self._host.tell(records.Told(now, self._agent.node, self._agent.index, whole, told(entries)))
         self._write(200, listing(self._host, self._agent, entries, whole))
 
     def _write(self, status: int, content: dict[str, Any]) -> None:
--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -26,7 +26,7 @@
 from lab.processes.relay import Relay
 from lab.processes.standin import Connection, acceptor
 from lab.records import Sink
-from lab.registry import Entry
+from lab.registry import Entry, told
 from lab.scenario import Operation
 from lab.servers import Server
 from lab.settings import settings
@@ -279,8 +279,7 @@
         self._doors[child.pid] = door
         now, agent = self.now(), self.agent(name)
         self.tell(records.Process(now, name, "started"))
-        told = [(entry.name, entry.status, entry.since_ms) for entry in agent.whole()]
-        self.tell(records.Told(now, name, agent.index, True, told))
+        self.tell(records.Told(now, name, agent.index, True, told(agent.whole())))
         return child
 
     def _upgrades(self, name: str) -> bool:
--- a/lab/registry.py
+++ b/lab/registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from lab.scenario import Discovery
@@ -21,6 +21,11 @@
     since_ms: float
 
 
+def told(entries: Iterable[Entry]) -> list[tuple[str, str, float]]:
+    """Entries as a record of what a node was told has them."""
+    return [(entry.name, entry.status, entry.since_ms) for entry in entries]
+
+
 class Agent:
     """What one node's machine has been told; `on_news` gets the entries that changed."""
 
--- a/lab/virtual/duties.py
+++ b/lab/virtual/duties.py
@@ -7,10 +7,8 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter
-from collections.abc import Callable
 from itertools import count
 from typing import Any
 
@@ -32,39 +30,29 @@
     Stop,
     Tell,
 )
+from lab.virtual import scene
+from lab.virtual.scene import Broken
 
 WALL_MS = 1_700_000_000_000
 SEEN_MS = 300.0  # how often a process is told what is seen of the others
 LATE_SEEN_MS = 2_200.0  # how long a death takes to be seen
 
 
-class Broken(AssertionError):
-    """Something that must hold does not; says the seed and the time."""
-
-
-class Process:
-    """A process with a clock of its own."""
+class Process(scene.Process):
+    """A process with a clock of its own, and one of the wall's that may be wrong."""
 
     def __init__(self, world: World, name: str, rate: float, wall_error_ms: float) -> None:
-        self.world, self.name, self.rate, self.wall_error_ms = world, name, rate, wall_error_ms
-        self.offset = world.rng.random() * 1e6
-        self.started = world.now
-        self.life = next(world.lives)
-        self.alive, self.stopped = True, False
-        self.frozen: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        super().__init__(world, name, rate)
+        self.wall_error_ms = wall_error_ms
         self.working: dict[str, int] = {}  # duties whose work was started and not stopped here, with tokens
         self.core = world.core(
             name, self.life, world.voters, world.duties, random.Random(world.rng.getrandbits(64)), self.wall,
             self.clock(), world.term_ms, world.drift,
         )  # fmt: skip
 
-    def clock(self) -> float:
-        """Its monotonic clock."""
-        return self.offset + (self.world.now - self.started) * self.rate
-
     def wall(self) -> int:
         """What it takes for the time of day."""
-        return int(WALL_MS + self.world.now + self.wall_error_ms)
+        return int(WALL_MS + self.scene.now + self.wall_error_ms)
 
     def holds(self, duty: str) -> bool:
         """Whether it would act for a duty now: it asks itself before each act."""
@@ -101,7 +89,7 @@
         key = self._keys[action.wanted]
         if action.wanted in self._gone:
             raise Broken(
-                f"{self._world._when()}: entry {action.wanted} is acknowledged, and a successor lacks it"
+                f"{self._world.when()}: entry {action.wanted} is acknowledged, and a successor lacks it"
             )
         self.acked[key] = max(self.acked.get(key, 0), action.wanted)
 
@@ -126,27 +114,22 @@
             least = max(self.acked.get(key, 0), self._found.get(key, 0))
             if found < least or found in self._gone:
                 what = f"{process.name} finds entry {found} of {key}, and {least} was acknowledged or found"
-                raise Broken(f"{self._world._when()}: {what}")
+                raise Broken(f"{self._world.when()}: {what}")
             self._found[key] = found
         self._gone |= {wanted for wanted, key in self._keys.items() if wanted > rows.get(key, 0)}
 
 
-class World:
+class World(scene.Scene[Process]):
     """Voters, candidates, links and faults."""
 
     def __init__(
         self, seed: int, members: int = 8, voters: int = 5, duties: int = 2, term_ms: float = 3000.0,
         drift: float = 0.02, core: type[Duties] = Duties, loss: float = 0.0, ledger: bool = False,
     ) -> None:  # fmt: skip
-        self.rng, self.seed, self.core = random.Random(seed), seed, core
-        self.now, self.term_ms, self.drift, self.loss = 0.0, term_ms, drift, loss
-        self.names = [f"m{n}" for n in range(members)]
+        super().__init__(seed, members, loss)
+        self.core, self.term_ms, self.drift = core, term_ms, drift
         self.voters = self.names[:voters]
         self.duties = [f"d{n}" for n in range(duties)] + ([LEDGER] if ledger else [])
-        self.lives = count(1)
-        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._number = count()
-        self.cut: set[tuple[str, str]] = set()
         self.delay_ms = 10.0
         self.guard = Guard()
         self.token_matters = True  # else only that there is one holder at most
@@ -155,31 +138,10 @@
         self.lost: Counter[str] = Counter()
         self.messages = 0
         self.old: list[tuple[str, Message, str]] = []  # some that come again much later
-        self.processes: dict[str, Process] = {}
-        self._gone_ms: dict[str, float] = {}
         self.book = Book(self)
         for name in self.names:
             self.start(name)
 
-    # Time
-
-    def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
-        """Do something later."""
-        heapq.heappush(self._heap, (self.now + max(0.0, delay_ms), next(self._number), do, args))
-
-    def run(self, for_ms: float, until: Callable[[], bool] | None = None) -> float:
-        """Let time pass, until something holds; the time that passed."""
-        start, end = self.now, self.now + for_ms
-        while self._heap and self._heap[0][0] <= end:
-            self.now, _, do, args = heapq.heappop(self._heap)
-            do(*args)
-            self.check()
-            if until is not None and until():
-                return self.now - start
-        self.now = end
-        self.check()
-        return for_ms
-
     # Processes
 
     def start(self, name: str) -> None:
@@ -193,28 +155,13 @@
 
     def kill(self, name: str) -> None:
         """Without a word."""
-        process = self.processes[name]
-        process.alive = False
-        process.working.clear()
-        self._gone_ms[name] = self.now
+        super().kill(name)
+        self.processes[name].working.clear()
 
-    def stop(self, name: str) -> None:
-        """SIGSTOP."""
-        self.processes[name].stopped = True
-        self._gone_ms[name] = self.now
-
-    def cont(self, name: str) -> None:
-        """SIGCONT."""
-        process = self.processes[name]
-        if process.alive and process.stopped:
-            process.stopped = False
-            self._gone_ms.pop(name, None)
-            frozen, process.frozen = process.frozen, []
-            # It goes on in the middle of what it did: an act that it had begun is done before it looks.
-            for duty, token in process.working.items():
-                self.act(duty, token)
-            for do, args in frozen:
-                do(*args)
+    def resumed(self, process: Process) -> None:
+        """An act that it had begun is done before it looks."""
+        for duty, token in process.working.items():
+            self.act(duty, token)
 
     def _see(self, process: Process) -> None:
         """What membership would tell: late, and of the holders by their own word."""
@@ -235,13 +182,6 @@
         self.turn(process, self.give, process, Seen(here | {process.name}, claims))
         self.after(SEEN_MS * (0.5 + self.rng.random()), self._see, process)
 
-    def turn(self, process: Process, do: Callable[..., None], *args: Any) -> None:
-        """Do something in a process: later if it is stopped."""
-        if process.alive and process.stopped:
-            process.frozen.append((do, args))
-        elif process.alive:
-            do(*args)
-
     def give(self, process: Process, event: Event) -> None:
         """Give a core an event and do what it says."""
         if process.alive:
@@ -292,18 +232,18 @@
     def _started(self, process: Process, start: Start) -> None:
         before = self.tokens.get(start.duty, 0)
         if start.token <= before and self.token_matters:
-            raise Broken(f"{self._when()}: {start.duty}: token {start.token} after {before}")
+            raise Broken(f"{self.when()}: {start.duty}: token {start.token} after {before}")
         self.tokens[start.duty] = start.token
         process.working[start.duty] = start.token
         self.history.append((self.now, start.duty, process.name, start.token))
         if not self.act(start.duty, start.token) and self.token_matters:
-            raise Broken(f"{self._when()}: {start.duty}: its new holder's token is refused")
+            raise Broken(f"{self.when()}: {start.duty}: its new holder's token is refused")
 
     def act(self, duty: str, token: int) -> bool:
         """Somebody acts with a token; whether it is obeyed, which an old one may not be."""
         obeyed = self.guard.obeys(duty, token)
         if obeyed and token < self.tokens.get(duty, 0) and self.token_matters:
-            raise Broken(f"{self._when()}: {duty}: an act with the old token {token} was obeyed")
+            raise Broken(f"{self.when()}: {duty}: an act with the old token {token} was obeyed")
         return obeyed
 
     def holders(self, duty: str) -> list[str]:
@@ -315,10 +255,7 @@
         for duty in self.duties:
             holders = self.holders(duty)
             if len(holders) > 1:
-                raise Broken(f"{self._when()}: {duty} is held by {' and '.join(holders)}")
-
-    def _when(self) -> str:
-        return f"seed {self.seed} at {self.now:.0f} ms"
+                raise Broken(f"{self.when()}: {duty} is held by {' and '.join(holders)}")
 
     def hand_over(self, duty: str, to: str = "") -> None:
         """Operators ask the holder to hand a duty over."""
--- a/lab/virtual/fleet.py
+++ b/lab/virtual/fleet.py
@@ -20,15 +20,12 @@
 from lab.names import Names
 from lab.scenario import Network, Nodes, Scenario
 from lab.virtual.meeting import Meeting, Process
+from lab.virtual.scene import Broken
 
 WALL_MS = 1_700_000_000_000  # what clocks say when a run begins
 CORE: type[Membership] = Membership
 
 
-class Broken(AssertionError):
-    """Something that must hold does not; says the seed and the time."""
-
-
 class Fleet(Meeting):
     """Members, links between them, and the oracle."""
 
--- a/lab/virtual/member.py
+++ b/lab/virtual/member.py
@@ -16,8 +16,8 @@
 from nickelbridge import interface as node_api
 from nickelbridge.interface import Result
 from orchidferry.config import key_id
-from orchidferry.peers import COUNT_S
-from orchidferry.shared import HOW, KNOWN_S, bound, hearsay, known, quotas, window_ms
+from orchidferry.peers import COUNT_S, of_tier
+from orchidferry.shared import HOW, KNOWN_S, hearsay, known, place, quotas, seen, window_ms
 
 if TYPE_CHECKING:
     from lab.virtual.host import VirtualHost
@@ -35,7 +35,6 @@
         super().__init__(rng, host.lines)
         self._host = host
         self.share = frozenset(host.scenario.nodes.share)
-        self.shared_bytes = 0
         names = [*host.names.nodes, *host.names.inner]
         self.seeds = [f"addr:{name}" for name in names[:SEEDS]]
 
@@ -105,14 +104,11 @@
 
     def recount(self) -> None:
         """As a node does: its place among those that count."""
-        here = {
-            m.name for m in self.core.view.members.values() if m.here() and m.facts.get("tier") == self._tier
-        }
-        self.census.see(here | {self.name}, self.now())
-        place = self.census.place()
-        if place != self._place:
-            self._place = place
-            self._node.placed(*place)
+        self.census.see(of_tier(self.core, self._tier), self.now())
+        at = self.census.place()
+        if at != self._place:
+            self._place = at
+            self._node.placed(*at)
 
     def give_shared(self, event: shared.Event) -> None:
         """Give the core of what is shared an event, and do what it says."""
@@ -135,11 +131,7 @@
 
     def _know(self) -> None:
         self.give_shared(known(self._node.balancer, self._starts, self.now()))
-        here = {m.name: m.life for m in self.core.view.members.values() if m.here()}
-        census = self.census
-        self.give_shared(
-            shared.Seen(self.core.life, here, census.counted(), census.base(), self.core.health.score)
-        )
+        self.give_shared(seen(self.core, self.census))
         self.later(1000.0 * KNOWN_S, self._know)
 
     # What happens at the node
@@ -160,7 +152,4 @@
 
     def place(self, cls: node_api.RequestClass, key: str, again: bool) -> tuple[str | None, bool]:
         """The zone that a request is bound to, if it is to any, and whether that can be known."""
-        if AFFINITY not in self._meeting.share or not bound(cls):
-            return None, True
-        place = self.shared.place(key_id(key.encode()), again, self.now())
-        return (place.group or None), not place.why
+        return place(self.shared, cls, key_id(key.encode()), again, self.now())
--- a/lab/virtual/node.py
+++ b/lab/virtual/node.py
@@ -15,7 +15,7 @@
 from lab import records
 from lab.callers import Done, Order
 from lab.records import UNREACHED
-from lab.registry import ACTIVE, LEFT, Entry
+from lab.registry import ACTIVE, LEFT, Entry, told
 from lab.servers import Job, Server
 from lab.settings import settings
 from nickelbridge import interface as api
@@ -329,8 +329,7 @@
     def tell_list(self, index: int, entries: list[Entry], whole: bool) -> None:
         """News from its agent."""
         now = self._host.now()
-        told = [(entry.name, entry.status, entry.since_ms) for entry in entries]
-        self._host.tell(records.Told(now, self.name, index, whole, told))
+        self._host.tell(records.Told(now, self.name, index, whole, told(entries)))
         offset = self.now() - now - self._wall_ms  # from the wall's clock, as it sees it, to its own
         listed = []
         for entry in entries:
--- a/lab/virtual/plain.py
+++ b/lab/virtual/plain.py
@@ -18,7 +18,7 @@
 class PlainPing(Membership):
     """Every member pings every other each second."""
 
-    def _begin(self, now: float) -> None:
+    def _begin(self) -> None:
         self._missed: dict[str, int] = defaultdict(int)
         self._join()
         self.timer(EVERY_MS * self.rng.random(), "period")
--- a/lab/virtual/shared.py
+++ b/lab/virtual/shared.py
@@ -7,17 +7,16 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter, defaultdict
-from collections.abc import Callable
-from itertools import count
 from typing import Any
 
 from fleet.census import Census
 from fleet.shared.affinity import Place
 from fleet.shared.core import PARTS, Shared
 from fleet.shared.messages import Fired, Heard, Known, Message, Part, Seen, SetTimer, Tell
+from lab.virtual import scene
+from lab.virtual.scene import Broken
 
 SEEN_MS, LATE_MS = 250.0, 2_500.0  # how often a process hears who is there; how long a death takes to be seen
 ZONES = ("linz", "wien", "krems")
@@ -26,19 +25,11 @@
 SLACK_MS = 1.0  # of rounding
 
 
-class Broken(AssertionError):
-    """Something that must hold does not; says the seed and the time."""
-
-
-class Process:
-    """A process with a clock of its own."""
+class Process(scene.Process):
+    """A process, with what it counts and the parts that are in force for it."""
 
     def __init__(self, world: World, name: str, rate: float) -> None:
-        self.world, self.name, self.rate = world, name, rate
-        self.offset, self.started = world.rng.random() * 1e6, world.now
-        self.life = next(world.lives)
-        self.alive, self.stopped = True, False
-        self.frozen: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        super().__init__(world, name, rate)
         self.part = Part({}, 1.0, True)
         names = list(world.names)
         self.census = Census(name, names.index(name), len(names))
@@ -47,48 +38,23 @@
             random.Random(world.rng.getrandbits(64)), self.clock(),
         )  # fmt: skip
 
-    def clock(self) -> float:
-        """Its monotonic clock."""
-        return self.offset + (self.world.now - self.started) * self.rate
-
 
-class World:
+class World(scene.Scene[Process]):
     """Processes, links, groups of servers, and the oracle."""
 
     def __init__(self, seed: int, members: int = 6, core: type[Shared] = Shared, loss: float = 0.0) -> None:
-        self.rng, self.seed, self.core, self.loss = random.Random(seed), seed, core, loss
-        self.now = 0.0
-        self.names = [f"m{n}" for n in range(members)]
+        super().__init__(seed, members, loss)
+        self.core = core
         self.zones = {name: ZONES[n % len(ZONES)] for n, name in enumerate(self.names)}
-        self.lives = count(1)
-        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._number = count()
-        self.cut: set[tuple[str, str]] = set()
         self._cut_ms: dict[tuple[str, str], float] = {}
-        self._gone_ms: dict[str, float] = {}
         self.hold_ms = 0.0  # datagrams may be held back for so long
         self.out: dict[str, set[str]] = defaultdict(set)  # by process: groups that it finds out
         self.written: dict[tuple[int, str, int, int], float] = {}  # when each record was written
         self.sent: dict[int, tuple[float, str]] = {}  # by key: when it first went out, and to which group
         self.counts: Counter[str] = Counter()
-        self.processes: dict[str, Process] = {}
         for name in self.names:
             self.start(name)
 
-    # Time
-
-    def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
-        """Do something later."""
-        heapq.heappush(self._heap, (self.now + max(0.0, delay_ms), next(self._number), do, args))
-
-    def run(self, for_ms: float) -> None:
-        """Let time pass."""
-        end = self.now + for_ms
-        while self._heap and self._heap[0][0] <= end:
-            self.now, _, do, args = heapq.heappop(self._heap)
-            do(*args)
-        self.now = end
-
     # Processes
 
     def start(self, name: str) -> None:
@@ -98,26 +64,6 @@
         self.do(process, process.core.begin())
         self._see(process)
 
-    def kill(self, name: str) -> None:
-        """Without a word."""
-        self.processes[name].alive = False
-        self._gone_ms[name] = self.now
-
-    def stop(self, name: str) -> None:
-        """SIGSTOP."""
-        self.processes[name].stopped = True
-        self._gone_ms[name] = self.now
-
-    def cont(self, name: str) -> None:
-        """SIGCONT."""
-        process = self.processes[name]
-        if process.alive and process.stopped:
-            process.stopped = False
-            self._gone_ms.pop(name, None)
-            frozen, process.frozen = process.frozen, []
-            for do, args in frozen:
-                do(*args)
-
     def sever(self, some: list[str], others: list[str], both: bool = True) -> None:
         """Cut links."""
         for a in some:
@@ -131,13 +77,6 @@
         self.cut.clear()
         self._cut_ms.clear()
 
-    def turn(self, process: Process, do: Callable[..., None], *args: Any) -> None:
-        """Do something in a process: later if it is stopped."""
-        if process.alive and process.stopped:
-            process.frozen.append((do, args))
-        elif process.alive:
-            do(*args)
-
     def _here(self, process: Process) -> dict[str, int]:
         """Whom membership would tell it to be there: late, of deaths and of cut links."""
         found = {}
@@ -215,7 +154,7 @@
         first = self.sent.setdefault(key, (self.now, place.group))
         if first[1] != place.group:
             what = f"key {key:x} went to {first[1]}, and {self.now - first[0]:.0f} ms later to {place.group}"
-            raise Broken(f"{self._when()}: {what}, at {name}")
+            raise Broken(f"{self.when()}: {what}, at {name}")
         self.counts["again" if again else "first"] += 1
         return place
 
@@ -232,14 +171,11 @@
             age, true = held.age_ms(process.clock()), self.now - self.written.get(record, self.now)
             if age < true - SLACK_MS:
                 what = f"{process.name} takes {writer}'s record for {age:.0f} ms old, and it is {true:.0f}"
-                raise Broken(f"{self._when()}: {what}")
+                raise Broken(f"{self.when()}: {what}")
 
     def check_parts(self, spare: float = 1.05) -> float:
         """The parts of a quota that are in force add up to no more than it."""
         whole = sum(p.part.quotas.get("t", 0.0) for p in self.processes.values() if p.alive)
         if whole > QUOTA * spare:
-            raise Broken(f"{self._when()}: parts add up to {whole:.0f} of {QUOTA:.0f}")
+            raise Broken(f"{self.when()}: parts add up to {whole:.0f} of {QUOTA:.0f}")
         return whole / QUOTA
-
-    def _when(self) -> str:
-        return f"seed {self.seed} at {self.now:.0f} ms"
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -38,6 +38,12 @@
 RECORDED_MS = 3_600_000.0  # how long one that left is shown
 
 
+def of_tier(members: Membership, tier: float) -> set[str]:
+    """Those there that send to the same tier, this process too: they part its budgets."""
+    here = {m.name for m in members.view.members.values() if m.here() and m.facts.get("tier") == tier}
+    return here | {members.name}
+
+
 class _Ear(asyncio.DatagramProtocol):
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
@@ -293,17 +299,13 @@
     # What the node takes from it
 
     def _recount(self) -> None:
-        here = {m.name for m in self.core.view.members.values() if m.here() and self._like_us(m.facts)}
-        self.census.see(here | {self.core.name}, now_ms())
+        self.census.see(of_tier(self.core, self._tier), now_ms())
         place = self.census.place()
         if place != self._place:
             self._place = place
             logs.info("place", "number %(number)d of %(nodes)d now", number=place[0], nodes=place[1])
             self._placed(*place)
 
-    def _like_us(self, facts: dict[str, Fact]) -> bool:
-        return facts.get("tier") == self._tier
-
     def told(self, number: int, nodes: int) -> None:
         """The file has new settings; what is in force follows from both."""
         self.census.told(number, nodes)
--- a/orchidferry/shared.py
+++ b/orchidferry/shared.py
@@ -11,9 +11,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from fleet.census import Census
+from fleet.membership.core import Membership
 from fleet.messages import About, Message
 from fleet.shared import messages as shared
-from fleet.shared.core import AFFINITY, LIMITS, PARTS, VERDICTS, Shared, mark
+from fleet.shared.core import AFFINITY, LIMITS, PARTS, Shared, mark
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
@@ -67,6 +69,20 @@
     )
 
 
+def seen(members: Membership, census: Census) -> shared.Seen:
+    """Who is there, and who counts."""
+    here = {} if members.quiet else {m.name: m.life for m in members.view.members.values() if m.here()}
+    return shared.Seen(members.life, here, census.counted(), census.base(), members.health.score)
+
+
+def place(core: Shared, cls: api.RequestClass, key: int, again: bool, now: float) -> tuple[str | None, bool]:
+    """The zone that a request is bound to, if it is to any, and whether that can be known."""
+    if AFFINITY not in core.parts or not bound(cls):
+        return None, True
+    found = core.place(key, again, now)
+    return (found.group or None), not found.why
+
+
 class SharedHost:
     """This process's part in what the fleet shares."""
 
@@ -79,7 +95,6 @@
             peers.core.name, peers.core.life, settings.zone, settings.tier, fleet.share, quotas(settings),
             list(fleet.groups), window_ms(settings), rng, now_ms(),
         )  # fmt: skip
-        self._affine = AFFINITY in fleet.share
         self._starts: dict[int, int] = {}
         self._names: dict[int, str] = {}
         self._marks: dict[int, str] = {}
@@ -142,9 +157,7 @@
         self._loop.call_later(KNOWN_S, self._know)
 
     def _seen(self) -> None:
-        core, census = self._peers.core, self._peers.census
-        here = {m.name: m.life for m in core.view.members.values() if m.here()} if not core.quiet else {}
-        self._give(shared.Seen(core.life, here, census.counted(), census.base(), core.health.score))
+        self._give(seen(self._peers.core, self._peers.census))
 
     def ordered(self, token: int, limits: dict[str, float]) -> None:
         """This process holds the ledger: what operators have set there is for all."""
@@ -174,14 +187,11 @@
 
     def place(self, cls: api.RequestClass, key: int, again: bool) -> tuple[str | None, bool]:
         """The zone that a request is bound to, if it is to any, and whether that can be known."""
-        if not self._affine or not bound(cls):
-            return None, True
         try:
-            place = self.core.place(key, again, now_ms())
+            return place(self.core, cls, key, again, now_ms())
         except Exception:
             self._fail("a key")
             return None, not again
-        return (place.group or None), not place.why
 
     # What operators see
 
@@ -235,7 +245,6 @@
                 "counts": dict(affinity.counts),
                 "others": {name: sorted(other.out) for (name, _), other in affinity.elsewhere.items()},
             },
-            "verdicts_in_use": VERDICTS in core.parts,
             "counts": dict(core.store.counts) | {"untold": core.witness.untold, "capped": core.pool.capped},
             "records": records,
         }  # fmt: skip
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -14,7 +14,8 @@
 from fleet.duties.ledger import MOST_ROWS, Ledger
 from fleet.duties.messages import Accepted, Prepare, Promise, Propose, Recall, Seen
 from fleet.duties.voter import Voter
-from lab.virtual.duties import LATE_SEEN_MS, Broken, Process, World
+from lab.virtual.duties import LATE_SEEN_MS, Process, World
+from lab.virtual.scene import Broken
 
 TERM_MS = 3000.0
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -20,7 +20,8 @@
 from fleet.membership.view import MOST_BURIED, Member, View
 from fleet.messages import ALIVE, DEAD, LEFT, SUSPECT, Gossip, Head, Ping, Record, State, size_of
 from lab.lines import Ill
-from lab.virtual.fleet import Broken, Fleet
+from lab.virtual.fleet import Fleet
+from lab.virtual.scene import Broken
 
 
 def record(
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -16,7 +16,8 @@
 from fleet.shared.messages import PULSE, Asked, Cell, Entry, Findings, Ordered, Pulse, encode
 from fleet.shared.verdicts import Pool
 from fleet.shared.witness import Witness
-from lab.virtual.shared import QUOTA, ZONES, Broken, World
+from lab.virtual.scene import Broken
+from lab.virtual.shared import QUOTA, ZONES, World
 
 pulse = encode(Pulse("linz", 0, {}, 1.0, 1.0, []))
 entries = st.builds(
