--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -95,6 +95,18 @@
     sys.exit(fleetcli.ledger(door, entries, as_json))
 
 
+@fleet.command("voters")
+@click.option("--add", default="", metavar="MEMBER", help="Have this member vote too.")
+@click.option("--remove", default="", metavar="MEMBER", help="Have this one vote no more.")
+@click.option("--door", required=True, help="Where a node's `management` listens, as host:port.")
+@click.option("--json", "as_json", is_flag=True, help="All that the door tells.")
+def fleet_voters(add: str, remove: str, door: str, as_json: bool) -> None:
+    """Who votes, and other voters, one at a time; exit status 1 where one is missing or a change fails."""
+    from dunlinloft import fleetcli
+
+    sys.exit(fleetcli.voters(door, add, remove, as_json))
+
+
 @fleet.command("hand-over")
 @click.argument("duty")
 @click.option("--to", default="", help="The member that should hold it; whoever is next where not given.")
@@ -107,7 +119,7 @@
 
 
 @main.command("explore")
-@click.argument("system", type=click.Choice(["duties", "ledger", "membership"]))
+@click.argument("system", type=click.Choice(["duties", "ledger", "membership", "voters"]))
 @click.option("--depth", type=click.IntRange(1), default=40, show_default=True, help="Moves to a state.")
 @click.option("--states", type=click.IntRange(1), default=100_000, show_default=True, help="At most.")
 @click.option(
--- a/dunlinloft/explorecli.py
+++ b/dunlinloft/explorecli.py
@@ -13,16 +13,19 @@
 from lab.explore.ledger import LedgerSystem
 from lab.explore.membership import MembershipSystem
 from lab.explore.search import Found, Move, System, exhaust_with, replay, shorten, wander
+from lab.explore.voters import VotersSystem
 
 SYSTEMS: dict[str, list[System]] = {
     "duties": [Duties(copies=0, releases=0), Duties(held=False, restarts=0)],
     "ledger": [LedgerSystem()],
     "membership": [MembershipSystem()],
+    "voters": [VotersSystem()],
 }
 WALKS: dict[str, System] = {
     "duties": Duties(tries=4, copies=3, restarts=2, waits=30),
     "ledger": LedgerSystem(writes=4, restarts=3, copies=4),
     "membership": MembershipSystem(),
+    "voters": VotersSystem(restarts=3, asked=3, copies=2),
 }
 STEPS = 80  # of a walk
 out, err = Console(), Console(stderr=True, soft_wrap=True)
--- a/dunlinloft/fleetcli.py
+++ b/dunlinloft/fleetcli.py
@@ -270,6 +270,42 @@
     return status
 
 
+def voters(door: str, add: str, remove: str, as_json: bool) -> int:
+    """Change the voters where that is asked for, then print them; the exit status."""
+    status = SUCCESS
+    try:
+        if add or remove:
+            query = urllib.parse.urlencode({"add": add, "remove": remove})
+            number = read(door, f"/admin/voters/change?{query}", "POST")["entry"]
+            state = _end_of(door, number)
+            out.print(f"{'+' + add if add else '-' + remove}: {state}", highlight=False)
+            status = SUCCESS if state == "kept" else UNKEPT
+        found = read(door, "/admin/voters")
+    except NoDoor as problem:
+        return _bad(problem)
+    missing = [row["name"] for row in found["voters"] if not row["there"]]
+    status = UNKEPT if missing or found["behind"] else status
+    if as_json:
+        print(json.dumps(found, indent=2))
+        return status
+    names, configured = [row["name"] for row in found["voters"]], found["configured"]
+    what = f"as {found['self']} has it, after change {found['change']}"
+    out.print(f"{what}: {', '.join(names)} vote, {len(names) // 2 + 1} have to agree", highlight=False)
+    if missing:
+        out.print(f"[red]not there: {escape(', '.join(missing))}[/]", highlight=False)
+    if set(names) != set(configured):
+        listed = escape(", ".join(configured))
+        out.print(f"[yellow]the configuration still names {listed}: bring the files up to date[/]")
+    if len(names) % 2 == 0:
+        out.print("[yellow]an even number: add or remove one more[/]")
+    for name, told in found["behind"].items():
+        out.print(f"[yellow]{escape(name)} takes them for {escape(told)}[/]", highlight=False)
+    if found["why_no_change"]:
+        why = found["why_no_change"] if found["here"] else f"ask {found['holder'] or 'nobody'}, the holder"
+        out.print(f"no change here now: {escape(why)}", highlight=False)
+    return status
+
+
 def _end_of(door: str, number: int) -> str:
     """How an entry ended, as soon as that is known."""
     state = "under way"
--- a/fleet/duties/candidate.py
+++ b/fleet/duties/candidate.py
@@ -23,6 +23,7 @@
     Start,
     Stop,
     Tell,
+    majority,
 )
 
 TERM_MS, DRIFT = 3_000.0, 0.02
@@ -46,6 +47,7 @@
         wall_ms: Callable[[], int], term_ms: float = TERM_MS, drift: float = DRIFT,
     ) -> None:  # fmt: skip
         self.duty, self._name, self._life, self._voters, self._rng = duty, name, life, voters, rng
+        self.epoch = 0  # of the voters
         self._wall_ms, self._term_ms, self._drift = wall_ms, term_ms, drift
         self.step, self.ballot = IDLE, NONE
         self._round = 0
@@ -68,7 +70,14 @@
 
     def majority(self) -> int:
         """How many voters have to agree."""
-        return len(self._voters) // 2 + 1
+        return majority(len(self._voters))
+
+    def elect(self, voters: list[str], epoch: int, now: float) -> None:
+        """Others vote from now on: a try that is under way counted majorities of the old ones."""
+        self._voters, self.epoch = voters, epoch
+        if self.step != IDLE:
+            self.why = "the voters have changed"
+            self._fail(0.0, now)
 
     def holds(self, now: float) -> bool:
         """Whether the duty is this process's at this instant: asked before each act."""
@@ -83,7 +92,7 @@
         self.step = PREPARING
         self._promises.clear()
         self._accepted.clear()
-        self._asked = Prepare(self.duty, self.ballot)
+        self._asked = Prepare(self.duty, self.ballot, self.epoch)
         self._ask()
 
     def _ask(self) -> None:
@@ -140,7 +149,7 @@
             self._proposed = max(latest.token + 1, self.known + 1, self._wall_ms())
             self.state = latest.state
         self.step, self._sent_ms = PROPOSING, now
-        self._asked = Propose(self.duty, self.ballot, self._term_ms, self._proposed, self.state)
+        self._asked = Propose(self.duty, self.ballot, self._term_ms, self._proposed, self.state, self.epoch)
         self._ask()
 
     def _own(self, lease: Lease) -> bool:
--- a/fleet/duties/core.py
+++ b/fleet/duties/core.py
@@ -19,7 +19,11 @@
 from fleet.duties.messages import (
     Accepted,
     Action,
+    Adopt,
+    Adopted,
     Ballot,
+    ChangeVoters,
+    Elected,
     Enter,
     Event,
     Fired,
@@ -30,7 +34,10 @@
     LedgerStored,
     LedgerWrite,
     Message,
+    Opened,
+    Prepare,
     Promise,
+    Propose,
     Recall,
     Recalled,
     Release,
@@ -40,9 +47,11 @@
     Start,
     Stop,
     Tell,
+    Voters,
     Work,
 )
 from fleet.duties.voter import Voter
+from fleet.duties.voters import ROW, Change, Row, changed, read_row
 
 LOOK_MS = 400.0  # how often it is looked at whether to stand
 STAND_MS = 60.0  # the next in preference stands so much later: as a rule one tries at a time
@@ -73,9 +82,11 @@
         self, name: str, life: int, voters: list[str], duties: list[str], rng: random.Random,
         wall_ms: Callable[[], int], now: float, term_ms: float = TERM_MS, drift: float = DRIFT,
     ) -> None:  # fmt: skip
-        if len(voters) % 2 == 0 or len(set(voters)) < len(voters):
-            raise ValueError(f"voters: {len(voters)} of them; an odd number of different names is needed")
+        if len(set(voters)) < len(voters):
+            raise ValueError(f"voters: {', '.join(voters)}: one is named twice")
         self.name, self.life, self._rng = name, life, rng
+        self._term_ms, self._drift = term_ms, drift
+        self.voters = Voters(0, tuple(voters))
         self.voter = Voter(name, voters, now, term_ms, drift) if name in voters else None
         self.candidates = {
             duty: Candidate(duty, name, life, voters, rng, wall_ms, term_ms, drift) for duty in duties
@@ -83,11 +94,13 @@
         for duty, candidate in self.candidates.items():
             candidate.timer = partial(self._set_for, duty)
         # The ledger, if it is among the duties: what this process keeps as a voter, and writes as the holder.
-        with_ledger = LEDGER in duties
+        self._with_ledger = with_ledger = LEDGER in duties
         self.keeper = Keeper(name, voters, rng.getrandbits(31)) if with_ledger and name in voters else None
         self.ledger = Ledger(voters, rng) if with_ledger else None
         if self.ledger is not None:
             self.ledger.timer = self._set_ledger
+        self.change = Change(rng, term_ms, drift)
+        self._wanted: tuple[int, Row] | None = None  # a change of voters that is on its way to the ledger
         self._seen = Seen(frozenset((name,)), {})
         self._timers: dict[int, tuple[str, str, Ballot]] = {}
         self._token = 0
@@ -113,14 +126,18 @@
                 for duty, (_, token) in event.claims.items():
                     if duty in self.candidates:
                         self.candidates[duty].known = max(self.candidates[duty].known, token)
+                if event.voters is not None:
+                    self._adopt(event.voters, now)
                 self._look(now)
             case HandOver():
                 candidate = self.candidates.get(event.duty)
                 if candidate is not None and event.to != self.name:
                     candidate.release(event.to, now)
-                    self._take(candidate)
+                    self._take(candidate, now)
             case Enter():
                 self._enter(event, now)
+            case ChangeVoters():
+                self._change(event, now)
             case Work() if event.duty in self.candidates:
                 self.candidates[event.duty].state = event.state
         return self._actions
@@ -140,7 +157,7 @@
     def _set_ledger(self, delay_ms: float, tick: int) -> None:
         self._set(LEDGER, LEDGER, (tick, "", 0), delay_ms)
 
-    def _take(self, candidate: Candidate) -> None:
+    def _take(self, candidate: Candidate, now: float) -> None:
         self._actions += candidate.actions
         if candidate.duty == LEDGER and self.ledger is not None:
             for action in candidate.actions:
@@ -148,20 +165,119 @@
                     self.ledger.start(action.token)
                 elif isinstance(action, Stop):
                     self.ledger.stop()
-            self._take_ledger()
+                    self.change.stop()
+            self._take_ledger(now)
         candidate.actions = []
 
-    def _take_ledger(self) -> None:
+    def _take_ledger(self, now: float) -> None:
+        actions: list[Action] = []
         if self.ledger is not None:
-            self._actions += self.ledger.actions
-            self.ledger.actions = []
+            actions, self.ledger.actions = self.ledger.actions, []
+        self._actions += actions
+        for action in actions:
+            if isinstance(action, Opened):
+                self._opened(now)
+            elif isinstance(action, Settled) and self._wanted is not None:
+                wanted, row = self._wanted
+                if action.wanted == wanted:
+                    self._wanted = None
+                    if action.kept:
+                        self._carry(row, now)
+
+    # Who votes
+
+    def _change(self, event: ChangeVoters, now: float) -> None:
+        """Operators want one more voter or one fewer: the ledger decides it."""
+        why = self.why_no_change(now)
+        if not why:
+            found = changed(self.voters, event.add, event.remove, self._seen.here)
+            why = found if isinstance(found, str) else self._decide(found, event.wanted, now)
+        if why:
+            self._actions.append(Settled(event.wanted, False, why))
+
+    def why_no_change(self, now: float) -> str:
+        """Why the voters can't be changed here and now; "" where they can."""
+        if self.ledger is None or not self.holds(LEDGER, now):
+            return "this process does not hold the ledger"
+        if self._wanted is not None:
+            return "a change of voters is on its way"
+        covered = self.ledger.covered()
+        return "" if self.change.look(covered, now) else self.change.why(covered, now)
+
+    def _decide(self, names: tuple[str, ...], wanted: int, now: float) -> str:
+        """Enter a change into the ledger; "" or why not."""
+        if self.ledger is None:
+            return "there is no ledger"
+        row = Row(self.voters.epoch + 1, self.voters.names, names)
+        why = self.ledger.write(ROW, row.write(), wanted)
+        if not why:
+            self._wanted = wanted, row
+            self._take_ledger(now)
+        return why
+
+    def _opened(self, now: float) -> None:
+        """The ledger is ours and open: go on with the change that it tells of, wherever that stood."""
+        ledger = self.ledger
+        kept = ledger.rows.get(ROW) if ledger is not None else None
+        row = read_row(kept.value) if kept is not None else None
+        if row is not None and row.epoch >= self.voters.epoch:
+            return self._carry(row, now)
+        if self.voters.epoch and ledger is not None:  # the row was lost with a majority: what it said holds
+            names = self.voters.names
+            ledger.write(ROW, Row(self.voters.epoch, names, names).write(), 0)
+            self._take_ledger(now)
+        self._actions += self.change.begin(self.voters, self.voters.names)
+
+    def _carry(self, row: Row, now: float) -> None:
+        """A change is decided: adopt it here and have the voters do so."""
+        self._adopt(Voters(row.epoch, row.names), now)
+        self._actions += self.change.begin(Voters(row.epoch, row.names), row.before)
+
+    def _adopt(self, voters: Voters, now: float) -> None:
+        """These vote from now on, if that is news."""
+        if voters.epoch <= self.voters.epoch:
+            return
+        self.voters, names = voters, list(voters.names)
+        if self.name not in names:
+            self.voter = self.keeper = None
+        elif self.voter is None:
+            # As one that has just started: it takes no part until it knows what there was.
+            self.voter = Voter(self.name, names, now, self._term_ms, self._drift)
+            self.keeper = Keeper(self.name, names, self._rng.getrandbits(31)) if self._with_ledger else None
+        else:
+            self.voter.elect(names)
+        if self.keeper is not None:
+            self.keeper.elect(names, voters.epoch)
+        for candidate in self.candidates.values():
+            candidate.elect(names, voters.epoch, now)
+            self._take(candidate, now)
+        if self.ledger is not None:
+            self.ledger.elect(names, voters.epoch)
+            self._take_ledger(now)
+        self._actions.append(Elected(voters))
+
+    def _about_voters(self, message: Adopt | Adopted, sender: str, now: float) -> None:
+        if isinstance(message, Adopted):
+            if self.holds(LEDGER, now):
+                self._actions += self.change.hear(message, sender, now)
+            return
+        self._adopt(message.voters, now)
+        if message.voters.epoch < self.voters.epoch:
+            self._actions.append(Tell(sender, Adopt("", self.voters)))
+        elif message.number:
+            if self.voter is not None:
+                self.voter.know(message.tokens)
+            remembers = self.voter is None or self.voter.remembers()
+            tokens = self.voter.tokens() if self.voter is not None else {}
+            answer = Adopted("", self.voters.epoch, message.number, remembers, tokens, self.life)
+            self._actions.append(Tell(sender, answer))
 
     def _enter(self, event: Enter, now: float) -> None:
         """A row for the ledger: only who holds it at this instant may begin to write."""
         why = "this process does not hold the ledger"
         if self.ledger is not None and self.holds(LEDGER, now):
             why = self.ledger.write(event.key, event.value, event.wanted)
-            self._take_ledger()
+            self._take_ledger(now)
         if why:
             self._actions.append(Settled(event.wanted, False, why))
 
@@ -176,13 +292,21 @@
                 self._actions += self.keeper.learn(message, sender)
             case LedgerPage() | LedgerStored() if self.ledger is not None and self.holds(LEDGER, now):
                 self.ledger.hear(message, sender)
-                self._take_ledger()
+                self._take_ledger(now)
         if answer is not None:
             self._actions.append(Tell(sender, answer))
 
     def _heard(self, event: Heard, now: float) -> None:
         message = event.message
         candidate = self.candidates.get(message.duty)
+        if isinstance(message, Adopt | Adopted):
+            return self._about_voters(message, event.sender, now)
+        if isinstance(message, Prepare | Propose | LedgerRead | LedgerWrite) and (
+            message.epoch != self.voters.epoch
+        ):
+            # Whoever is behind learns of it and asks again; if that is this process it is told what it lacks.
+            self._actions.append(Tell(event.sender, Adopt("", self.voters)))
+            return
         if isinstance(message, LedgerRead | LedgerPage | LedgerWrite | LedgerStored):
             return self._about_ledger(message, event.sender, now)
         if isinstance(message, Recall | Recalled):
@@ -190,7 +314,7 @@
         if isinstance(message, Promise | Accepted):
             if candidate is not None:
                 candidate.hear(message, event.sender, now)
-                self._take(candidate)
+                self._take(candidate, now)
             return
         if self.voter is not None:
             answer = self.voter.hear(message, now)
@@ -199,14 +323,18 @@
         wanted = isinstance(message, Release) and message.to == self.name
         if wanted and candidate is not None:
             candidate.summon(now)
-            self._take(candidate)
+            self._take(candidate, now)
 
     def _recollect(self, message: Recall | Recalled, sender: str) -> None:
         """Voters tell each other which tokens there were."""
+        if message.epoch != self.voters.epoch:
+            self._actions.append(Tell(sender, Adopt("", self.voters)))
+            if isinstance(message, Recall) or message.epoch > self.voters.epoch:
+                return  # it is asked again, by whoever knows better by then
         if self.voter is None:
             return
         if isinstance(message, Recall):
-            self._actions.append(Tell(sender, self.voter.recall(message)))
+            self._actions.append(Tell(sender, self.voter.recall(message, self.voters.epoch)))
         else:
             self.voter.learn(message, sender)
 
@@ -214,24 +342,26 @@
         what, duty, ballot = self._timers.pop(token, ("", "", (0, "", 0)))
         if what == LOOK:
             if self.voter is not None:
-                self._actions += [Tell(*question) for question in self.voter.ask()]
+                self._actions += [Tell(*question) for question in self.voter.ask(self.voters.epoch)]
             if self.keeper is not None:
                 self._actions += self.keeper.ask()
+            if self.holds(LEDGER, now):
+                self._actions += self.change.ask()
             self._look(now)
             self._set(LOOK, "", ballot, LOOK_MS * (0.8 + 0.4 * self._rng.random()))
         elif what == LEDGER:
             if self.ledger is not None and self.holds(LEDGER, now):
                 self.ledger.fired(ballot[0])
-                self._take_ledger()
+                self._take_ledger(now)
         elif what == STAND:
             self._standing.discard(duty)
             candidate = self.candidates[duty]
             if self._vacant(duty) and not candidate.rests(now) and self._seen.well:
                 candidate.attempt(now)
-                self._take(candidate)
+                self._take(candidate, now)
         elif duty in self.candidates:
             self.candidates[duty].fired(what, ballot, now)
-            self._take(self.candidates[duty])
+            self._take(self.candidates[duty], now)
 
     def _vacant(self, duty: str) -> bool:
         """Whether nobody who is there says that it holds the duty."""
--- a/fleet/duties/ledger.py
+++ b/fleet/duties/ledger.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from fleet.duties.messages import (
     Action,
     LedgerPage,
@@ -23,6 +25,7 @@
     Opened,
     Settled,
     Tell,
+    majority,
 )
 
 DUTY = "ledger"
@@ -78,13 +81,13 @@
         """Where this voter's next page begins."""
         return self._after.get(voter, "")
 
-    def question(self, voter: str, token: int) -> Tell:
+    def question(self, voter: str, token: int, epoch: int) -> Tell:
         """What to ask a voter next, with a holder's token or none."""
-        return Tell(voter, LedgerRead(DUTY, token, self.try_, self.after(voter)))
+        return Tell(voter, LedgerRead(DUTY, token, self.try_, self.after(voter), epoch))
 
-    def questions(self, voters: list[str], token: int) -> list[Tell]:
+    def questions(self, voters: list[str], token: int, epoch: int) -> list[Tell]:
         """The same, for those who have not told all."""
-        return [self.question(voter, token) for voter in voters if voter not in self.whole]
+        return [self.question(voter, token, epoch) for voter in voters if voter not in self.whole]
 
     def forget(self, voter: str) -> None:
         """It has to be read again."""
@@ -129,9 +132,8 @@
     """
 
     def __init__(self, name: str, voters: list[str], life: int) -> None:
-        self._others = [voter for voter in voters if voter != name]
-        self._enough = len(voters) - len(voters) // 2
-        self.life = life
+        self._name, self.life, self.epoch = name, life, 0
+        self.elect(voters, 0)
         self._reading = Reading(life)
         self._blank: set[str] = set()  # others that have forgotten all themselves
         self.rows: dict[str, LedgerRow] = {}
@@ -143,9 +145,15 @@
         self._staged_for = 0, 0
         self.refused = 0
 
+    def elect(self, voters: list[str], epoch: int) -> None:
+        """These vote from now on, this one among them."""
+        self.epoch = epoch
+        self._others = [voter for voter in voters if voter != self._name]
+        self._enough = len(voters) - majority(len(voters)) + 1
+
     def ask(self) -> list[Tell]:
         """Questions to the others while it does not know what there was."""
-        return self._reading.questions(self._others, 0) if self.asks else []
+        return self._reading.questions(self._others, 0, self.epoch) if self.asks else []
 
     def learn(self, page: LedgerPage, sender: str) -> list[Tell]:
         """Another voter's answer to that."""
@@ -157,13 +165,13 @@
         else:
             self._blank.discard(sender)
             if self._reading.hear(page, sender):
-                return [self._reading.question(sender, 0)]
-        known = self._reading.whole
+                return [self._reading.question(sender, 0, self.epoch)]
+        known = {voter: page for voter, page in self._reading.whole.items() if voter in self._others}
         if len(known) >= self._enough:
             self.asks = False
             _, self.shown, _, _ = self._reading.result()
             self.ready = not self.shown  # nobody has ever held the ledger
-        elif len(known.keys() | self._blank) == len(self._others):
+        elif known.keys() | self._blank >= set(self._others):
             self.asks, self.ready = False, True
             if known:
                 self.base, self.shown, self.lost, self.rows = self._reading.result()
@@ -233,7 +241,7 @@
     """The holder's part."""
 
     def __init__(self, voters: list[str], rng: random.Random) -> None:
-        self._voters, self._rng = voters, rng
+        self._voters, self.epoch, self._rng = voters, 0, rng
         self.step, self.token, self.lost = IDLE, 0, False
         self.rows: dict[str, LedgerRow] = {}
         self._reading = Reading(0)
@@ -242,12 +250,34 @@
         self._writes: dict[int, _Write] = {}
         self._lives: dict[str, int] = {}  # of each voter, the latest that is known
         self._based: set[str] = set()  # voters that have the base, in the life in which they were read
+        self._new: set[str] = set()  # voters since the base was made, who do not have it yet
         self.actions: list[Action] = []
         self.timer: Callable[[float, int], None] = lambda delay_ms, tick: None
 
     def majority(self) -> int:
         """How many voters have to have a row."""
-        return len(self._voters) // 2 + 1
+        return majority(len(self._voters))
+
+    def elect(self, voters: list[str], epoch: int) -> None:
+        """These vote from now on. What is open goes on with them; new ones are given all there is."""
+        new = set(voters) - set(self._voters)
+        self._voters, self.epoch = voters, epoch
+        if self.step in (READING, RESTORING):
+            return self._read_all()
+        self._new = (self._new | new) & set(voters)
+        for number, write in list(self._writes.items()):
+            write.to = [voter for voter in write.to if voter in voters]
+            write.message = replace(write.message, epoch=epoch)  # the old one may be on its way
+            self._progress(number, write)
+        if self.step == OPEN:
+            self._wait_ms = TRY_MS
+            self._tick += 1
+            self.fired(self._tick)
+
+    def covered(self) -> bool:
+        """Whether a majority of the voters has all that there is, under this tenure's base."""
+        behind = self._new.union(*(write.missing() for write in self._writes.values()))
+        return self.step == OPEN and len(set(self._voters) - behind) >= self.majority()
 
     def start(self, token: int) -> None:
         """The duty is this process's: read what there is."""
@@ -264,13 +294,14 @@
         """From the beginning: a promise that a voter forgot is none."""
         self.step, self.lost, self._wait_ms = READING, False, TRY_MS
         self.rows, self._writes, self._based, self._lives = {}, {}, set(), {}
+        self._new = set()
         self._seq = self._ticks = 0
         self._reading = Reading(self._rng.getrandbits(31) + self._tick)
         self._tick += 1
         self._ask()
 
     def _ask(self) -> None:
-        self.actions += self._reading.questions(self._voters, self.token)
+        self.actions += self._reading.questions(self._voters, self.token, self.epoch)
         self.timer(TRY_MS, self._tick)
 
     def write(self, key: str, value: bytes, wanted: int) -> str:
@@ -293,7 +324,7 @@
         self, rows: list[LedgerRow], page: int, of: int, to: list[str], wanted: int = 0, life: int = 0
     ) -> None:
         self._number += 1
-        message = LedgerWrite(DUTY, self.token, self._number, page, of, self.lost, rows, life)
+        message = LedgerWrite(DUTY, self.token, self._number, page, of, self.lost, rows, life, self.epoch)
         self._writes[self._number] = _Write(message, list(to), wanted)
         self.actions.extend(Tell(voter, message) for voter in to)
 
@@ -314,7 +345,7 @@
         for write in self._writes.values():
             self.actions.extend(Tell(voter, write.message) for voter in write.missing())
         if self.step == OPEN:
-            look = LedgerWrite(DUTY, self.token, 0, 0, 0, self.lost, [])
+            look = LedgerWrite(DUTY, self.token, 0, 0, 0, self.lost, [], 0, self.epoch)
             self.actions.extend(Tell(voter, look) for voter in self._voters)
             self._wait_ms = min(MOST_TRY_MS, 2.0 * self._wait_ms)
         self.timer(self._wait_ms, self._tick)
@@ -330,7 +361,7 @@
         if self.step != READING:
             return
         if self._reading.hear(message, sender):
-            self.actions.append(self._reading.question(sender, self.token))
+            self.actions.append(self._reading.question(sender, self.token, self.epoch))
         elif len(self._reading.whole) >= self.majority():
             self._restore()
 
@@ -367,16 +398,23 @@
         if self._lives.setdefault(voter, message.life) != message.life:
             return  # a word of its former life that was held back
         write.stored.add(voter)
-        if write.wanted and len(write.stored) >= self.majority():
-            self.actions.append(Settled(write.wanted, True))
-            write.wanted = 0
         if self.step == RESTORING and read is not None and self._has_base(voter):
             self._based.add(voter)
             if len(self._based) >= self.majority():
                 self.step = OPEN
                 self.actions.append(Opened(self.token, len(self.rows), self.lost))
-        if not write.missing() and self.step == OPEN:
-            del self._writes[message.number]
+        self._progress(message.number, write)
+
+    def _progress(self, number: int, write: _Write) -> None:
+        """A row is kept once a majority of those who vote now has it; a message is done once all have it."""
+        if write.wanted and len(write.stored.intersection(self._voters)) >= self.majority():
+            self.actions.append(Settled(write.wanted, True))
+            write.wanted = 0
+        if write.missing() or self.step != OPEN:
+            return
+        del self._writes[number]
+        if write.message.life and not any(w.message.life and w.to == write.to for w in self._writes.values()):
+            self._new.difference_update(write.to)
 
     def _has_base(self, voter: str) -> bool:
         parts = (write for write in self._writes.values() if write.message.pages and not write.message.life)
--- a/fleet/duties/messages.py
+++ b/fleet/duties/messages.py
@@ -14,6 +14,22 @@
 NONE: Ballot = (0, "", 0)
 
 
+class Voters(Struct, array_like=True, gc=False, frozen=True):
+    """Who votes, as of the `epoch`-th change; the 0th is what the configuration names."""
+
+    epoch: int
+    names: tuple[str, ...]
+
+    def majority(self) -> int:
+        """How many of them have to agree."""
+        return majority(len(self.names))
+
+
+def majority(count: int) -> int:
+    """Of so many: any two majorities share one."""
+    return count // 2 + 1
+
+
 class Lease(Struct, array_like=True, gc=False):
     """What a voter has accepted: whose (by the ballot), with which token, and for how many ms more."""
 
@@ -27,6 +43,7 @@
 
     duty: str
     ballot: Ballot
+    epoch: int = 0  # of the voters that are asked
 
 
 class Promise(Struct, array_like=True, tag=12, gc=False):
@@ -49,6 +66,7 @@
     term_ms: float
     token: int
     state: bytes
+    epoch: int = 0
 
 
 class Accepted(Struct, array_like=True, tag=14, gc=False):
@@ -75,6 +93,7 @@
 
     duty: str
     number: int
+    epoch: int = 0
 
 
 class Recalled(Struct, array_like=True, tag=17, gc=False):
@@ -84,6 +103,27 @@
     number: int
     remembers: bool
     tokens: dict[str, int]
+    epoch: int = 0  # of the voters that it knows of
+
+
+class Adopt(Struct, array_like=True, tag=18, gc=False):
+    """These are the voters. With a number: answer, and know these tokens."""
+
+    duty: str
+    voters: Voters
+    number: int = 0
+    tokens: dict[str, int] = {}
+
+
+class Adopted(Struct, array_like=True, tag=19, gc=False):
+    """They are, to me too; what I know of tokens, and whether I remember from before."""
+
+    duty: str
+    epoch: int
+    number: int
+    remembers: bool
+    tokens: dict[str, int]
+    life: int
 
 
 class LedgerRow(Struct, array_like=True, gc=False, frozen=True):
@@ -106,6 +146,7 @@
     token: int
     try_: int
     after: str
+    epoch: int = 0
 
 
 class LedgerPage(Struct, array_like=True, tag=32, gc=False):
@@ -141,6 +182,7 @@
     lost: bool
     rows: list[LedgerRow]
     life: int = 0
+    epoch: int = 0
 
 
 class LedgerStored(Struct, array_like=True, tag=34, gc=False):
@@ -160,6 +202,8 @@
     | Release
     | Recall
     | Recalled
+    | Adopt
+    | Adopted
     | LedgerRead
     | LedgerPage
     | LedgerWrite
@@ -193,6 +237,7 @@
     claims: dict[str, tuple[str, int]]  # by duty: holder and token
     well: bool = True  # whether this process gets its turns: else it does not stand
     zones: dict[str, str] = field(default_factory=dict)  # by member
+    voters: Voters | None = None  # of those that members say vote, the latest
 
 
 @dataclass(slots=True)
@@ -220,7 +265,16 @@
     wanted: int
 
 
-Event = Heard | Fired | Seen | HandOver | Work | Enter
+@dataclass(slots=True)
+class ChangeVoters:
+    """Operators want one more voter, or one fewer; `Settled(wanted)` answers."""
+
+    add: str
+    remove: str
+    wanted: int
+
+
+Event = Heard | Fired | Seen | HandOver | Work | Enter | ChangeVoters
 
 
 # Actions
@@ -278,4 +332,11 @@
     why: str = ""
 
 
-Action = Tell | SetTimer | Start | Stop | Opened | Settled
+@dataclass(slots=True)
+class Elected:
+    """These vote from now on, as far as this process knows."""
+
+    voters: Voters
+
+
+Action = Tell | SetTimer | Start | Stop | Opened | Settled | Elected
--- a/fleet/duties/voter.py
+++ b/fleet/duties/voter.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from fleet.duties.messages import (
     NONE,
     Accepted,
@@ -18,6 +20,7 @@
     Recall,
     Recalled,
     Release,
+    majority,
 )
 
 MOST_DUTIES = 256  # that are kept; a foreign flood of names is not
@@ -47,44 +50,67 @@
     def __init__(
         self, name: str, voters: list[str], began_ms: float, longest_ms: float, drift: float
     ) -> None:
-        self._others = [other for other in voters if other != name]
-        majority = len(voters) // 2 + 1
-        self._enough = len(voters) - majority + 1
+        self._name = name
         self._drift, self._longest_ms = drift, longest_ms
         self._silent_until = began_ms + longest_ms * (1.0 + drift)
         self._answers: dict[str, bool] = {}  # who of the others has answered, and whether it remembers
         self._tokens: dict[str, int] = {}
         self._slots: dict[str, _Slot] = {}
+        self._remembered = False
         self.number = int(began_ms)  # of its question, so that no answer to a former life is taken
+        self.elect(voters)
+
+    def elect(self, voters: Sequence[str]) -> None:
+        """These vote from now on, this one among them."""
+        self._others = [other for other in voters if other != self._name]
+        self._enough = len(voters) - majority(len(voters)) + 1
+        self._answers = {name: knew for name, knew in self._answers.items() if name in self._others}
+        self._recollect()
 
     def remembers(self) -> bool:
         """Whether it knows the tokens that were given."""
-        return sum(self._answers.values()) >= self._enough or len(self._answers) == len(self._others)
+        return self._remembered
+
+    def _recollect(self) -> None:
+        """Once enough have answered it remembers, and a change of voters makes it forget nothing."""
+        known = sum(self._answers.values())
+        self._remembered |= known >= self._enough or len(self._answers) == len(self._others)
 
     def votes(self, now: float) -> bool:
         """Whether it takes part yet."""
         return now >= self._silent_until and self.remembers()
 
-    def ask(self) -> list[tuple[str, Message]]:
+    def ask(self, epoch: int = 0) -> list[tuple[str, Message]]:
         """The question to those who have not answered; none where enough have."""
         if self.remembers():
             return []
-        return [(other, Recall("", self.number)) for other in self._others if not self._answers.get(other)]
+        question = Recall("", self.number, epoch)
+        return [(other, question) for other in self._others if not self._answers.get(other)]
 
     def learn(self, message: Recalled, sender: str) -> None:
         """Another voter's answer."""
         if message.number != self.number or sender not in self._others:
             return
         self._answers[sender] = message.remembers or self._answers.get(sender, False)
-        for duty, token in message.tokens.items():
+        self._recollect()
+        self.know(message.tokens)
+
+    def know(self, tokens: dict[str, int]) -> None:
+        """These tokens were given."""
+        for duty, token in tokens.items():
             self._tokens[duty] = max(self._tokens.get(duty, 0), token)
+            if duty in self._slots:
+                self._slots[duty].token = max(self._slots[duty].token, token)
 
-    def recall(self, message: Recall) -> Recalled:
-        """Tell another what there was."""
-        tokens = self._tokens | {
+    def tokens(self) -> dict[str, int]:
+        """The greatest of each duty that this voter knows of."""
+        return self._tokens | {
             duty: max(slot.token, self._tokens.get(duty, 0)) for duty, slot in self._slots.items()
         }
-        return Recalled("", message.number, self.remembers(), tokens)
+
+    def recall(self, message: Recall, epoch: int = 0) -> Recalled:
+        """Tell another what there was."""
+        return Recalled("", message.number, self.remembers(), self.tokens(), epoch)
 
     def hear(self, message: Prepare | Propose | Release, now: float) -> Message | None:
         """The answer to a candidate, whom its ballot names; if there is one."""
--- a/lab/virtual/duties.py
+++ b/lab/virtual/duties.py
@@ -16,6 +16,8 @@
 from fleet.duties.guard import Guard
 from fleet.duties.ledger import DUTY as LEDGER
 from fleet.duties.messages import (
+    ChangeVoters,
+    Elected,
     Enter,
     Event,
     Fired,
@@ -29,7 +31,9 @@
     Start,
     Stop,
     Tell,
+    Voters,
 )
+from fleet.duties.voters import ROW
 from lab.virtual import scene
 from lab.virtual.scene import Broken
 
@@ -46,7 +50,7 @@
         self.wall_error_ms = wall_error_ms
         self.working: dict[str, int] = {}  # duties whose work was started and not stopped here, with tokens
         self.core = world.core(
-            name, self.life, world.voters, world.duties, random.Random(world.rng.getrandbits(64)), self.wall,
+            name, self.life, world.named, world.duties, random.Random(world.rng.getrandbits(64)), self.wall,
             self.clock(), world.term_ms, world.drift,
         )  # fmt: skip
 
@@ -81,9 +85,15 @@
             self.entered += 1
             self._world.give(self._world.processes[name], Enter(key, str(wanted).encode(), wanted))
 
+    def change(self, add: str = "", remove: str = "") -> None:
+        """Operators want other voters, at whoever holds the ledger."""
+        for name in self._world.holders(LEDGER):
+            event = ChangeVoters(add, remove, next(self._wanted))
+            self._world.give(self._world.processes[name], event)
+
     def settled(self, action: Settled) -> None:
         """An entry is acknowledged, or it is not known whether it is kept."""
-        if not action.kept:
+        if not action.kept or action.wanted not in self._keys:
             return
         self.kept += 1
         key = self._keys[action.wanted]
@@ -104,7 +114,7 @@
             return  # replaced meanwhile: whatever it writes is refused
         self._token = action.token
         ledger = process.core.ledger
-        rows = {} if ledger is None else {key: int(row.value) for key, row in ledger.rows.items()}
+        rows = {} if ledger is None else {k: int(row.value) for k, row in ledger.rows.items() if k != ROW}
         if action.lost:  # said plainly: then nothing is owed any more
             self.losses += 1
             self.acked.clear()
@@ -128,7 +138,8 @@
     ) -> None:  # fmt: skip
         super().__init__(seed, members, loss)
         self.core, self.term_ms, self.drift = core, term_ms, drift
-        self.voters = self.names[:voters]
+        self.named = self.names[:voters]  # as voters, by the configuration
+        self.epochs: dict[int, tuple[str, ...]] = {0: tuple(self.named)}  # who voted after which change
         self.duties = [f"d{n}" for n in range(duties)] + ([LEDGER] if ledger else [])
         self.delay_ms = 10.0
         self.guard = Guard()
@@ -142,6 +153,11 @@
         for name in self.names:
             self.start(name)
 
+    @property
+    def voters(self) -> list[str]:
+        """Who votes since the latest change that anybody adopted."""
+        return list(self.epochs[max(self.epochs)])
+
     # Processes
 
     def start(self, name: str) -> None:
@@ -179,7 +195,9 @@
             for duty in self.duties
             if other.name in here and other.alive and other.core.candidates[duty].held
         }
-        self.turn(process, self.give, process, Seen(here | {process.name}, claims))
+        told = [p.core.voters for p in self.processes.values() if p.name in here and p.alive]
+        latest = max(told, key=lambda voters: voters.epoch, default=None)
+        self.turn(process, self.give, process, Seen(here | {process.name}, claims, voters=latest))
         self.after(SEEN_MS * (0.5 + self.rng.random()), self._see, process)
 
     def give(self, process: Process, event: Event) -> None:
@@ -202,6 +220,8 @@
                     self.book.opened(process, action)
                 case Settled():
                     self.book.settled(action)
+                case Elected():
+                    self._elected(action.voters)
                 case Stop():
                     process.working.pop(action.duty, None)
                     self.lost[action.why.partition(" ")[0]] += 1
@@ -229,6 +249,11 @@
 
     # The oracle
 
+    def _elected(self, voters: Voters) -> None:
+        names = self.epochs.setdefault(voters.epoch, voters.names)
+        if names != voters.names:
+            raise Broken(f"{self.when()}: change {voters.epoch} of voters is {names} and {voters.names}")
+
     def _started(self, process: Process, start: Start) -> None:
         before = self.tokens.get(start.duty, 0)
         if start.token <= before and self.token_matters:
--- a/orchidferry/duties.py
+++ b/orchidferry/duties.py
@@ -23,7 +23,7 @@
 from fleet.duties.ledger import OPEN
 from fleet.duties.watch import DUTY as WATCH
 from fleet.duties.watch import Watch
-from fleet.messages import About, Ack, Message
+from fleet.messages import About, Ack, Fact, Message
 from orchidferry import logs
 from orchidferry.config import now_ms
 
@@ -34,6 +34,7 @@
 SEEN_S = 0.4  # how often the cores are told who is there
 WATCH_S = 0.5  # how often the watch asks some of the members
 CLAIM = "duty."  # facts that begin so say which duties a member holds, with the token
+VOTERS = "voters"  # the fact that says who votes since which change: told by whoever has adopted one
 MOST_HISTORY = 50
 MOST_ENTRIES = 64  # of operators whose end is remembered
 LIMIT = "limit/"  # rows that begin so hold an operators' limit for a tenant, in requests a second
@@ -111,6 +112,12 @@
                     logs.info("ledger open", text, rows=action.rows, token=action.token, lost=action.lost)
                 case duties.Settled():
                     self._settled(action)
+                case duties.Elected():
+                    voters = action.voters
+                    text = "after change %(change)d the voters are %(voters)s"
+                    logs.info("voters", text, change=voters.epoch, voters=", ".join(voters.names))
+                    told = f"{voters.epoch} {','.join(voters.names)}"
+                    self._peers.handle(api.Facts({VOTERS: told}))
                 case duties.Stop():
                     if action.duty == WATCH:
                         self.watch.on_stop()
@@ -134,9 +141,11 @@
         core = self._peers.core
         here = {m.name for m in core.view.members.values() if m.here() and not m.facts.get("draining")}
         claims: dict[str, tuple[str, int]] = {}
+        voters: duties.Voters | None = None
         for member in core.view.members.values():
             if not member.here():
                 continue
+            voters = max(voters, _voters(member.facts.get(VOTERS)), key=_epoch)
             for fact, value in member.facts.items():
                 if fact.startswith(CLAIM) and isinstance(value, str) and value.isdigit():
                     duty, token = fact.removeprefix(CLAIM), int(value)
@@ -149,7 +158,7 @@
         well = core.health.score < LATE_HEALTH and not core.quiet and core.alive() > 1
         zones = {m.name: str(m.facts.get("zone", "")) for m in core.view.members.values() if m.here()}
         zones[self._name] = self._zone
-        self._give(duties.Seen(frozenset(here | {self._name}), claims, well, zones))
+        self._give(duties.Seen(frozenset(here | {self._name}), claims, well, zones, voters))
         self._loop.call_later(SEEN_S, self._see)
 
     def _watch(self) -> None:
@@ -205,21 +214,61 @@
         """Enter a row; whether it is kept shows under `entries` a moment later."""
         asked = {name: values[0] for name, values in parse_qs(query, keep_blank_values=True).items()}
         key, value = asked.get("key", ""), asked.get("value", "")
+        if key == VOTERS:
+            return 400, {"error": "voters change one at a time, by a call of their own: see `fleet voters`"}
         if key.startswith(LIMIT) and _number(value.encode()) is None:
             return 400, {"error": f"{key} takes a number of requests a second, not {value!r:.60}"}
         if self.core is None or not self.core.holds(LEDGER, now_ms()):
             holder = self._claims.get(LEDGER, ("", 0))[0]
             return 409, {"error": f"{self._name} does not hold the ledger", "holder": holder}
+        entry = self._entry(key, value)
+        self._give(duties.Enter(key, value.encode(), entry["entry"]))
+        return self._begun(entry)
+
+    def _entry(self, key: str, value: str) -> dict[str, Any]:
+        """What operators enter, to be looked up by them later."""
         self._entered += 1
         entry = self._entries[self._entered] = {
             "entry": self._entered, "key": key, "value": value, "state": "under way", "why": "",
         }  # fmt: skip
         while len(self._entries) > MOST_ENTRIES:
             self._entries.popitem(last=False)
-        self._give(duties.Enter(key, value.encode(), self._entered))
+        return entry
+
+    def _begun(self, entry: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         if entry["state"] == "not taken":
             return 409, {"error": entry["why"]}
-        return 202, {"entry": self._entered}
+        return 202, {"entry": entry["entry"]}
+
+    def change_voters(self, query: str) -> tuple[int, dict[str, Any]]:
+        """Have one more voter or one fewer; how it ends shows under `entries` of the ledger."""
+        asked = {name: values[0] for name, values in parse_qs(query).items()}
+        add, remove = asked.get("add", ""), asked.get("remove", "")
+        if self.core is None or not self.core.holds(LEDGER, now_ms()):
+            holder = self._claims.get(LEDGER, ("", 0))[0]
+            return 409, {"error": f"{self._name} does not hold the ledger", "holder": holder}
+        entry = self._entry(VOTERS, f"+{add}" if add else f"-{remove}")
+        self._give(duties.ChangeVoters(add, remove, entry["entry"]))
+        return self._begun(entry)
+
+    def voters(self) -> tuple[int, dict[str, Any]]:
+        """Who votes, whether they are there, who takes others for the voters, why no change may begin."""
+        core, members = self.core, self._peers.core.view.members
+        if core is None:
+            return 503, {"error": "this process is no member yet"}
+        now, ours = now_ms(), core.voters
+        others = {
+            m.name: str(m.facts[VOTERS])
+            for m in members.values()
+            if m.here() and _epoch(_voters(m.facts.get(VOTERS))) not in (0, ours.epoch)
+        }
+        here = {m.name for m in members.values() if m.here()} | {self._name}
+        holder = self._claims.get(LEDGER, ("", 0))[0]
+        return 200, {
+            "self": self._name, "change": ours.epoch, "configured": self._voters, "holder": holder,
+            "voters": [{"name": name, "there": name in here} for name in ours.names],
+            "behind": others, "why_no_change": core.why_no_change(now), "here": core.holds(LEDGER, now),
+        }  # fmt: skip
 
     def give_all_back(self) -> None:
         """This process goes, or drains: its duties are for others now."""
@@ -258,7 +307,7 @@
         voter = core.voter if core is not None else None
         return 200, {
             "self": self._name,
-            "voters": self._voters,
+            "voters": list(core.voters.names) if core is not None else self._voters,
             "votes": voter is not None and voter.votes(now),
             "duties": shown,
             "refused_tokens": self.guard.refused,
@@ -287,5 +336,15 @@
     return found if 0.0 <= found < math.inf else None
 
 
+def _voters(told: Fact | None) -> duties.Voters | None:
+    """Who votes, as a member's fact says; None where it says nothing of use."""
+    epoch, _, names = str(told or "").partition(" ")
+    return duties.Voters(int(epoch), tuple(names.split(","))) if epoch.isdecimal() and names else None
+
+
+def _epoch(voters: duties.Voters | None) -> int:
+    return voters.epoch if voters is not None else 0
+
+
 def _wall_ms() -> int:
     return int(time.time() * 1000.0)
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -180,6 +180,8 @@
             self.door.add_ask("/admin/duties/hand-over", "POST", self._peers.work.hand_over)
             self.door.add("/admin/ledger", "GET", self._peers.work.ledger)
             self.door.add_ask("/admin/ledger/enter", "POST", self._peers.work.enter)
+            self.door.add("/admin/voters", "GET", self._peers.work.voters)
+            self.door.add_ask("/admin/voters/change", "POST", self._peers.work.change_voters)
         if self._shared is not None:
             self.door.add("/admin/shared", "GET", self._shared.show)
 
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -7,13 +7,27 @@
 from functools import partial
 
 import pytest
+from msgspec.structs import replace
 
 from fleet.duties.candidate import Candidate
 from fleet.duties.core import Duties, order
 from fleet.duties.ledger import DUTY as LEDGER
 from fleet.duties.ledger import MOST_ROWS, Ledger
-from fleet.duties.messages import Accepted, Prepare, Promise, Propose, Recall, Seen
+from fleet.duties.messages import (
+    Accepted,
+    Action,
+    ChangeVoters,
+    Event,
+    Heard,
+    Prepare,
+    Promise,
+    Propose,
+    Recall,
+    Seen,
+    Settled,
+)
 from fleet.duties.voter import Voter
+from fleet.duties.voters import IDLE, Change
 from lab.virtual.duties import LATE_SEEN_MS, Process, World
 from lab.virtual.scene import Broken
 
@@ -393,3 +407,135 @@
     busy = Seen(frozenset(names), claims, True, zones)
     assert order("d5", busy)[0] not in holders
     assert set(order("d5", busy)) == set(names)
+
+
+# Other voters while the fleet runs
+
+
+def change(world: World, add: str = "", remove: str = "", for_ms: float = 8_000.0) -> bool:
+    """Operators change the voters; whether that is adopted within this time."""
+    before, end = max(world.epochs), world.now + for_ms
+    while max(world.epochs) == before and world.now < end:
+        world.book.change(add, remove)
+        world.run(100.0)
+    return max(world.epochs) > before
+
+
+def test_voters_change_one_by_one_in_storms_and_nothing_is_lost() -> None:
+    changes = kept = 0
+    for seed in range(10):
+        world = World(seed, 8, 5 if seed % 2 else 3, duties=1, loss=0.05 * (seed % 3), ledger=True)
+        world.run(8_000.0)
+        for _ in range(6):
+            storm(world, 1_500.0)
+            others = [name for name in world.names if name not in world.voters]
+            if len(world.voters) <= 3 or world.rng.random() < 0.5:
+                world.book.change(add=world.rng.choice(others))
+            else:
+                world.book.change(remove=world.rng.choice(world.voters))
+            entering(world, 2_000.0)
+            world.run(world.rng.choice((0.0, 3_000.0)))
+        assert not world.book.losses
+        changes, kept = changes + max(world.epochs), kept + world.book.kept
+    assert changes > 15 and kept > 300, (changes, kept)
+
+
+def test_all_voters_are_replaced_one_by_one_and_the_old_ones_may_go() -> None:
+    world = World(3, 8, 3, duties=1, ledger=True)
+    assert world.run(20_000.0, lambda: world.book.openings > 0 and held(world)) < 20_000.0
+    for n in range(20):
+        world.book.enter(f"row/{n}")
+        world.run(50.0)
+    before = dict(world.tokens)
+    for old, new in zip(("m0", "m1", "m2"), ("m3", "m4", "m5"), strict=True):
+        assert change(world, add=new) and change(world, remove=old)
+    assert world.voters == ["m3", "m4", "m5"]
+    world.run(5_000.0)
+    for name in ("m0", "m1", "m2"):
+        world.kill(name)
+    world.kill("m3")  # which starts anew with the old configuration, whose voters are all dead
+    world.start("m3")
+    assert world.run(30_000.0, lambda: knows(world.processes["m3"])) < 30_000.0
+    for name in ("m6", "m7"):
+        world.kill(name)
+    openings = world.book.openings
+    for holder in world.holders(LEDGER):
+        world.kill(holder)
+        world.start(holder)
+    assert world.run(60_000.0, lambda: held(world) and world.book.openings > openings) < 60_000.0
+    assert not world.book.losses and world.book.kept >= 20
+    assert all(world.tokens[duty] >= before[duty] for duty in world.duties)
+
+
+def test_a_change_of_voters_that_can_not_be_is_refused_with_its_reason() -> None:
+    world = World(4, 8, 3, duties=0, ledger=True)
+    assert world.run(20_000.0, lambda: world.book.openings > 0) < 20_000.0
+    core = world.processes[world.holders(LEDGER)[0]].core
+
+    def why(add: str = "", remove: str = "") -> str:
+        [settled] = [
+            a for a in core.handle(ChangeVoters(add, remove, 9), world.now) if isinstance(a, Settled)
+        ]
+        return settled.why
+
+    core.holds = lambda duty, now: True  # type: ignore[method-assign]
+    assert why() == why("m4", "m1") == "one voter is added or removed at a time"
+    assert why("m1") == "m1 is a voter already" and why("m99") == "m99 is no member that is there"
+    assert why("", "m5") == "m5 is no voter"
+    assert why("", "m1") == "there would be 2 voters; 3 to 7 are possible"
+    del core.holds
+    assert change(world, add="m4")
+    [holder] = world.holders(LEDGER)
+    assert "change 1" in world.processes[holder].core.why_no_change(world.processes[holder].clock())
+
+
+def outvoted(seed: int) -> None:
+    """The voters that gave a duty are removed, while its holder hears of none of that."""
+    world = World(seed, 9, 5, duties=1, ledger=True)
+    assert world.run(30_000.0, lambda: world.book.openings > 0 and held(world)) < 30_000.0
+    for duty, to in ((LEDGER, "m5"), ("d0", "m6")):
+        world.hand_over(duty, to)
+        world.run(6_000.0)
+    cut(world, ["m6"], [name for name in world.names if name not in ("m0", "m1", "m2", "m6")])
+    cut(world, ["m0", "m1"], [name for name in world.names if name not in ("m0", "m1", "m2", "m6")])
+    world.run(4_000.0)
+    if world.holders("d0") != ["m6"] or world.holders(LEDGER) != ["m5"]:
+        return
+    change(world, remove="m0")
+    if max(world.epochs) < 2:
+        change(world, remove="m1")
+    cut(world, ["m2"], [name for name in world.names if name not in ("m0", "m1", "m2", "m6")])
+    world.run(12_000.0)
+
+
+def hasty(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Change, "look", lambda self, covered, now: self.step != IDLE)
+
+
+def two_at_once(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr("fleet.duties.core.changed", lambda voters, add, remove, here: ("m2", "m3", "m4"))
+
+
+def any_epoch(patch: pytest.MonkeyPatch) -> None:
+    original = Duties.handle
+
+    def handle(self: Duties, event: Event, now: float) -> list[Action]:
+        if isinstance(event, Heard) and isinstance(event.message, Prepare | Propose):
+            event = Heard(replace(event.message, epoch=self.voters.epoch), event.sender)
+        elif isinstance(event, Seen):
+            event.voters = None  # nor does the news come by gossip, which nothing may rest on
+        return original(self, event, now)
+
+    patch.setattr(Duties, "handle", handle)
+
+
+@pytest.mark.parametrize("plant", [hasty, two_at_once, any_epoch])
+def test_majorities_that_miss_each_other_are_caught(
+    plant: Callable[[pytest.MonkeyPatch], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for seed in range(12):
+        outvoted(seed)
+    plant(monkeypatch)
+    with pytest.raises(Broken, match=TWO):
+        for seed in range(12):
+            outvoted(seed)
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -10,12 +10,15 @@
 from fleet.duties.candidate import Candidate
 from fleet.duties.guard import Guard
 from fleet.duties.ledger import Ledger
+from fleet.duties.messages import Adopted, Tell
 from fleet.duties.voter import Voter
+from fleet.duties.voters import RESTING, TELLING, Change
 from lab.explore import duties as duties_system
 from lab.explore.duties import Duties
 from lab.explore.ledger import LedgerSystem
 from lab.explore.membership import MembershipSystem
 from lab.explore.search import System, digest, exhaust, replay, shorten, wander
+from lab.explore.voters import VotersSystem
 
 MOVES, STEPS = 40_000, 70
 
@@ -51,12 +54,25 @@
     patch.setattr(Ledger, "_restore", restore)
 
 
+def adopted_once(patch: pytest.MonkeyPatch) -> None:
+    """Whoever has adopted new voters is not asked again, though some may have forgotten it meanwhile."""
+
+    def hear(self: Change, message: Adopted, sender: str, now: float) -> list[Tell]:
+        found = original(self, message, sender, now)
+        self.step = RESTING if self.step == TELLING else self.step
+        return found
+
+    original = Change.hear
+    patch.setattr(Change, "hear", hear)
+
+
 PLANTS: list[tuple[Callable[[pytest.MonkeyPatch], None], Callable[[], System]]] = [
     (half_is_enough, lambda: Duties(held=False)),
     (no_silence, Duties),
     (no_drift, lambda: Duties(tries=1, restarts=0, copies=0, releases=0)),
     (tokens_not_compared, Duties),
     (writes_before_it_reads, lambda: LedgerSystem(holders=2, writes=1, restarts=0)),
+    (adopted_once, VotersSystem),
 ]
 
 
@@ -75,7 +91,12 @@
     assert not replay(system, trace)[1]  # the cores as they are don't break by it
 
 
-@pytest.mark.parametrize("make", [Duties, lambda: Duties(held=False), LedgerSystem, MembershipSystem])
+SYSTEMS: list[Callable[[], System]] = [
+    Duties, lambda: Duties(held=False), LedgerSystem, MembershipSystem, VotersSystem,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("make", SYSTEMS)
 def test_nothing_is_found_in_the_cores_as_they_are(make: Callable[[], System]) -> None:
     system = make()
     found = wander(system, 7, STEPS, 6_000)
@@ -85,7 +106,7 @@
 
 
 def test_states_are_never_changed_by_a_move() -> None:
-    systems: list[System] = [Duties(), LedgerSystem(), MembershipSystem()]
+    systems: list[System] = [Duties(), LedgerSystem(), MembershipSystem(), VotersSystem()]
     for system in systems:
         state = system.initial()
         for _ in range(12):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -390,3 +390,27 @@
             scene.close()
 
     run(test())
+
+
+def test_voters_change_at_the_door_and_all_hear_of_it(tmp_path: Path) -> None:
+    async def test() -> None:
+        scene = Scene(tmp_path, ["n1", "n2", "n3", "n4"], voters=["n1", "n2", "n3"])
+        try:
+            hosts = [m.work for m in scene.members.values() if m.work is not None]
+            await until(lambda: any(h.ledger()[1]["step"] == "open" for h in hosts))
+            holder = next(h for h in hosts if h.ledger()[1]["here"])
+            assert next(h for h in hosts if h is not holder).change_voters("add=n4")[0] == 409
+            assert holder.enter("key=voters&value=x")[0] == 400
+            for bad in ("add=n3", "add=n9", "remove=n1", "add=n4&remove=n1", ""):
+                assert holder.change_voters(bad)[0] == 409
+            assert holder.change_voters("add=n4")[0] == 202
+            await until(lambda: all(h.voters()[1]["change"] == 1 for h in hosts))
+            assert holder.ledger()[1]["entries"][-1]["state"] == "kept"
+            assert "change 1" in holder.voters()[1]["why_no_change"]
+            await until(lambda: not holder.voters()[1]["why_no_change"])
+            assert holder.change_voters("remove=n1")[0] == 202
+            await until(lambda: all(h.show()[1]["voters"] == ["n2", "n3", "n4"] for h in hosts))
+        finally:
+            scene.close()
+
+    run(test())
