--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -118,6 +118,82 @@
     sys.exit(fleetcli.hand_over(door, duty, to))
 
 
+DOOR = click.option("--door", required=True, help="Where the ledger holder's `management` listens.")
+WHY = click.option("--why", default="", help="Kept with who said it and when.")
+
+
+@main.group()
+def release() -> None:
+    """Staged releases: begin, watch, halt and take back, by way of the ledger holder's door."""
+
+
+@release.group("start")
+def release_start() -> None:
+    """Begin a release."""
+
+
+@release_start.command("servers")
+@click.option("--since", default="", metavar="TIME", help="Servers started from then on are new.")
+@click.option("--names", default="", metavar="A,B,...", help="These servers are new.")
+@click.option("--stages", default="", metavar="1,5,25,50,100", help="Percent of first sends, stage by stage.")
+@click.option("--bake", default="", metavar="30s", help="How long each stage is looked at, at least.")
+@WHY
+@DOOR
+def release_start_servers(since: str, names: str, stages: str, bake: str, why: str, door: str) -> None:
+    """Let servers of a new build have traffic in stages.
+
+    TIME is `now`, Unix seconds or ISO 8601. Begin before the first of them starts.
+    """
+    from dunlinloft import releasecli
+
+    sys.exit(releasecli.start(door, since, names, stages, bake, why))
+
+
+@release.command("status")
+@DOOR
+@click.option("--json", "as_json", is_flag=True, help="All that the door tells.")
+def release_status(door: str, as_json: bool) -> None:
+    """How far it is and on what evidence; exit status 1 where it is halted or taken back."""
+    from dunlinloft import releasecli
+
+    sys.exit(releasecli.status(door, as_json))
+
+
+@release.command("watch")
+@DOOR
+def release_watch(door: str) -> None:
+    """The same, live, until Ctrl-C."""
+    from dunlinloft import releasecli
+
+    sys.exit(releasecli.watch(door))
+
+
+@release.command("history")
+@DOOR
+def release_history(door: str) -> None:
+    """Releases that have ended, how and why."""
+    from dunlinloft import releasecli
+
+    sys.exit(releasecli.history(door))
+
+
+def _sayer(what: str, help: str) -> None:
+    @release.command(what, help=help)
+    @WHY
+    @DOOR
+    def command(why: str, door: str) -> None:
+        from dunlinloft import releasecli
+
+        sys.exit(releasecli.say(door, what, why))
+
+
+_sayer("pause", "Stay in this stage; harm is still looked for.")
+_sayer("resume", "Go on after a pause or halt.")
+_sayer("skip", "Go on to the next stage at once, where no harm was seen.")
+_sayer("halt", "Freeze the share.")
+_sayer("abort", "Take the new servers back to nothing.")
+
+
 @main.command("explore")
 @click.argument("system", type=click.Choice(["duties", "ledger", "membership", "voters"]))
 @click.option("--depth", type=click.IntRange(1), default=40, show_default=True, help="Moves to a state.")
--- a/fleet/shared/core.py
+++ b/fleet/shared/core.py
@@ -10,6 +10,8 @@
 import zlib
 from collections.abc import Iterator
 
+from fleet.releases.member import Follower
+from fleet.releases.messages import NONE, Order, Tally
 from fleet.shared import limits, verdicts
 from fleet.shared.affinity import FRESH_MS, Affinity, Place, Voices
 from fleet.shared.limits import Limits, retry_share
@@ -18,9 +20,12 @@
     FINDINGS,
     ORDERS,
     PULSE,
+    RELEASE,
+    TALLY,
     Action,
     Asked,
     Bindings,
+    Cap,
     Ended,
     Event,
     Findings,
@@ -33,6 +38,7 @@
     Pulse,
     Seen,
     SetTimer,
+    Steer,
     Verdict,
     Warn,
     encode,
@@ -42,11 +48,12 @@
 from fleet.shared.verdicts import Pool
 from fleet.shared.witness import Witness
 
-VERDICTS, LIMITS, AFFINITY = "verdicts", "limits", "affinity"
-PARTS = (VERDICTS, LIMITS, AFFINITY)
+VERDICTS, LIMITS, AFFINITY, RELEASES = "verdicts", "limits", "affinity", "releases"
+PARTS = (VERDICTS, LIMITS, AFFINITY, RELEASES)
 LOOK_MS = 250.0  # how often it is looked at what follows from what is held
 PULSE_MS = 750.0  # how often each says how it is, whether anything changed or not
 FINDINGS_MS = 400.0  # how often findings are told, while there are any
+TALLY_MS = 750.0  # how often each tells its counts while a release goes on
 CHANGED = 0.02  # of a part, from which the node is told
 PULL, LOOK = "pull", "look"
 
@@ -70,6 +77,8 @@
         self.pool = Pool(zone, tier, rng)
         self.limits = Limits(name, quotas, now)
         self.affinity = Affinity(groups, window_ms)
+        self.follower = Follower(tier)
+        self._tallied_ms = self._steered_ms = -1e18
         self.seen = Seen(life, {}, frozenset((name,)), 1)
         self._known = Known({}, frozenset(), {}, 0.0, 0.0)
         self._timers: dict[int, str] = {}
@@ -95,7 +104,9 @@
         """Take one event; what to do about it."""
         match event:
             case Ended():
-                if VERDICTS in self.parts:
+                if RELEASES in self.parts:
+                    self.follower.ended(event.server, mark(event.cls), event.how, event.ms)
+                if VERDICTS in self.parts and event.how != "full":
                     self.witness.ended(event.server, mark(event.cls), event.how, event.ms, now)
             case Asked():
                 self.limits.asked(event.tenant, now)
@@ -105,8 +116,12 @@
                 return self._fired(event.token, now)
             case Ordered():
                 self._tell_orders(event, now)
+            case Steer():
+                return self._steer(event.order, now)
             case Known():
                 self._known = event
+                if RELEASES in self.parts:
+                    self.follower.know(event.servers)
                 self.witness.known(event.starts, event.silent, now)
             case Seen():
                 self.seen = event
@@ -153,6 +168,39 @@
             self.orders_token, self.orders = says.token, dict(says.limits)
             self.know(self._quotas)
 
+    # Releases
+
+    def _steer(self, order: Order, now: float) -> list[Action]:
+        """Tell all an order of this process's, again and again: its age shows that the steward is there."""
+        if order != self.follower.order or now - self._steered_ms >= PULSE_MS:
+            self._steered_ms = now
+            self.store.write(RELEASE, encode(order), order, now)
+        return self._follow(order, 0.0, now)
+
+    def _follow(self, order: Order, age_ms: float, now: float) -> list[Action]:
+        self.follower.obey(order, age_ms, now)
+        if not self.follower.changed:
+            return []
+        self.follower.changed = False
+        self._tallied_ms = -1e18  # who obeys says so at once
+        return [Cap(self.follower.cohort(), self.follower.order.share)]
+
+    def _release(self, now: float) -> list[Action]:
+        """Obey the greatest order that is to be had: from its steward, or from whoever obeys it."""
+        best, age = NONE, 0.0
+        for _, held in self.store.others(RELEASE):
+            if isinstance(held.content, Order) and held.content.key() >= best.key():
+                best, age = held.content, held.age_ms(now)
+        for _, held in self.store.others(TALLY):
+            if isinstance(held.content, Tally) and held.content.order.key() > best.key():
+                best, age = held.content.order, 1e18
+        actions = self._follow(best, age, now)
+        if self.follower.order.id and now - self._tallied_ms >= TALLY_MS:
+            self._tallied_ms = now
+            says = self.follower.tally()
+            self.store.write(TALLY, encode(says), says, now)
+        return actions
+
     # Looking
 
     def _look(self, now: float) -> list[Action]:
@@ -172,6 +220,8 @@
             actions += self._limit(pulses, now)
         if VERDICTS in self.parts:
             actions += self._warn(now)
+        if RELEASES in self.parts:
+            actions += self._release(now)
         return actions
 
     def _bind(self, pulses: list[tuple[str, float, Pulse]], now: float) -> None:
--- a/fleet/shared/messages.py
+++ b/fleet/shared/messages.py
@@ -11,8 +11,14 @@
 import msgspec
 from msgspec import Struct
 
-FINDINGS, PULSE, BINDINGS, ORDERS = 1, 2, 3, 4
-KINDS = {FINDINGS: "findings", PULSE: "pulse", BINDINGS: "bindings", ORDERS: "orders"}
+from fleet.releases.member import Server
+from fleet.releases.messages import Order, Tally
+
+FINDINGS, PULSE, BINDINGS, ORDERS, RELEASE, TALLY = 1, 2, 3, 4, 5, 6
+KINDS = {
+    FINDINGS: "findings", PULSE: "pulse", BINDINGS: "bindings", ORDERS: "orders", RELEASE: "release",
+    TALLY: "tally",
+}  # fmt: skip
 
 
 class Entry(Struct, array_like=True, gc=False):
@@ -112,9 +118,12 @@
 _pulse = msgspec.msgpack.Decoder(Pulse)
 _bindings = msgspec.msgpack.Decoder(Bindings)
 _orders = msgspec.msgpack.Decoder(Orders)
+_release = msgspec.msgpack.Decoder(Order)
+_tally = msgspec.msgpack.Decoder(Tally)
+Content = Findings | Pulse | Bindings | Orders | Order | Tally
 
 
-def decode(kind: int, content: bytes) -> Findings | Pulse | Bindings | Orders | None:
+def decode(kind: int, content: bytes) -> Content | None:
     """What a record says; None where that can't be read, or the kind is not known."""
     try:
         match kind:
@@ -126,6 +135,10 @@
                 return _bindings.decode(content)
             case 4:
                 return _orders.decode(content)
+            case 5:
+                return _release.decode(content)
+            case 6:
+                return _tally.decode(content)
     except (msgspec.DecodeError, UnicodeDecodeError):
         pass
     return None
@@ -172,7 +185,7 @@
 
 @dataclass(slots=True)
 class Ended:
-    """An attempt is over: `good` (answered), `error`, `lost` (no answer, or no connection)."""
+    """An attempt is over: `good` (answered), `error`, `lost` (no answer, or no connection), `full`."""
 
     server: int
     cls: str
@@ -188,6 +201,13 @@
     limits: dict[str, float]
 
 
+@dataclass(slots=True)
+class Steer:
+    """This process is the steward of releases, and this is its order, in force now as before."""
+
+    order: Order
+
+
 @dataclass(slots=True)
 class Known:
     """What this node knows now: the servers its list names, each with a mark of its start; those silent.
@@ -200,9 +220,10 @@
     groups: dict[str, tuple[int, int]]
     allowed: float
     tuned: float
+    servers: dict[int, Server] = field(default_factory=dict)  # for releases: what is known of each
 
 
-Event = Heard | Fired | Seen | Asked | Ended | Known | Ordered
+Event = Heard | Fired | Seen | Asked | Ended | Known | Ordered | Steer
 
 # Actions
 
@@ -254,4 +275,12 @@
     fallback: bool
 
 
-Action = Tell | SetTimer | Warn | Part
+@dataclass(slots=True)
+class Cap:
+    """These servers are new, and get this share of first sends at most."""
+
+    servers: frozenset[int]
+    share: float
+
+
+Action = Tell | SetTimer | Warn | Part | Cap
--- a/fleet/shared/store.py
+++ b/fleet/shared/store.py
@@ -15,19 +15,18 @@
     KINDS,
     ORDERS,
     PULSE,
-    Bindings,
+    RELEASE,
+    TALLY,
+    Content,
     Entry,
-    Findings,
-    Orders,
-    Pulse,
     decode,
 )
 
 DRIFT = 0.02  # rates of two clocks differ by so much at most: time that passed here is taken for more
-MOST = {FINDINGS: 600, PULSE: 500, BINDINGS: 1100, ORDERS: 1000}  # bytes of a record's content
+# Bytes of a record's content.
+MOST = {FINDINGS: 600, PULSE: 500, BINDINGS: 1100, ORDERS: 1000, RELEASE: 300, TALLY: 1100}
 MOST_WRITERS = 2048  # of a kind; beyond that the oldest that nobody in view wrote goes, then the oldest
 
-Content = Findings | Pulse | Bindings | Orders
 Key = tuple[int, str]
 
 
--- a/lab/figures.py
+++ b/lab/figures.py
@@ -16,6 +16,7 @@
 from lab.names import CALLERS
 from lab.plan import Plan
 from lab.scenario import Tenant
+from lab.staged import StagedFigures
 
 OUTCOMES = ("in_time", "late", "refused", "failed", "lost", "left")
 MOST_MS = 60_000  # of a delay that a histogram takes
@@ -91,6 +92,7 @@
         self._sick_attempts = self._sick_late = 0
         self.spans: list[Span] = []
         self.late_ms = 0.0
+        self._staged = StagedFigures(plan)
         first = plan.names.tiers[0]
         self._first = set(first)
         self._see: dict[type, Callable[[Any], None]] = {
@@ -109,6 +111,8 @@
         do = self._see.get(type(record))
         if do is not None:
             do(record)
+        if self._staged.builds:
+            self._staged.see(record)
 
     def _second(self, at: float) -> int:
         return min(self._last, int(at / 1000.0))
@@ -219,6 +223,7 @@
         if self._tenants:
             found["worst_tenant"] = min(good / count for good, count in self._tenants.values() if count)
         found["worst_10s"] = self._worst_window()
+        found |= self._staged.totals()
         return {name: round(value, 6) for name, value in found.items()}
 
     def _worst_window(self, length: int = 10) -> float:
--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -27,7 +27,7 @@
 from lab.processes.standin import Connection, acceptor
 from lab.records import Sink
 from lab.registry import Entry, told
-from lab.scenario import Operation
+from lab.scenario import Operation, Release
 from lab.servers import Server
 from lab.settings import settings
 from lab.world import World
@@ -38,6 +38,7 @@
 READY_S = 30.0  # for all nodes to be ready at first; then callers come
 TURN_S, TURN_LATE_MS = 0.05, 20.0  # how often the lab looks whether it is late, and what is worth noting
 WAITED_S = 0.25  # how often it is asked how long a node has waited for a core
+ASK_AGAIN_S = 0.5  # operators who reach no steward try again
 HEALTHY_S = 6.0  # for a new process of a node to be ready beside the old one
 VOTERS = 5  # the first of the front nodes, where there are so many
 SEEDS = 3  # nodes whose addresses the others are given
@@ -377,6 +378,19 @@
         else:
             self.spawn(self._upgrade(name, child))
 
+    def release(self, what: Release, since_ms: float) -> None:
+        self.spawn(self._release(what, self.wall_ms(since_ms)))
+
+    async def _release(self, what: Release, since_ms: float) -> None:
+        stages = ",".join(f"{share:g}" for share in what.stages)
+        query = f"since={since_ms / 1000.0:.3f}&stages={stages}&bake={what.bake_s:g}&by=day"
+        while not self._over:
+            for children in list(self._children.values()):
+                door = self._doors[children[-1].pid]
+                if (await call(door, "POST", f"/admin/releases/start?{query}"))[0] == 202:
+                    return
+            await asyncio.sleep(ASK_AGAIN_S)
+
     async def _upgrade(self, name: str, old: Child) -> None:
         """A new process beside the old one, which is told to end once the new one is ready."""
         new = self._launch(name)
@@ -441,4 +455,6 @@
         status, stats = await call(self._doors[child.pid], "GET", "/admin/stats")
         if status == 200 and isinstance(stats, dict):
             figures = {key: float(value) for key, value in stats.items() if isinstance(value, int | float)}
+            if "fleet_release_percent" in figures:
+                figures["release_share"] = figures["fleet_release_percent"] / 100.0
             self.tell(records.Belief(self.now(), name, figures | child.usage()))
--- a/lab/report.py
+++ b/lab/report.py
@@ -28,6 +28,7 @@
 BELIEFS = (
     ("hosts_down", "servers avoided"), ("inflight", "requests in flight"), ("memory_mb", "memory in MB"),
     ("cpu_share", "share of a core used"), ("fleet_members", "members in its view"),
+    ("release_share", "share that new servers may get"),
     ("fleet_divergent", "views that differ from its own"), ("fleet_nodes", "parts of the budgets"),
 )  # fmt: skip
 
--- a/lab/scenario.py
+++ b/lab/scenario.py
@@ -54,7 +54,7 @@
     memory_mb: Positive = 96.0
     sockets: Annotated[int, Meta(ge=64)] = 512
     fleet: bool = False  # whether they are members of one fleet
-    share: list[Literal["verdicts", "limits", "affinity"]] = []  # what its members share
+    share: list[Literal["verdicts", "limits", "affinity", "releases"]] = []  # what its members share
     cpu_ms: NotNegative = (
         0.5  # of a core, for a request; virtual nodes take so long, real ones what they take
     )
@@ -270,8 +270,28 @@
     spoilt: bool = False  # the file that `reload` brings is cut off
 
 
+class Release(Fault, tag="release", kw_only=True):
+    """A new build: these servers start anew with it, one after another; operators stage it if they do.
+
+    What is wrong with the build shows `ill_s` after each start.
+    """
+
+    servers: list[str]
+    staged: bool = True
+    stages: Annotated[list[float], Meta(min_length=1)] = msgspec.field(
+        default_factory=lambda: [1.0, 5.0, 25.0, 50.0, 100.0]
+    )  # percent
+    bake_s: Positive = 30.0
+    lead_s: NotNegative = 2.0  # from when operators begin it until the first server starts
+    apart_s: NotNegative = 0.5
+    slow: Positive = 1.0  # times the usual time
+    errors: Share = 0.0
+    hang: bool = False
+    ill_s: NotNegative = 0.0
+
+
 AnyFault = (
-    Link | Split | Kill | Terminate | Stop | Hog | Clock | ServerFault | Silence | Operation
+    Link | Split | Kill | Terminate | Stop | Hog | Clock | ServerFault | Silence | Operation | Release
 )  # fmt: skip
 
 
--- a/lab/servers.py
+++ b/lab/servers.py
@@ -35,7 +35,7 @@
 class Job:
     """An attempt at a server. `done` is told `served`, `error`, `turned` or `dropped`, once."""
 
-    __slots__ = ("calls", "cls", "done", "id", "node", "order", "state", "until", "work_ms")
+    __slots__ = ("calls", "cls", "done", "id", "life", "node", "order", "state", "until", "work_ms")
 
     def __init__(
         self, id: str, node: str, cls: str, work_ms: float, calls: int, done: Callable[[Job, str], None]
@@ -50,6 +50,7 @@
         )
         self.state = "new"  # then queued, running, calling, over
         self.until = 0.0  # the service after which its work is done
+        self.life = 0  # of the server, when it came
         self.order = 0
 
     def __lt__(self, other: Job) -> bool:
@@ -167,6 +168,7 @@
         now = self._clock.now()
         if not self.up:
             return
+        job.life = self.life
         if self.errors and self._random.random() < self.errors:
             return self._over(job, "error", counted=False)
         if self.warmth(now) < 1.0 and self._overrun(now):
@@ -234,7 +236,9 @@
         job.done(job, how)
 
     def cancel(self, job: Job) -> None:
-        """The node has given this attempt up."""
+        """The node has given this attempt up; what came to a former life of the server is gone anyway."""
+        if job.life != self.life:
+            return
         if job.state == "queued" or (job.state in ("running", "calling") and self.tier.cancels == "all"):
             now = self._clock.now()
             self._advance(now)
--- a/lab/virtual/host.py
+++ b/lab/virtual/host.py
@@ -15,7 +15,7 @@
 from lab.names import CALLERS
 from lab.plan import Plan
 from lab.records import SILENT, UNREACHED, Sink
-from lab.scenario import Operation
+from lab.scenario import Operation, Release
 from lab.servers import Job
 from lab.virtual.node import ANSWER_BYTES, REQUEST_BYTES, Attempt, VirtualNode
 from lab.world import CONNECT_MS, World
@@ -27,6 +27,7 @@
 
 START_MS = 300.0  # until a process that was started takes callers
 STARVED = 0.3  # of a core, with less than which a node's timers come late
+ASK_AGAIN_MS = 500.0  # operators who reach no steward try again
 POLL_MS = 100.0  # the front asks each node so often
 NOTED_MS = 1.5 * POLL_MS  # what its rhythm adds, on average, until it sees one dead and then acts on it
 
@@ -171,6 +172,15 @@
         elif what.do == "upgrade":
             self._upgrade(name, node)
 
+    def release(self, what: Release, since_ms: float) -> None:
+        stages = ",".join(f"{share:g}" for share in what.stages)
+        query = f"since={since_ms / 1000.0:.3f}&stages={stages}&bake={what.bake_s:g}&by=day"
+        for node in self.nodes.values():
+            releases = node.member.releases if node.member is not None and node.alive else None
+            if releases is not None and releases.start(query)[0] == 202:
+                return
+        self.after(ASK_AGAIN_MS, self.release, what, since_ms)
+
     def _upgrade(self, name: str, old: VirtualNode) -> None:
         """A new process beside the old; once it is ready the old one is told to end."""
         old.hand_over()
--- a/lab/virtual/member.py
+++ b/lab/virtual/member.py
@@ -8,15 +8,20 @@
 
 from fleet import interface as api
 from fleet.census import Census
+from fleet.duties import messages as duties
+from fleet.duties.ledger import DUTY as LEDGER
 from fleet.membership.core import Membership
 from fleet.messages import About, Fact
+from fleet.releases.steward import LOOK_MS
 from fleet.shared import messages as shared
-from fleet.shared.core import AFFINITY, Shared, mark
+from fleet.shared.core import AFFINITY, RELEASES, Shared, mark
 from lab.virtual.meeting import Meeting, Process
 from nickelbridge import interface as node_api
 from nickelbridge.interface import Result
 from orchidferry.config import key_id
+from orchidferry.duties import DutyHost
 from orchidferry.peers import COUNT_S, of_tier
+from orchidferry.releases import Releases
 from orchidferry.shared import HOW, KNOWN_S, hearsay, known, place, quotas, seen, window_ms
 
 if TYPE_CHECKING:
@@ -24,6 +29,7 @@
     from lab.virtual.node import VirtualNode
 
 WALL_MS = 1_700_000_000_000  # what clocks say when a day begins
+VOTERS = 3  # the first nodes
 SEEDS = 3  # nodes whose addresses the others are given
 CORE: type[Shared] = Shared
 
@@ -36,6 +42,7 @@
         self._host = host
         self.share = frozenset(host.scenario.nodes.share)
         names = [*host.names.nodes, *host.names.inner]
+        self.voters = names[:VOTERS]
         self.seeds = [f"addr:{name}" for name in names[:SEEDS]]
 
     def now(self) -> float:
@@ -49,8 +56,8 @@
             process.recount()
 
     def spoken(self, process: Process, message: About) -> None:
-        if isinstance(process, Member) and isinstance(message.content, shared.Message):
-            process.give_shared(shared.Heard(message.content, message.head.name))
+        if isinstance(process, Member):
+            process.spoken(message)
 
     def join(self, node: VirtualNode) -> Member:
         """A node's process starts as a member."""
@@ -66,6 +73,38 @@
         return member
 
 
+class Around:
+    """What the duties' host has around it, in virtual time."""
+
+    def __init__(self, member: Member, meeting: NodeMeeting) -> None:
+        self._member, self._meeting = member, meeting
+        self.counts = {"errors": 0}
+
+    @property
+    def core(self) -> Membership:
+        """The member's membership."""
+        return self._member.core
+
+    def call_later(self, delay: float, callback: Callable[..., None], /, *args: Any) -> None:
+        """After so many seconds, in the member's process."""
+        self._member.later(1000.0 * delay, callback, *args)
+
+    def tell(self, name: str, content: duties.Message, /) -> None:
+        """Say something to a member, or to itself."""
+        if name == self._member.name and self._member.work is not None:
+            return self._member.later(0.0, self._member.work.take, content, name)
+        other = self.core.view.get(name)
+        if other is not None and other.here():
+            self._meeting.post(self._member, other.address, About(self.core.head(), content, []))
+
+    def handle(self, event: api.Event, /) -> None:
+        """Give the member's membership an event."""
+        self._meeting.give(self._member, event)
+
+    def ask_view(self, name: str, /) -> None:
+        """Views are compared by membership itself; the watch is of no use to a day."""
+
+
 class Member(Process):
     """One node's process among the others."""
 
@@ -83,15 +122,42 @@
         )  # fmt: skip
         self._marks = {mark(cls.name): cls.name for cls in settings.classes}
         self._starts: dict[int, int] = {}
+        self._since: dict[int, float] = {}
+        self.work: DutyHost | None = None
+        self.releases: Releases | None = None
+        if RELEASES in meeting.share:
+            around = Around(self, meeting)
+            work = self.work = DutyHost(
+                around, around, node.name, settings.zone, meeting.voters, rng, self.now
+            )  # fmt: skip
+            self.releases = Releases(
+                self.shared, work.entries, self.give_shared, lambda: work.holder(LEDGER), self.now
+            )
+            work.on_open, work.on_close = self.releases.opened, self.releases.closed
 
     def now(self) -> float:
         return self._node.now()
 
+    def spoken(self, message: About) -> None:
+        """A message has come that is about more than membership."""
+        if isinstance(message.content, shared.Message):
+            self.give_shared(shared.Heard(message.content, message.head.name))
+        elif self.work is not None:
+            self.work.heard(message)
+
+    def _look(self) -> None:
+        if self.releases is not None and self.work is not None:
+            self.releases.look(self.work.holds(LEDGER))
+            self.later(LOOK_MS, self._look)
+
     def begin(self) -> None:
         """The process can be reached."""
         if self._meeting.share:
             self._do(self.shared.begin())
             self._know()
+        if self.work is not None:
+            self.work.begin()
+            self._look()
         self._count()
 
     def later(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
@@ -128,17 +194,21 @@
                     self._node.handle(hearsay(action.verdicts, self._marks))
                 case shared.Part():
                     self._node.handle(node_api.Parts(action.quotas, action.retry_share))
+                case shared.Cap():
+                    self._node.handle(node_api.Cohort(action.servers, action.share))
 
     def _know(self) -> None:
-        self.give_shared(known(self._node.balancer, self._starts, self.now()))
+        since = self._since if self.releases is not None else None
+        self.give_shared(known(self._node.balancer, self._starts, since, self.now()))
         self.give_shared(seen(self.core, self.census))
         self.later(1000.0 * KNOWN_S, self._know)
 
     # What happens at the node
 
-    def listed(self, starts: dict[int, int]) -> None:
-        """Its list names these servers, with a mark of each one's start."""
+    def listed(self, starts: dict[int, int], since_ms: dict[int, float]) -> None:
+        """Its list names these servers, with a mark of each one's start, and when that was."""
         self._starts |= starts
+        self._since |= since_ms
 
     def asked(self, tenant: str) -> None:
         """A request has come."""
--- a/lab/virtual/node.py
+++ b/lab/virtual/node.py
@@ -25,6 +25,7 @@
 from orchidferry.__main__ import ACCEPT_ON_S
 from orchidferry.config import STATUSES, start_mark
 from orchidferry.node import KNOWN_AGAIN_S, MARGIN_MS
+from orchidferry.releases import release_share
 from orchidferry.upstream import IDLE_SHARE
 
 if TYPE_CHECKING:
@@ -344,7 +345,8 @@
             )
         if self.member is not None:
             numbers = self._host.numbers
-            self.member.listed({numbers[entry.name]: start_mark(entry.since_ms) for entry in entries})
+            starts = {numbers[entry.name]: start_mark(entry.since_ms) for entry in entries}
+            self.member.listed(starts, {numbers[entry.name]: entry.since_ms for entry in entries})
         kind = api.ListKind.SAVED if whole else api.ListKind.CHANGES
         self.handle(api.ServerList(kind, index, listed))
 
@@ -366,6 +368,8 @@
             shares |= {f"within.{tenant}": float(within), f"over.{tenant}": float(over)}
         if self.member is not None:
             shares["fleet_sent_bytes"] = float(self.member.meeting.bytes[self.name])
+            if self.member.releases is not None:
+                shares["release_share"] = release_share(self.member.shared.follower.order)
         return shares | {
             "inflight": float(len(self._live)),
             "hosts_listed": float(len(self.balancer.fleet.servers)),
--- a/lab/world.py
+++ b/lab/world.py
@@ -25,6 +25,7 @@
     Kill,
     Link,
     Operation,
+    Release,
     Scenario,
     ServerFault,
     Silence,
@@ -70,6 +71,7 @@
         self._noise = random.Random(f"{seed}noise")
         self._inner = random.Random(f"{seed}inner")
         self._ills: dict[int, list[Ill]] = {}
+        self.builds: dict[str, Release] = {}  # servers that run a new build
 
     # What a host does
 
@@ -109,6 +111,10 @@
     def operate(self, name: str, what: Operation) -> None:
         """Have operators do something."""
 
+    @abstractmethod
+    def release(self, what: Release, since_ms: float) -> None:
+        """Have operators begin a staged release of the servers that start from now on."""
+
     @abstractmethod
     def drop_attempts(self, server: str) -> None:
         """Break all connections to a server that has died."""
@@ -235,6 +241,11 @@
             case Silence():
                 for name in whom:
                     self._silence(fault, self.agent(name), on)
+            case Release() if on:
+                if fault.staged:
+                    self.release(fault, self.now())
+                for k, name in enumerate(whom):
+                    self.after(1000.0 * (fault.lead_s + k * fault.apart_s), self._build, name, fault)
             case Operation() if on:
                 for k, name in enumerate(whom):
                     self.after(1000.0 * k * fault.apart_s, self.operate, name, fault)
@@ -249,7 +260,7 @@
             return self._pick([fault.source], "source") + self._pick([fault.target], "target")
         if isinstance(fault, Split):
             return [name for part in fault.parts for name in self._pick(part, "parts")]
-        key = "servers" if isinstance(fault, ServerFault) else "nodes"
+        key = "servers" if isinstance(fault, ServerFault | Release) else "nodes"
         return self._pick(getattr(fault, key), key)
 
     def _pairs(self, fault: Link | Split) -> frozenset[tuple[str, str]]:
@@ -341,6 +352,15 @@
         if not server.reachable:
             self._list(server, LEFT)
 
+    def _build(self, name: str, build: Release) -> None:
+        """A server starts anew with a new build."""
+        self.builds[name] = build
+        self.restart(self.servers[name])
+
+    def _fall_ill(self, server: Server, life: int, build: Release) -> None:
+        if server.life == life and server.up:
+            server.disturb(slow=build.slow, hanging=build.hang, errors=build.errors)
+
     def restart(self, server: Server) -> None:
         """A server dies and is back at once, cold; its node with it."""
         server.die()
@@ -350,5 +370,8 @@
             self.signal(node, "kill")
             self.start_node(node)
         server.start()
+        build = self.builds.get(server.name)
+        if build is not None:
+            self.after(1000.0 * build.ill_s, self._fall_ill, server, server.life, build)
         self.tell(records.Started(self.now(), server.name))
         self._list(server, ACTIVE, anew=True)
--- a/nickelbridge/interface.py
+++ b/nickelbridge/interface.py
@@ -304,6 +304,17 @@
     retry_share: float = 1.0
 
 
+@dataclass(slots=True)
+class Cohort:
+    """These servers are of a new build: of first sends of each class they get this share at most.
+
+    It is a bound on top of all others and never a reason to send; 1 is none.
+    """
+
+    servers: frozenset[int]
+    share: float = 1.0
+
+
 Event = (
     Started
     | Reconfigured
@@ -317,6 +328,7 @@
     | TimerFired
     | Hearsay
     | Parts
+    | Cohort
 )
 
 # Actions: what the node is asked to do.
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -59,6 +59,7 @@
 TOLD_SILENT = 3.0  # times as long as to be taken for lost here: by chance one call in many takes that long
 RETURN_MS = 2_000.0  # a server that others no longer warn of comes back to each copy within this time
 AFFINE = 1.25  # times its part of what is out, which a server may hold of those that belong to it
+CREDIT = 2.0  # first sends that a capped cohort may have missed and still get
 ASK_SHARE = 0.1  # of the asking interval: mean wait before asking again after a failure
 
 NEVER_RAN = frozenset((Result.REFUSED, Result.UNREACHABLE, Result.MOOT))
@@ -315,6 +316,8 @@
         self._taken = SlidingCount(settings.resend_span_ms - settings.tick_ms)
         self._further = SlidingCount(settings.resend_span_ms + settings.tick_ms)
         self._never_ran = NEVER_RAN - ({Result.REFUSED} if settings.full_may_have_run else set())
+        self._cohort, self._cap = frozenset[int](), 1.0  # servers of a new build; their share of first sends
+        self._credit: dict[str, float] = {}  # by class: first sends that they may get now
         self._calls: dict[str, Call] = {}
         self._waiting: dict[int, Call] = {}  # by timer token
         self._light: set[str] = set()  # calls out that load no server: still coming in, or going out
@@ -339,6 +342,7 @@
             case api.Reconfigured(): self._on_settings(event.settings, now_ms)
             case api.Hearsay(): self._on_hearsay(event, now_ms)
             case api.Parts(): self._on_parts(event)
+            case api.Cohort(): self._on_cohort(event, now_ms)
         return self._actions
 
     def _know_tenants(self) -> None:
@@ -364,6 +368,43 @@
         for server in self.fleet.servers.values(): server.hear(told.get(server.id), now, self._rng)
         self._release(now)
 
+    def _on_cohort(self, event: api.Cohort, now: float) -> None:
+        if event.share != self._cap: self._credit = {}
+        self._cohort, self._cap = event.servers, event.share
+        self._release(now)
+
+    def _cohort_part(self, now: float) -> float:
+        """What the cap leaves of the cohort's weight: 1 where that is under the cap anyway.
+
+        Without an old server in service there is nothing to cap it against.
+        """
+        if not self._cohort or self._cap >= 1.0: return 1.0
+        new = old = 0.0
+        for server in self.fleet.ready:
+            weight = server.part * server.warmth(now, self.settings)
+            if server.id in self._cohort: new += weight
+            else: old += weight
+        return min(1.0, self._cap / (1.0 - self._cap) * old / new) if new and old else 1.0
+
+    def _may_cohort(self, call: Call) -> bool:
+        """Whether a call may go to the cohort: a first send that the cap has room for.
+
+        Copies begin at random places, so that of many copies' few calls it gets its share too.
+        """
+        credit = self._credit.setdefault(call.cls.name, self._rng.random())
+        return self._cap > 0.0 and not call.attempts and credit + self._cap >= 1.0
+
+    def _cap_cohort(
+        self, call: Call, part: float, found: list[tuple[Server, float]], crowded: list[tuple[Server, float]]
+    ) -> tuple[list[tuple[Server, float]], list[tuple[Server, float]]]:
+        """Of those that may get a call, those that the cap leaves: the cohort in its turn, else the old."""
+        new = [pair for pair in found if pair[0].id in self._cohort]
+        old = [pair for pair in found if pair[0].id not in self._cohort]
+        if call.pin is not None: return old or new, crowded  # it has to stay in its group
+        crowded = [pair for pair in crowded if pair[0].id not in self._cohort]
+        if not self._may_cohort(call): return old, crowded
+        return (new, crowded) if new and part < 1.0 else (found, crowded)
+
     def _on_settings(self, settings: api.Settings, now: float) -> None:
         """Take new settings; what was measured stays, and calls under way keep their class."""
         self.settings = settings
@@ -455,7 +496,11 @@
         """What there is to take first sends now, in warm servers' parts."""
         lost = self._lost(now)
         fit = (server for server in self.fleet.ready if now >= server.shut_ms and server not in lost)
-        return sum(server.part * server.warmth(now, self.settings) for server in fit)
+        part = self._cohort_part(now)  # of what may not be sent there nothing is borne
+        return sum(
+            server.part * server.warmth(now, self.settings) * (part if server.id in self._cohort else 1.0)
+            for server in fit
+        )
 
     def _hold(self, call: Call, now: float) -> None:
         """Keep a call back while an answer within its aim is still possible."""
@@ -502,8 +547,10 @@
         paced: list[tuple[Server, float, float]] = []
         full = total = 0.0
         free = call.ran_ms is None and call.pin is None
+        part = self._cohort_part(now)
+        capped = self._cohort and self._cap < 1.0 and any(s.id not in self._cohort for s in self.fleet.ready)
         for server in self.fleet.ready if free else self.fleet.group(call):
-            weight = server.part
+            weight = server.part if server.id not in self._cohort else server.part * part
             if server.started_ms is not None:
                 warmth = server.warmth(now, self.settings)
                 if warmth < 1.0 and self._cold_budget(server, warmth, now) < 1.0:
@@ -525,6 +572,7 @@
             fit = now >= server.shut_ms and not (server.told and server.warned(call.cls.name))
             (found if room and fit else crowded).append((server, weight))
         self._weight = total if free else self._weight
+        if capped: found, crowded = self._cap_cohort(call, part, found, crowded)
         found = found or [(server, weight) for server, weight in crowded if server.inflight < server.limit]
         if call.last is not None and len(found) > 1:  # elsewhere than last time, where there is a choice
             found = [(server, weight) for server, weight in found if server is not call.last]
@@ -551,6 +599,9 @@
             server.budget.tokens -= 1.0
         if server.told is not None and server.told.trial: server.told.trial = False
         if call.attempts: self._further.add(now)
+        elif self._cohort:
+            credit = self._credit.get(cls.name, 0.0) + self._cap - (server.id in self._cohort)
+            self._credit[cls.name] = max(0.0, min(credit, CREDIT))
         call.attempts += 1
         call.out, call.last, call.sent_ms = True, server, now
         call.idle_ms = 0.0 if server.out else now - server.used_ms
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -26,7 +26,7 @@
 }
 
 
-SHARED = ("verdicts", "limits", "affinity")
+SHARED = ("verdicts", "limits", "affinity", "releases")
 LEAST_AFFINE = 3  # nodes: of two, one that hears nothing of the other can't know who is cut off
 
 
@@ -42,9 +42,9 @@
     whole: bool
     entries: list[api.ServerEntry]
     addresses: dict[int, Address]
-    starts: dict[int, int] = field(
-        default_factory=dict
-    )  # a mark of each server's start, the same at all nodes
+    # A mark of each server's start, the same at all nodes; and when it was, in Unix time.
+    starts: dict[int, int] = field(default_factory=dict)
+    since_ms: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -132,6 +132,7 @@
     entries: list[api.ServerEntry] = []
     addresses: dict[int, Address] = {}
     starts: dict[int, int] = {}
+    since: dict[int, float] = {}
     for item in objects(obj, "endpoints"):
         server = server_id(get(item, "name", str))
         since_ms = opt(item, "since_ms", NUMBER, 0)
@@ -147,8 +148,8 @@
             )
         )
         addresses[server] = address_at(item, "address")
-        starts[server] = start_mark(since_ms)
-    return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses, starts)
+        starts[server], since[server] = start_mark(since_ms), float(since_ms)
+    return Listing(get(obj, "index", int), get(obj, "snapshot", bool), entries, addresses, starts, since)
 
 
 def key_paths(obj: Json) -> frozenset[str]:
@@ -213,6 +214,8 @@
     advertise = fleet["bind"] if fleet.get("advertise") is None else get(fleet, "advertise", str)
     address(advertise)
     share, groups = _read_shared(fleet, opt(obj, "settings", dict, {}))
+    if "releases" in share and not voters:
+        raise Malformed("'voters' must be named to share releases", (fleet, "voters", []))
     return FleetConfig(get(fleet, "name", str), fleet["bind"], advertise, seeds, voters, share, groups)
 
 
--- a/orchidferry/duties.py
+++ b/orchidferry/duties.py
@@ -6,13 +6,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import math
 import random
 import time
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 from urllib.parse import parse_qs
 
 from fleet import interface as api
@@ -20,15 +19,14 @@
 from fleet.duties.core import Duties
 from fleet.duties.guard import Guard
 from fleet.duties.ledger import DUTY as LEDGER
-from fleet.duties.ledger import OPEN
+from fleet.duties.ledger import OPEN, Ledger
 from fleet.duties.watch import DUTY as WATCH
 from fleet.duties.watch import Watch
+from fleet.membership.core import Membership
 from fleet.messages import About, Ack, Fact, Message
 from orchidferry import logs
 from orchidferry.config import now_ms
-
-if TYPE_CHECKING:
-    from orchidferry.peers import Peers
+from orchidferry.releases import Entries
 
 ALL = (WATCH, LEDGER)
 SEEN_S = 0.4  # how often the cores are told who is there
@@ -41,20 +39,45 @@
 LATE_HEALTH = 2  # local health from which this process does not stand for duties
 
 
+class Later(Protocol):
+    """What calls something later: an event loop, or virtual time."""
+
+    def call_later(self, delay: float, callback: Callable[..., None], /, *args: Any) -> Any:
+        """After so many seconds."""
+
+
+class Fellows(Protocol):
+    """This process among the members, as duties need it."""
+
+    counts: dict[str, int]
+
+    @property
+    def core(self) -> Membership:
+        """Its membership."""
+
+    def tell(self, name: str, content: duties.Message, /) -> None:
+        """Say something to a member, or to itself."""
+
+    def handle(self, event: api.Event, /) -> None:
+        """Give its membership an event."""
+
+    def ask_view(self, name: str, /) -> None:
+        """Have a member say which view it holds."""
+
+
 class DutyHost:
     """This process's part in the fleet's duties."""
 
     def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        peers: Peers,
-        name: str,
-        zone: str,
-        voters: list[str],
-        rng: random.Random,
-    ) -> None:
+        self, loop: Later, peers: Fellows, name: str, zone: str, voters: list[str], rng: random.Random,
+        now: Callable[[], float] = now_ms,
+    ) -> None:  # fmt: skip
         self._loop, self._peers, self._voters, self._rng = loop, peers, voters, rng
-        self._name, self._zone = name, zone
+        self._name, self._zone, self._now = name, zone, now
+        self.entries = Entries(self._give)
+        # Whoever else needs the ledger hears when it is open here, and when it no longer is.
+        self.on_open: Callable[[Ledger], None] = lambda ledger: None
+        self.on_close: Callable[[], None] = lambda: None
         self.core: Duties | None = None  # until the process is a member: a voter's silence begins then
         self.guard = Guard()
         self.watch = Watch()
@@ -68,8 +91,8 @@
     def begin(self) -> None:
         """The process can be reached."""
         life = self._rng.getrandbits(62)
-        self.core = Duties(self._name, life, self._voters, list(ALL), self._rng, _wall_ms, now_ms())
-        self._do(self.core.begin(now_ms()))
+        self.core = Duties(self._name, life, self._voters, list(ALL), self._rng, _wall_ms, self._now())
+        self._do(self.core.begin(self._now()))
         self._loop.call_later(SEEN_S, self._see)
         self._loop.call_later(WATCH_S, self._watch)
 
@@ -78,7 +101,7 @@
         if isinstance(message, About) and isinstance(message.content, duties.Message):
             self.take(message.content, message.head.name)
         elif isinstance(message, Ack):
-            self.watch.hear(message.head.name, message.head.digest, now_ms())
+            self.watch.hear(message.head.name, message.head.digest, self._now())
 
     def take(self, content: duties.Message, sender: str) -> None:
         """Something about a duty."""
@@ -88,7 +111,7 @@
         if self.core is None or self._over:
             return
         try:
-            self._do(self.core.handle(event, now_ms()))
+            self._do(self.core.handle(event, self._now()))
         except Exception:
             self._peers.counts["errors"] += 1
             logs.exception("fleet error", "the duties' part, handling %(what)s", what=type(event).__name__)
@@ -106,6 +129,8 @@
                     if action.duty == WATCH:
                         self.watch.on_start(action.token, action.state)
                 case duties.Opened():
+                    if self.core is not None and self.core.ledger is not None:
+                        self.on_open(self.core.ledger)
                     text = "the ledger is open with %(rows)d rows, token %(token)d"
                     lost = "; rows that were acknowledged may be lost: a majority of the voters has forgotten"
                     text += lost if action.lost else ""
@@ -121,6 +146,8 @@
                 case duties.Stop():
                     if action.duty == WATCH:
                         self.watch.on_stop()
+                    elif action.duty == LEDGER:
+                        self.on_close()
                     self._note(action.duty, "stops", action.token, action.why)
                     self._claim(action.duty, 0)
 
@@ -165,13 +192,23 @@
         if self._over:
             return
         self._order()
-        if self.core is not None and self.core.holds(WATCH, now_ms()):
-            self.watch.hear(self._name, self._peers.core.digest(), now_ms())
+        if self.holds(WATCH):
+            self.watch.hear(self._name, self._peers.core.digest(), self._now())
             for name in self.watch.ask(self._peers.core.view.here.names(), WATCH_S * 1000.0):
                 self._peers.ask_view(name)
         self._loop.call_later(WATCH_S, self._watch)
 
+    def holds(self, duty: str) -> bool:
+        """Whether a duty is this process's at this instant."""
+        return self.core is not None and self.core.holds(duty, self._now())
+
+    def holder(self, duty: str) -> str:
+        """Who holds it, as far as is known here."""
+        return self._claims.get(duty, ("", 0))[0]
+
     def _settled(self, action: duties.Settled) -> None:
+        if self.entries.settled(action):
+            return
         entry = self._entries.get(action.wanted)
         if entry is not None:
             entry["state"] = "kept" if action.kept else "not taken" if action.why else "unknown"
@@ -180,9 +217,7 @@
     def _order(self) -> None:
         """Whoever holds the ledger tells all what operators have set."""
         ledger = self.core.ledger if self.core is not None else None
-        if self.core is None or ledger is None or ledger.step != OPEN:
-            return
-        if not self.core.holds(LEDGER, now_ms()):
+        if ledger is None or ledger.step != OPEN or not self.holds(LEDGER):
             return
         limits: dict[str, float] = {}
         for key, row in ledger.rows.items():
@@ -197,7 +232,7 @@
         """The ledger's rows, at whoever holds it; elsewhere who that is."""
         ledger = self.core.ledger if self.core is not None else None
         holder, token = self._claims.get(LEDGER, ("", 0))
-        held = self.core is not None and self.core.holds(LEDGER, now_ms())
+        held = self.holds(LEDGER)
         rows = sorted(ledger.rows.values(), key=lambda row: row.key) if ledger is not None and held else []
         return 200, {
             "self": self._name, "holder": holder, "token": token, "here": held,
@@ -218,7 +253,7 @@
             return 400, {"error": "voters change one at a time, by a call of their own: see `fleet voters`"}
         if key.startswith(LIMIT) and _number(value.encode()) is None:
             return 400, {"error": f"{key} takes a number of requests a second, not {value!r:.60}"}
-        if self.core is None or not self.core.holds(LEDGER, now_ms()):
+        if not self.holds(LEDGER):
             holder = self._claims.get(LEDGER, ("", 0))[0]
             return 409, {"error": f"{self._name} does not hold the ledger", "holder": holder}
         entry = self._entry(key, value)
@@ -244,7 +279,7 @@
         """Have one more voter or one fewer; how it ends shows under `entries` of the ledger."""
         asked = {name: values[0] for name, values in parse_qs(query).items()}
         add, remove = asked.get("add", ""), asked.get("remove", "")
-        if self.core is None or not self.core.holds(LEDGER, now_ms()):
+        if not self.holds(LEDGER):
             holder = self._claims.get(LEDGER, ("", 0))[0]
             return 409, {"error": f"{self._name} does not hold the ledger", "holder": holder}
         entry = self._entry(VOTERS, f"+{add}" if add else f"-{remove}")
@@ -256,7 +291,7 @@
         core, members = self.core, self._peers.core.view.members
         if core is None:
             return 503, {"error": "this process is no member yet"}
-        now, ours = now_ms(), core.voters
+        now, ours = self._now(), core.voters
         others = {
             m.name: str(m.facts[VOTERS])
             for m in members.values()
@@ -283,7 +318,7 @@
             return 400, {"error": f"no duty is {duty!r}; there are {', '.join(ALL)}"}
         if to and to != self._name and to not in self._peers.core.view.here:
             return 400, {"error": f"no member there is {to!r}"}
-        if self.core is None or not self.core.holds(duty, now_ms()):
+        if not self.holds(duty):
             holder = self._claims.get(duty, ("", 0))[0]
             return 409, {"error": f"{self._name} does not hold {duty}", "holder": holder}
         self._give(duties.HandOver(duty, to))
@@ -291,7 +326,7 @@
 
     def show(self) -> tuple[int, dict[str, Any]]:
         """All that the door tells of duties."""
-        now = now_ms()
+        now = self._now()
         core = self.core
         shown: list[dict[str, Any]] = []
         for duty in ALL:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -184,6 +184,10 @@
             self.door.add_ask("/admin/voters/change", "POST", self._peers.work.change_voters)
         if self._shared is not None:
             self.door.add("/admin/shared", "GET", self._shared.show)
+        if self._peers.releases is not None:
+            self.door.add("/admin/releases", "GET", self._peers.show_releases)
+            self.door.add_ask("/admin/releases/start", "POST", self._peers.releases.start)
+            self.door.add_ask("/admin/releases/say", "POST", self._peers.releases.say)
 
     def _placed(self, number: int, nodes: int) -> None:
         """The fleet has this node at another place: its part of servers and budgets follows."""
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -15,15 +15,19 @@
 from fleet import interface as api
 from fleet.census import Census
 from fleet.duties import messages as duties
+from fleet.duties.ledger import DUTY as LEDGER
 from fleet.membership.core import Membership
 from fleet.messages import STATUSES, About, Ack, Fact, Ping
+from fleet.releases.steward import LOOK_MS
 from fleet.shared import messages as shared
+from fleet.shared.core import RELEASES
 from fleet.wire import MOST_STATE, Refused, Wire
 from nickelbridge.interface import Event
 from nickelbridge.logic import Balancer
 from orchidferry import VERSION, logs
 from orchidferry.config import Address, Config, FleetConfig, address, now_ms
 from orchidferry.duties import DutyHost
+from orchidferry.releases import Releases
 from orchidferry.shared import SharedHost
 
 SOCKETS = 28  # of the node's limit: two of its own, and what follows
@@ -97,6 +101,13 @@
             self.shared = SharedHost(loop, self, fleet, settings, balancer, told, rng)
             if self.work is not None:
                 self.work.ordered = self.shared.ordered
+        self.releases: Releases | None = None
+        if self.shared is not None and self.work is not None and RELEASES in fleet.share:
+            work = self.work
+            self.releases = Releases(
+                self.shared.core, work.entries, self.shared.steer, lambda: work.holder(LEDGER), now_ms
+            )
+            self.work.on_open, self.work.on_close = self.releases.opened, self.releases.closed
         self._udp: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -144,6 +155,25 @@
             self.shared.begin()
         self._loop.call_later(COUNT_S, self._count)
         self._loop.call_later(LOAD_S, self._tell_load)
+        if self.releases is not None:
+            self._loop.call_later(LOOK_MS / 1000.0, self._look)
+
+    def _look(self) -> None:
+        """Let the steward of releases look, if that is this process."""
+        if self._over or self.releases is None or self.work is None:
+            return
+        try:
+            self.releases.look(self.work.holds(LEDGER))
+        except Exception:
+            self.counts["errors"] += 1
+            logs.exception("fleet error", "the releases' part")
+        self._loop.call_later(LOOK_MS / 1000.0, self._look)
+
+    def show_releases(self) -> tuple[int, dict[str, Any]]:
+        """All that the door tells of releases."""
+        if self.releases is None or self.shared is None:
+            return 404, {"error": "no such path"}
+        return 200, self.releases.show(self.shared.classes())
 
     def handle(self, event: api.Event) -> None:
         """Give the core an event and do what it says; an error here is the fleet's and not the node's."""
--- /dev/null
+++ b/orchidferry/releases.py
@@ -0,0 +1,143 @@
+"""Hosts the steward of releases: joins the ledger, shared state and the operators' door."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+from urllib.parse import parse_qs
+
+from fleet.duties import messages as duties
+from fleet.duties.ledger import Ledger
+from fleet.releases.messages import ENDED, ROW, NotSo, Order, Plan, Tally, read_plan, read_wanted
+from fleet.releases.steward import FRESH_MS, SAID, Steward, Telling
+from fleet.shared.core import Shared
+from fleet.shared.messages import TALLY, Steer
+from orchidferry.config import server_id
+
+KEPT = 20  # releases that ended and are remembered
+FIRST = 1 << 32  # what a part enters has numbers beyond those of operators' entries
+
+
+class Entries:
+    """Rows that parts of this process have the ledger keep."""
+
+    def __init__(self, give: Callable[[duties.Event], None]) -> None:
+        self._give, self._numbers = give, count(FIRST)
+        self._open: dict[int, Callable[[bool], None]] = {}
+        self._whys: dict[int, str] = {}
+
+    def keep(self, key: str, value: bytes, done: Callable[[bool], None]) -> str:
+        """Have a row kept; "" where it is on its way and `done` will be told, else why not."""
+        number = next(self._numbers)
+        self._open[number] = done
+        self._give(duties.Enter(key, value, number))
+        why = self._whys.pop(number, "")
+        if why:
+            del self._open[number]
+        return why
+
+    def settled(self, action: duties.Settled) -> bool:
+        """How one ended; False where it is none of these."""
+        if action.wanted not in self._open:
+            return False
+        if action.why:
+            self._whys[action.wanted] = action.why
+        else:
+            self._open.pop(action.wanted)(action.kept)
+        return True
+
+
+class Releases:
+    """The steward, and what operators say to it and see of it."""
+
+    def __init__(
+        self, shared: Shared, entries: Entries, give: Callable[[Steer], None], holder: Callable[[], str],
+        now: Callable[[], float],
+    ) -> None:  # fmt: skip
+        self._shared, self._entries, self._give, self._now = shared, entries, give, now
+        self._holder = holder
+        self.steward = Steward(self._write, server_id, lambda: int(time.time()))
+        self._history: list[Plan] = []
+
+    def opened(self, ledger: Ledger) -> None:
+        """This process holds the ledger, and it is open."""
+        rows = {key: read_plan(row.value) for key, row in ledger.rows.items() if key.startswith(ROW)}
+        past = [plan for key, plan in rows.items() if key != ROW and plan is not None]
+        self._history = sorted(past, key=lambda plan: plan.id)
+        self.steward.start(ledger.token, rows.get(ROW), self._now())
+
+    def closed(self) -> None:
+        """It holds the ledger no more."""
+        self.steward.stop()
+
+    def _write(self, plan: Plan) -> str:
+        why = self._entries.keep(ROW, plan.write(), self.steward.settled)
+        if not why and plan.state in ENDED:
+            self._entries.keep(f"{ROW}/{plan.id % KEPT}", plan.write(), lambda kept: None)
+            self._history = [*self._history, plan][-KEPT:]
+        return why
+
+    def look(self, holds: bool) -> None:
+        """To be called every so often; `holds`: this process holds the ledger at this instant."""
+        if not self.steward.token or not holds:
+            return
+        now, store = self._now(), self._shared.store
+        told = [
+            Telling(writer, held.life, held.age_ms(now), held.content)
+            for writer, held in store.read(TALLY, FRESH_MS, now)
+            if isinstance(held.content, Tally) and held.content.tier == self._shared.tier
+        ]
+        told.append(Telling(store.name, store.life, 0.0, self._shared.follower.tally()))
+        order: Order | None = self.steward.look(told, self._shared.seen.base, now)
+        if order is not None:
+            self._give(Steer(order))
+
+    # At the door
+
+    def start(self, query: str) -> tuple[int, dict[str, Any]]:
+        """Begin a release of servers."""
+        asked = _asked(query)
+        try:
+            wanted = read_wanted(asked)
+        except NotSo as problem:
+            return 400, {"error": str(problem)}
+        return self._answer(self.steward.begin(wanted, asked.get("by", ""), asked.get("why", "")))
+
+    def say(self, query: str) -> tuple[int, dict[str, Any]]:
+        """Pause, resume, skip, halt or abort it."""
+        asked = _asked(query)
+        what = asked.get("what", "")
+        if what not in SAID:
+            return 400, {"error": f"what: {what!r:.20} is none of {', '.join(SAID)}"}
+        return self._answer(self.steward.say(what, asked.get("by", ""), asked.get("why", "")))
+
+    def _answer(self, why: str) -> tuple[int, dict[str, Any]]:
+        return (409, {"error": why, "holder": self._holder()}) if why else (202, {"taken": True})
+
+    def show(self, mark_names: dict[int, str]) -> dict[str, Any]:
+        """All that the door tells of releases; `mark_names` are the classes by their marks."""
+        follower, found = self._shared.follower, self.steward.show()
+        for row in found["evidence"]:
+            row["class"] = mark_names.get(row["class"], "all" if not row["class"] else str(row["class"]))
+        order = follower.order
+        return found | {
+            "self": self._shared.name, "holder": self._holder(),
+            "order": {"token": order.token, "step": order.step, "release": order.id, "share": order.share},
+            "new_servers": len(follower.cohort()), "servers": len(follower.servers),
+            "stale": follower.stale(self._now()),
+            "history": [
+                {"id": p.id, "state": p.state, "stage": p.stage, "by": p.by, "why": p.why, "at_s": p.at_s}
+                for p in self._history
+            ],
+        }  # fmt: skip
+
+
+def _asked(query: str) -> dict[str, str]:
+    return {name: values[0] for name, values in parse_qs(query).items()}
+
+
+def release_share(order: Order) -> float:
+    """The most of first sends that new servers may get now; 1 where no release says anything."""
+    return order.share if order.id else 1.0
--- a/orchidferry/shared.py
+++ b/orchidferry/shared.py
@@ -14,13 +14,15 @@
 from fleet.census import Census
 from fleet.membership.core import Membership
 from fleet.messages import About, Message
+from fleet.releases.member import Server
 from fleet.shared import messages as shared
-from fleet.shared.core import AFFINITY, LIMITS, PARTS, Shared, mark
+from fleet.shared.core import AFFINITY, LIMITS, PARTS, RELEASES, Shared, mark
 from nickelbridge import interface as api
 from nickelbridge.interface import Result
 from nickelbridge.logic import Balancer
 from orchidferry import logs
 from orchidferry.config import FleetConfig, Listing, now_ms
+from orchidferry.releases import release_share
 
 if TYPE_CHECKING:
     from orchidferry.peers import Peers
@@ -28,7 +30,7 @@
 KNOWN_S = 0.25  # how often the fleet's part hears what the node knows
 HOW = {
     Result.SERVED: "good", Result.ERROR: "error", Result.RESET: "lost", Result.TIMEOUT: "lost",
-    Result.UNREACHABLE: "lost",
+    Result.UNREACHABLE: "lost", Result.REFUSED: "full",
 }  # fmt: skip
 
 
@@ -47,13 +49,23 @@
     return {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s}
 
 
-def known(balancer: Balancer, starts: dict[int, int], now: float) -> shared.Known:
-    """What a node knows of its servers and its loop now."""
+def known(
+    balancer: Balancer, starts: dict[int, int], since_ms: dict[int, float] | None, now: float
+) -> shared.Known:
+    """What a node knows of its servers and its loop now; with `since_ms` also what releases need."""
     listed = {server: starts.get(server, 0) for server in balancer.fleet.servers}
     loop = balancer.controller
+    servers: dict[int, Server] = {}
+    if since_ms is not None:
+        ready = {server.id for server in balancer.fleet.ready}
+        for id, server in balancer.fleet.servers.items():
+            warmth = server.warmth(now, balancer.settings)
+            weight = server.part * warmth if id in ready else 0.0
+            servers[id] = Server(mark(server.zone), since_ms.get(id, 0.0), weight, warmth < 1.0)
     return shared.Known(
-        listed, frozenset(balancer.silent(now)), balancer.zones(now), loop.allowed_rate, loop.tuned_rate
-    )
+        listed, frozenset(balancer.silent(now)), balancer.zones(now), loop.allowed_rate, loop.tuned_rate,
+        servers,
+    )  # fmt: skip
 
 
 def hearsay(verdicts: list[shared.Verdict], marks: dict[int, str]) -> api.Hearsay:
@@ -96,6 +108,7 @@
             list(fleet.groups), window_ms(settings), rng, now_ms(),
         )  # fmt: skip
         self._starts: dict[int, int] = {}
+        self._since: dict[int, float] = {}
         self._names: dict[int, str] = {}
         self._marks: dict[int, str] = {}
         self._over = False
@@ -145,12 +158,15 @@
                     self._told(hearsay(action.verdicts, self._marks))
                 case shared.Part():
                     self._told(api.Parts(action.quotas, action.retry_share))
+                case shared.Cap():
+                    self._told(api.Cohort(action.servers, action.share))
 
     def _know(self) -> None:
         if self._over:
             return
         try:
-            self._do(self.core.handle(known(self._balancer, self._starts, now_ms()), now_ms()))
+            since = self._since if RELEASES in self.core.parts else None
+            self._do(self.core.handle(known(self._balancer, self._starts, since, now_ms()), now_ms()))
         except Exception:
             self._fail("what the node knows")
         self._seen()
@@ -159,6 +175,10 @@
     def _seen(self) -> None:
         self._give(seen(self._peers.core, self._peers.census))
 
+    def steer(self, event: shared.Steer) -> None:
+        """This process is the steward of releases: its order is for all."""
+        self._give(event)
+
     def ordered(self, token: int, limits: dict[str, float]) -> None:
         """This process holds the ledger: what operators have set there is for all."""
         self._give(shared.Ordered(token, limits))
@@ -168,10 +188,12 @@
     def listed(self, listing: Listing) -> None:
         """News of the list: the servers that it names, each with a mark of its start."""
         self._starts |= listing.starts
+        self._since |= listing.since_ms
         self._names |= {server: f"{host}:{port}" for server, (host, port) in listing.addresses.items()}
         gone = [entry.server for entry in listing.entries if entry.health is api.Health.GONE]
         for server in gone:
             self._starts.pop(server, None)
+            self._since.pop(server, None)
             self._names.pop(server, None)
 
     def asked(self, tenant: str | None) -> None:
@@ -205,9 +227,16 @@
             "fleet_keys_refused": lambda: sum(
                 count for why, count in core.affinity.counts.items() if why != "elsewhere"
             ),
+            "fleet_release_stale": lambda: int(core.follower.stale(now_ms())),
+            "fleet_release_percent": lambda: round(100.0 * release_share(core.follower.order)),
+            "fleet_release_new": lambda: len(core.follower.cohort()),
             "fleet_records": lambda: sum(1 for _ in core.store.all()),
         }
 
+    def classes(self) -> dict[int, str]:
+        """The classes' names by their marks."""
+        return self._marks
+
     def show(self) -> tuple[int, dict[str, Any]]:
         """All that the door tells of shared state."""
         core, now = self.core, now_ms()
--- a/tests/test_lab_scenario.py
+++ b/tests/test_lab_scenario.py
@@ -19,7 +19,8 @@
 from lab.names import Names
 from lab.plan import Plan
 from lab.runner import BadSeeds, read_seeds
-from lab.scenario import SHIPPED, BadScenario, load, parse, schema
+from lab.scenario import SHIPPED, BadScenario, Tier, load, parse, schema
+from lab.servers import Job, Server
 from tests.peers import settings
 
 
@@ -192,3 +193,28 @@
     assert CliRunner().invoke(main, ["check", str(file)]).exit_code == 1
     file.write_text('{"name": ')
     assert "line 1" in check_file(file)[0]
+
+
+class Still:
+    """A clock that stands still."""
+
+    def now(self) -> float:
+        return 0.0
+
+    def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
+        """Nothing happens later."""
+
+
+def test_what_came_to_a_former_life_of_a_server_can_be_given_up_after_its_restart() -> None:
+    # Seed 293 of `staged`: an attempt was given up just after its server had started anew.
+    ended: list[str] = []
+    server = Server("a1", "linz", 0, Tier(), 1.0, Still(), 1, 10.0, (2.5, 3000.0), lambda fallen: None)
+    jobs = [Job(f"j{n}", "n1", "slot-view", 10.0, 0, lambda job, how: ended.append(how)) for n in range(2)]
+    server.submit(jobs[0])
+    server.die()
+    server.start()
+    server.submit(jobs[1])
+    server.cancel(jobs[0])
+    assert server.holds == 1 and ended == []
+    server.cancel(jobs[1])
+    assert server.holds == 0 and ended == ["dropped"]
