Take out twins and dead code of releases, and keep the ledger's entries beside duties

Need: reading the whole change once more showed what it had written twice, or needed no more.

Change: the lab's discovery tells news in order since, so what it did for news out of order is gone; `release_share` is gone, as an order that speaks of no release has the share 1; `latest` and two attributes of the lab's figures were used by nothing. One text of the operators' call serves both hosts of the lab, one live view both `fleet watch` and `release watch`, one check of what operators say the door and the steward. `Entries` stands beside the duties whose ledger it enters rows in, not in the file of its first user. Behaviour stays, but for the words of one error, which names its place.

--- a/dunlinloft/fleetcli.py
+++ b/dunlinloft/fleetcli.py
@@ -7,6 +7,7 @@
 import urllib.error
 import urllib.parse
 import urllib.request
+from collections.abc import Callable
 from typing import Any
 
 from rich.console import Console, Group
@@ -113,13 +114,13 @@
     return SUCCESS if not state["divergence"]["members"] and not state["self"]["rival"] else UNKEPT
 
 
-def watch(door: str) -> int:
-    """Print them again and again, until interrupted."""
+def watch(door: str, path: str = "/admin/fleet", shown: Callable[[dict[str, Any]], Group] = table) -> int:
+    """Print what a door says at a path again and again, until interrupted."""
     try:
         with Live(console=out, auto_refresh=False) as live:
             while True:
                 try:
-                    live.update(table(read(door)), refresh=True)
+                    live.update(shown(read(door, path)), refresh=True)
                 except NoDoor as problem:
                     live.update(f"[red]{escape(str(problem))}[/]", refresh=True)
                 time.sleep(EVERY_S)
--- a/dunlinloft/releasecli.py
+++ b/dunlinloft/releasecli.py
@@ -10,15 +10,14 @@
 from typing import Any
 
 from rich.console import Console, Group
-from rich.live import Live
 from rich.markup import escape
 from rich.table import Table
 
+from dunlinloft import fleetcli
 from dunlinloft.cli import BAD_FILE, SUCCESS, UNKEPT
 from dunlinloft.fleetcli import NoDoor, read
 from dunlinloft.tables import PLAIN
 
-EVERY_S = 1.0
 COLOURS = {
     "baking": "cyan",
     "paused": "yellow",
@@ -140,16 +139,7 @@
 
 def watch(door: str) -> int:
     """Print it again and again, until interrupted."""
-    try:
-        with Live(console=out, auto_refresh=False) as live:
-            while True:
-                try:
-                    live.update(table(read(door, "/admin/releases")), refresh=True)
-                except NoDoor as problem:
-                    live.update(f"[red]{escape(str(problem))}[/]", refresh=True)
-                time.sleep(EVERY_S)
-    except KeyboardInterrupt:
-        return SUCCESS
+    return fleetcli.watch(door, "/admin/releases", table)
 
 
 def history(door: str) -> int:
--- a/fleet/releases/member.py
+++ b/fleet/releases/member.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Iterable
 
 from fleet.releases.messages import EIGHTHS, NONE, Count, Order, Tally, no_count
 
@@ -141,8 +140,3 @@
     def stale(self, now: float) -> bool:
         """Whether the steward has not been heard of for so long that its word is only kept, not followed."""
         return self.order.live and now - self.heard_ms > FRESH_MS
-
-
-def latest(orders: Iterable[Order]) -> Order:
-    """The order that holds, of several."""
-    return max(orders, key=Order.key, default=NONE)
--- a/fleet/releases/steward.py
+++ b/fleet/releases/steward.py
@@ -176,10 +176,10 @@
     def say(self, what: str, by: str, why: str) -> str:
         """Pause, resume, skip, halt or abort; "" or why not."""
         plan = self.plan
+        if what not in SAID:
+            raise NotSo(f"what: {what!r:.20}: one of {', '.join(SAID)} was expected")
         if not self.token or plan is None:
             return "there is no release here" if self.token else "this process is not the steward"
-        if what not in SAID:
-            raise NotSo(f"{what!r:.20}: one of {', '.join(SAID)} was expected")
         if plan.state in ENDED:
             return f"release {plan.id} is {plan.state}"
         if plan.state == BACK and what != "abort":
--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -30,7 +30,7 @@
 from lab.scenario import Operation, Release
 from lab.servers import Server
 from lab.settings import settings
-from lab.world import World
+from lab.world import World, release_query
 
 SOON_MS = 0.5  # shorter waits than this are none: an event loop counts in milliseconds
 POLL_S = 0.1  # the front asks each node so often
@@ -382,8 +382,7 @@
         self.spawn(self._release(what, self.wall_ms(since_ms)))
 
     async def _release(self, what: Release, since_ms: float) -> None:
-        stages = ",".join(f"{share:g}" for share in what.stages)
-        query = f"since={since_ms / 1000.0:.3f}&stages={stages}&bake={what.bake_s:g}&by=day"
+        query = release_query(what, since_ms)
         while not self._over:
             for children in list(self._children.values()):
                 door = self._doors[children[-1].pid]
--- a/lab/registry.py
+++ b/lab/registry.py
@@ -43,18 +43,11 @@
         if self.silent:
             self._kept.append((index, changed))
             return
-        if index <= self.index:  # an older one that was late: what it told is in what came since
-            changed = [entry for entry in changed if entry.name not in self._since(index)]
-        self.index = max(self.index, index)
-        if not changed:
-            return
-        self.history.append((self.index, changed))
+        self.index = index
+        self.history.append((index, changed))
         for entry in changed:
             self.entries[entry.name] = entry
-        self.on_news(self.index, changed)
-
-    def _since(self, index: int) -> set[str]:
-        return {entry.name for told, entries in self.history if told > index for entry in entries}
+        self.on_news(index, changed)
 
     def speak(self) -> None:
         """Discovery is back: what was kept is told."""
--- a/lab/staged.py
+++ b/lab/staged.py
@@ -20,10 +20,8 @@
 
     def __init__(self, plan: Plan) -> None:
         self.builds = [fault for fault in plan.scenario.faults if isinstance(fault, Release)]
-        self._ill_ms = {id(build): 1000.0 * build.ill_s for build in self.builds}
         self._of: dict[str, Release] = {}  # servers that run a new build
         self._since: dict[str, float] = {}
-        self._cold_ms = plan.scenario.rules.ramp_ms
         self._names = {
             name: build
             for build in self.builds
--- a/lab/virtual/host.py
+++ b/lab/virtual/host.py
@@ -18,7 +18,7 @@
 from lab.scenario import Operation, Release
 from lab.servers import Job
 from lab.virtual.node import ANSWER_BYTES, REQUEST_BYTES, Attempt, VirtualNode
-from lab.world import CONNECT_MS, World
+from lab.world import CONNECT_MS, World, release_query
 from nickelbridge import interface as api
 from orchidferry.config import server_id
 
@@ -173,8 +173,7 @@
             self._upgrade(name, node)
 
     def release(self, what: Release, since_ms: float) -> None:
-        stages = ",".join(f"{share:g}" for share in what.stages)
-        query = f"since={since_ms / 1000.0:.3f}&stages={stages}&bake={what.bake_s:g}&by=day"
+        query = release_query(what, since_ms)
         for node in self.nodes.values():
             releases = node.member.releases if node.member is not None and node.alive else None
             if releases is not None and releases.start(query)[0] == 202:
--- a/lab/virtual/node.py
+++ b/lab/virtual/node.py
@@ -25,7 +25,6 @@
 from orchidferry.__main__ import ACCEPT_ON_S
 from orchidferry.config import STATUSES, start_mark
 from orchidferry.node import KNOWN_AGAIN_S, MARGIN_MS
-from orchidferry.releases import release_share
 from orchidferry.upstream import IDLE_SHARE
 
 if TYPE_CHECKING:
@@ -369,7 +368,7 @@
         if self.member is not None:
             shares["fleet_sent_bytes"] = float(self.member.meeting.bytes[self.name])
             if self.member.releases is not None:
-                shares["release_share"] = release_share(self.member.shared.follower.order)
+                shares["release_share"] = self.member.shared.follower.order.share
         return shares | {
             "inflight": float(len(self._live)),
             "hosts_listed": float(len(self.balancer.fleet.servers)),
--- a/lab/world.py
+++ b/lab/world.py
@@ -40,6 +40,12 @@
 CONNECT_MS = 250.0  # callers wait so long for a connection
 
 
+def release_query(what: Release, since_ms: float) -> str:
+    """What operators say at a door to begin a release; `since_ms` is Unix time."""
+    stages = ",".join(f"{share:g}" for share in what.stages)
+    return f"since={since_ms / 1000.0:.3f}&stages={stages}&bake={what.bake_s:g}&by=day"
+
+
 class World(ABC):
     """A day of a scenario: what there is and what happens to it."""
 
--- a/orchidferry/duties.py
+++ b/orchidferry/duties.py
@@ -11,6 +11,7 @@
 import time
 from collections import OrderedDict, deque
 from collections.abc import Callable
+from itertools import count
 from typing import Any, Protocol
 from urllib.parse import parse_qs
 
@@ -26,7 +27,6 @@
 from fleet.messages import About, Ack, Fact, Message
 from orchidferry import logs
 from orchidferry.config import now_ms
-from orchidferry.releases import Entries
 
 ALL = (WATCH, LEDGER)
 SEEN_S = 0.4  # how often the cores are told who is there
@@ -34,6 +34,7 @@
 CLAIM = "duty."  # facts that begin so say which duties a member holds, with the token
 VOTERS = "voters"  # the fact that says who votes since which change: told by whoever has adopted one
 MOST_HISTORY = 50
+FIRST = 1 << 32  # what a part of the process enters has numbers beyond those of operators
 MOST_ENTRIES = 64  # of operators whose end is remembered
 LIMIT = "limit/"  # rows that begin so hold an operators' limit for a tenant, in requests a second
 LATE_HEALTH = 2  # local health from which this process does not stand for duties
@@ -65,6 +66,35 @@
         """Have a member say which view it holds."""
 
 
+class Entries:
+    """Rows that parts of this process have the ledger keep."""
+
+    def __init__(self, give: Callable[[duties.Event], None]) -> None:
+        self._give, self._numbers = give, count(FIRST)
+        self._open: dict[int, Callable[[bool], None]] = {}
+        self._whys: dict[int, str] = {}
+
+    def keep(self, key: str, value: bytes, done: Callable[[bool], None]) -> str:
+        """Have a row kept; "" where it is on its way and `done` will be told, else why not."""
+        number = next(self._numbers)
+        self._open[number] = done
+        self._give(duties.Enter(key, value, number))
+        why = self._whys.pop(number, "")
+        if why:
+            del self._open[number]
+        return why
+
+    def settled(self, action: duties.Settled) -> bool:
+        """How one ended; False where it is none of these."""
+        if action.wanted not in self._open:
+            return False
+        if action.why:
+            self._whys[action.wanted] = action.why
+        else:
+            self._open.pop(action.wanted)(action.kept)
+        return True
+
+
 class DutyHost:
     """This process's part in the fleet's duties."""
 
--- a/orchidferry/releases.py
+++ b/orchidferry/releases.py
@@ -4,49 +4,18 @@
 
 import time
 from collections.abc import Callable
-from itertools import count
 from typing import Any
 from urllib.parse import parse_qs
 
-from fleet.duties import messages as duties
 from fleet.duties.ledger import Ledger
 from fleet.releases.messages import ENDED, ROW, NotSo, Order, Plan, Tally, read_plan, read_wanted
-from fleet.releases.steward import FRESH_MS, SAID, Steward, Telling
+from fleet.releases.steward import FRESH_MS, Steward, Telling
 from fleet.shared.core import Shared
 from fleet.shared.messages import TALLY, Steer
 from orchidferry.config import server_id
+from orchidferry.duties import Entries
 
 KEPT = 20  # releases that ended and are remembered
-FIRST = 1 << 32  # what a part enters has numbers beyond those of operators' entries
-
-
-class Entries:
-    """Rows that parts of this process have the ledger keep."""
-
-    def __init__(self, give: Callable[[duties.Event], None]) -> None:
-        self._give, self._numbers = give, count(FIRST)
-        self._open: dict[int, Callable[[bool], None]] = {}
-        self._whys: dict[int, str] = {}
-
-    def keep(self, key: str, value: bytes, done: Callable[[bool], None]) -> str:
-        """Have a row kept; "" where it is on its way and `done` will be told, else why not."""
-        number = next(self._numbers)
-        self._open[number] = done
-        self._give(duties.Enter(key, value, number))
-        why = self._whys.pop(number, "")
-        if why:
-            del self._open[number]
-        return why
-
-    def settled(self, action: duties.Settled) -> bool:
-        """How one ended; False where it is none of these."""
-        if action.wanted not in self._open:
-            return False
-        if action.why:
-            self._whys[action.wanted] = action.why
-        else:
-            self._open.pop(action.wanted)(action.kept)
-        return True
 
 
 class Releases:
@@ -108,10 +77,11 @@
     def say(self, query: str) -> tuple[int, dict[str, Any]]:
         """Pause, resume, skip, halt or abort it."""
         asked = _asked(query)
-        what = asked.get("what", "")
-        if what not in SAID:
-            return 400, {"error": f"what: {what!r:.20} is none of {', '.join(SAID)}"}
-        return self._answer(self.steward.say(what, asked.get("by", ""), asked.get("why", "")))
+        try:
+            why = self.steward.say(asked.get("what", ""), asked.get("by", ""), asked.get("why", ""))
+        except NotSo as problem:
+            return 400, {"error": str(problem)}
+        return self._answer(why)
 
     def _answer(self, why: str) -> tuple[int, dict[str, Any]]:
         return (409, {"error": why, "holder": self._holder()}) if why else (202, {"taken": True})
@@ -136,8 +106,3 @@
 
 def _asked(query: str) -> dict[str, str]:
     return {name: values[0] for name, values in parse_qs(query).items()}
-
-
-def release_share(order: Order) -> float:
-    """The most of first sends that new servers may get now; 1 where no release says anything."""
-    return order.share if order.id else 1.0
--- a/orchidferry/shared.py
+++ b/orchidferry/shared.py
@@ -22,7 +22,6 @@
 from nickelbridge.logic import Balancer
 from orchidferry import logs
 from orchidferry.config import FleetConfig, Listing, now_ms
-from orchidferry.releases import release_share
 
 if TYPE_CHECKING:
     from orchidferry.peers import Peers
@@ -228,7 +227,7 @@
                 count for why, count in core.affinity.counts.items() if why != "elsewhere"
             ),
             "fleet_release_stale": lambda: int(core.follower.stale(now_ms())),
-            "fleet_release_percent": lambda: round(100.0 * release_share(core.follower.order)),
+            "fleet_release_percent": lambda: round(100.0 * core.follower.order.share),
             "fleet_release_new": lambda: len(core.follower.cohort()),
             "fleet_records": lambda: sum(1 for _ in core.store.all()),
         }
