Bound membership to cells, and know the others by summary: the cores

Need: a flat view grows with the fleet in bytes, memory and merging, on the loop that answers callers.

Change: fleet/cells/: cuts by prefixes of the names' hashes with epochs, a member of a cell as a Membership that releases who is not of it, the directory's process with its index of cells, and the census of one who sees its cell and a sum. Membership gets hooks: who gives a view is answered by `answer`, one can be released from a view, a timer may be another's. The wire's packing is shared; a flat fleet's bytes stay as they were.

--- /dev/null
+++ b/fleet/cells/core.py
@@ -0,0 +1,318 @@
+"""A member of a cell: membership inside it, and what it has to do with the rest of its service.
+
+Inside a cell nothing differs from a flat fleet. Here is what bounds it: whose records are taken in, when a
+cell is cut or merged and how all follow, how a newcomer or a stray finds its cell, and what is asked of and
+told to the directory. The directory is asked by each member, so each bounds the age of what it knows by its
+own clock; without it cells go on, are cut, and take in newcomers by their seeds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from fleet import interface as api
+from fleet.cells.cut import MOST_DEPTH, Cut, newer, path, shared_bits
+from fleet.cells.messages import MOST_ADDRESSES, Find, Found, Report, Summary
+from fleet.cells.totals import Totals
+from fleet.membership.core import SPREAD_FULL, Membership
+from fleet.membership.view import Member
+from fleet.messages import ALIVE, Fact, Gossip, Head, Message, Record, State
+
+TICK_MS = 1_000.0  # how often it is looked at what the cell needs
+FIND_MS = 10_000.0  # how often the directory is asked, with jitter
+ANSWER_MS = 1_000.0  # a question that is not answered by then goes to another, after a wait that doubles
+CUT_MS = 3_000.0  # so long a cell has to be too large before it is cut
+MERGE_MS = 20_000.0  # so long two halves have to be small enough before they merge
+MERGE_SHARE = 0.5  # of the bound, that they may make up together
+LONELY_MS = 5_000.0  # who is alone speaks for a cell only after having looked for it so long
+ELSEWHERE_MS = 600_000.0  # a seed that belongs to another cell is not asked again for so long
+MOST_POINTERS = 3  # addresses beyond each bit of the cell, for strangers when there is no directory
+
+
+@dataclass(slots=True)
+class Place:
+    """Where a member belongs, by its configuration."""
+
+    service: str
+    region: str
+    most: int  # members of a cell
+    directory: list[str] = field(default_factory=list)  # addresses; any of them will do
+
+
+class CellMembership(Membership):
+    """One process among the members of its cell."""
+
+    def __init__(
+        self, name: str, address: str, seeds: list[str], uid: int, life: int, rng: random.Random,
+        facts: dict[str, Fact] | None = None, place: Place | None = None,
+    ) -> None:  # fmt: skip
+        super().__init__(name, address, seeds, uid, life, rng, facts)
+        self.place = place or Place("", "", 100)
+        self.cut = Cut()
+        self.totals: Totals | None = None  # of the whole service, as the directory last said
+        self.cuts = self.strays = 0
+        self._path = path(name)
+        self._heard_cut: Cut | None = None  # of whose message is at hand
+        self._pointers: dict[int, list[str]] = {}  # by how many bits they share with us
+        self._elsewhere: dict[str, float] = {}  # seeds of other cells, and when that was seen
+        self._asked: tuple[int, float, Cut] | None = None  # number, when, as of which cut
+        self._question = rng.getrandbits(40) + 1
+        self._turn, self._silent = rng.randrange(1 << 16), 0  # which is asked; questions without an answer
+        self._find_ms = 0.0  # when the directory is asked next
+        self._begun_ms = 0.0
+        self._version_told = 0  # of reports
+        self._reported: tuple[int, tuple[int, int]] | None = None  # members and cut of the last report
+        self._stamp = (0, 0)  # the life and clock of the directory's process that answered last
+        self._large_ms = self._small_ms = -1.0  # since when the cell is to be cut, or merged
+
+    def handle(self, event: api.Event, now: float) -> list[api.Action]:
+        """Take one event; what to do about it."""
+        self._heard_cut = event.cut if isinstance(event, (api.Heard, api.Met)) else None
+        return super().handle(event, now)
+
+    # What is seen of it
+
+    def reporter(self) -> bool:
+        """Whether this member speaks for its cell: the first in an order that all who agree share."""
+        mine = self._bits, self.name
+        alone = not len(self.view.here)
+        return (not alone or self._now - self._begun_ms >= LONELY_MS) and all(
+            mine < (m.bits, m.name) for m in self._there() if m.status == ALIVE
+        )
+
+    def summary(self) -> Summary:
+        """The cell as others are to know it."""
+        there = list(self._there())
+        loads = [self._facts.get("load"), *(m.facts.get("load") for m in there)]
+        programs = [str(facts.get("program", "")) for facts in (self._facts, *(m.facts for m in there))]
+        well = [m for m in there if m.status == ALIVE]
+        some = self.rng.sample(well, min(MOST_ADDRESSES - 1, len(well)))
+        return Summary(
+            self.cut.epoch, self.cut.depth, self.cut.bits, self.alive(), max(self.alive(), self.counted()),
+            self.digest(), sum(load for load in loads if isinstance(load, float)), min(programs),
+            [self.address, *(m.address for m in some)],
+        )  # fmt: skip
+
+    def counted(self) -> int:
+        """How many of the cell count when budgets are parted; the host's census knows."""
+        return self.alive()
+
+    def _there(self) -> Iterator[Member]:
+        return (self.view.members[name] for name in self.view.here.names())
+
+    def _mine(self, name: str) -> bool:
+        return not self.cut.depth or self.cut.holds(path(name))
+
+    # Events
+
+    def _begin(self) -> None:
+        self._begun_ms = self._now
+        super()._begin()
+        self._find()
+        self.timer(TICK_MS * self.rng.random(), "cell")
+
+    def _fired_more(self, what: str, now: float) -> None:
+        if what != "cell":
+            return
+        self.timer(TICK_MS * (0.9 + 0.2 * self.rng.random()), "cell")
+        if self.quiet:
+            return
+        if self.reporter():
+            self._perhaps_cut(now)
+            self._perhaps_merge(now)
+            if self._reported != (self.alive(), self.cut.cell()):
+                self._find_ms = min(self._find_ms, now)
+        else:
+            self._large_ms = self._small_ms = -1.0
+        self._look_for_answer(now)
+
+    def _heard(self, message: api.Said, source: str, now: float) -> None:
+        if self.status != ALIVE:
+            return
+        if isinstance(message, Found):
+            return self._found(message, now)
+        if isinstance(message, Message):
+            self._follow(source, now)
+            if not self._mine(message.head.name):
+                self.strays += 1
+            super()._heard(message, source, now)
+
+    def _see_head(self, head: Head, source: str, now: float) -> None:
+        if self._mine(head.name):
+            super()._see_head(head, source, now)
+
+    def _take(self, record: Record, now: float) -> None:
+        if record.name == self.name or self._mine(record.name):
+            super()._take(record, now)
+
+    def _met(self, state: State, source: str, asked: bool, now: float) -> None:
+        if self.status != ALIVE:
+            return
+        self._follow(source, now)
+        if self._mine(state.head.name):
+            return super()._met(state, source, asked, now)
+        self.strays += 1
+        self._point(state.head.name, source)
+        if asked:
+            self._elsewhere[source] = now
+        else:
+            self.post(source, Found(0, 0, 0, 0, 0, 0, self._toward(path(state.head.name))))
+
+    def answer(self, asker: State) -> State:
+        """To a stranger only who speaks: it is told separately whom to ask."""
+        return self.state() if self._mine(asker.head.name) else State(self.head(), [self.own_record()])
+
+    def _leave(self) -> None:
+        last = not len(self.view.here) and self._reported is not None
+        if self.status == ALIVE and last and self._stamp[0]:
+            summary = self.summary()
+            summary.members = summary.counted = 0
+            self._report(summary)
+        super()._leave()
+
+    # Cuts
+
+    def _follow(self, source: str, now: float) -> None:
+        """Take over the cut of whoever has a newer one."""
+        other = self._heard_cut
+        cut = newer(self.cut, other, self._path) if other is not None else None
+        if cut is None:
+            return
+        wider = cut.depth < self.cut.depth
+        self._cut_to(cut, now)
+        if wider:
+            self._exchange(source, now)
+
+    def _cut_to(self, cut: Cut, now: float) -> None:
+        """Belong to this cell from now on, and tell some of the former one at once."""
+        if cut.cell() == self.cut.cell():
+            self.cut = cut  # an epoch alone
+            return
+        told = [self.view.members[name].address for name in self.view.here.draw(2 * SPREAD_FULL)]
+        self.cut = cut
+        self.cuts += 1
+        self._large_ms = self._small_ms = -1.0
+        self._pointers = {bits: known for bits, known in self._pointers.items() if bits < cut.depth}
+        for member in [m for m in self.view.members.values() if not self._mine(m.name)]:
+            if member.here():
+                self._point(member.name, member.address)
+            self.view.release(member.name)
+            self.actions.append(api.Changed(member.name, "gone"))
+        self.actions.append(api.Changed(self.name, "cut"))
+        for address in told:
+            self.post(address, Gossip(self.head(), [self.own_record(facts=False)]))
+        self._note("cell", cut=cut.text(), epoch=cut.epoch, members=self.alive())
+        self._find_ms = min(self._find_ms, now)
+
+    def _perhaps_cut(self, now: float) -> None:
+        if self.alive() <= self.place.most or self.cut.depth >= MOST_DEPTH:
+            self._large_ms = -1.0
+        elif self._large_ms < 0.0:
+            self._large_ms = now
+        elif now - self._large_ms >= CUT_MS:
+            self._cut_to(self.cut.half(self._path), now)
+
+    def _perhaps_merge(self, now: float) -> None:
+        totals = self.totals
+        fits = (
+            self.cut.depth > 0 and totals is not None and totals.good(self.cut, now)
+            and totals.found.sibling >= 0
+            and self.alive() + totals.found.sibling <= MERGE_SHARE * self.place.most
+        )  # fmt: skip
+        if not fits or totals is None:
+            self._small_ms = -1.0
+        elif self._small_ms < 0.0:
+            self._small_ms = now
+        elif now - self._small_ms >= MERGE_MS:
+            epoch = max(self.cut.epoch, totals.found.sibling_epoch) + 1
+            self._cut_to(self.cut.whole(epoch), now)
+            for address in totals.found.sibling_addresses:
+                self._exchange(address, now)
+
+    # Strangers
+
+    def _point(self, name: str, address: str) -> None:
+        """Remember where others are, for strangers on the way to them."""
+        known = self._pointers.setdefault(shared_bits(path(name), self._path), [])
+        if address and address not in known:
+            known.append(address)
+            del known[:-MOST_POINTERS]
+
+    def _toward(self, strangers_path: int) -> list[str]:
+        return list(self._pointers.get(shared_bits(strangers_path, self._path), ()))
+
+    def _absent_seeds(self) -> list[str]:
+        seeds = super()._absent_seeds()
+        if not len(self.view.here):
+            return seeds
+        if self.totals is not None and self.totals.age_ms(self._now) < ELSEWHERE_MS:
+            return []  # the directory knows of whoever of this cell we don't see
+        since = self._now - ELSEWHERE_MS
+        return [seed for seed in seeds if self._elsewhere.get(seed, since) <= since]
+
+    # The directory
+
+    def _look_for_answer(self, now: float) -> None:
+        if self._asked is not None and now - self._asked[1] >= ANSWER_MS:
+            self._asked = None
+            self._silent += 1
+            self._turn += 1
+            wait = min(FIND_MS, ANSWER_MS * 2.0 ** min(8, self._silent - 1))
+            self._find_ms = now + wait * (0.5 + 0.5 * self.rng.random())
+        if self._asked is None and now >= self._find_ms:
+            self._find()
+
+    def _find(self) -> None:
+        """Ask one of the directory's processes."""
+        place, cut = self.place, self.cut
+        self._find_ms = self._now + FIND_MS * (0.9 + 0.2 * self.rng.random())
+        if not place.directory:
+            return
+        self._question += 1
+        self._asked = self._question, self._now, cut
+        find = Find(
+            self._question, self.name, place.service, place.region, cut.epoch, cut.depth, cut.bits
+        )  # fmt: skip
+        self.post(place.directory[self._turn % len(place.directory)], find)
+
+    def _found(self, found: Found, now: float) -> None:
+        if found.number == 0:  # a member's word: only of use to whoever has not found its cell
+            if not len(self.view.here):
+                self._meet(found.addresses, now)
+            return
+        if self._asked is None or found.number != self._asked[0]:
+            return
+        (_, asked_ms, asked_of), self._asked, self._silent = self._asked, None, 0
+        self.totals = Totals(asked_of.cell(), asked_ms, found)
+        self._stamp = found.life, found.stamp
+        there = Cut(found.epoch, found.depth, found.bits)
+        cut = newer(self.cut, there, self._path) if there.sound() else None
+        if cut is not None:
+            self._cut_to(cut, now)
+        for address in found.sibling_addresses:
+            self._pointers.setdefault(self.cut.depth - 1, []).append(address)
+            del self._pointers[self.cut.depth - 1][:-MOST_POINTERS]
+        self._meet(found.addresses, now)
+        self.actions.append(api.Changed(self.name, "totals"))
+        if self.reporter():
+            self._report(self.summary())
+
+    def _meet(self, addresses: list[str], now: float) -> None:
+        """Exchange views with one of these that is not in ours: a newcomer joins so, and islands heal."""
+        seen = {m.address for m in self._there()} | {self.address}
+        unseen = [address for address in addresses if address not in seen]
+        if unseen:
+            self._exchange(self.rng.choice(unseen), now)
+
+    def _report(self, summary: Summary) -> None:
+        self._version_told += 1
+        self._reported = summary.members, self.cut.cell()
+        place = self.place
+        self.post(
+            place.directory[self._turn % len(place.directory)],
+            Report(
+                *self._stamp, self.name, self.life, self._version_told, place.service, place.region, summary
+            ),
+        )
--- /dev/null
+++ b/fleet/cells/directory.py
@@ -0,0 +1,155 @@
+"""One process of the directory: what cells report, how its processes tell each other, and its answers.
+
+Any process answers for all cells. Reports travel among the processes as records of a store, each with a
+bound on its age (`fleet.shared.store`); a report's own age is bounded by the process's own stamp, which it
+gives with an answer and gets back with the report. Nothing outlives the process.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+import msgspec
+
+from fleet import interface as api
+from fleet.cells.index import Index
+from fleet.cells.messages import Find, Found, Report, Summary
+from fleet.cells.totals import BOUND_MS
+from fleet.shared import messages as shared
+from fleet.shared.messages import SUMMARY, Content, Entry
+from fleet.shared.spread import Spread
+from fleet.shared.store import Store
+
+MOST_CELLS = 200_000  # reports that are held
+MOST_POURS = 32  # datagrams that answer one question of another process
+LEARNING_MS = BOUND_MS + 5_000.0  # a new process may not know of all cells for so long
+PRUNE_MS = 1_000.0
+MOST_NAME = 64  # characters of a service's, region's or member's name
+PULL, PRUNE = "pull", "prune"
+
+
+@dataclass(slots=True)
+class Said:
+    """A member has asked or reported."""
+
+    message: Find | Report
+    source: str
+
+
+@dataclass(slots=True)
+class Seen:
+    """These processes of the directory are there, with these lives; this one has that life."""
+
+    life: int
+    here: dict[str, int]
+
+
+Event = Said | Seen | shared.Heard | shared.Fired
+Action = api.Post | shared.Tell | shared.SetTimer
+
+
+class Table(Store):
+    """Reports by service, region and reporter; of one that is stale any younger word is taken."""
+
+    def __init__(self, name: str, life: int, index: Index) -> None:
+        super().__init__(name, life, MOST_CELLS)
+        self._index, self._now = index, 0.0
+
+    def take(self, entry: Entry, transit_ms: float, source: str, now: float) -> bool:
+        self._now = now
+        held = self._held.get((entry.kind, entry.writer))
+        # A reporter that started anew with a clock that went back has a lesser life than its former one.
+        if held is not None and held.age_ms(now) > BOUND_MS > entry.age_ms + transit_ms:
+            del self._held[entry.kind, entry.writer]
+        return super().take(entry, transit_ms, source, now)
+
+    def _keep(self, entry: Entry, content: Content, born_ms: float, source: str) -> None:
+        super()._keep(entry, content, born_ms, source)
+        if isinstance(content, Summary):
+            cell, _, name = entry.writer.partition("|")
+            service, _, region = cell.rpartition("@")
+            self._index.take(service, region, name, content, born_ms, self._now)
+
+    def forget(self, now: float, after_ms: float) -> None:
+        """Let go of what nobody has renewed for so long."""
+        for key in [key for key, held in self._held.items() if held.age_ms(now) > after_ms]:
+            del self._held[key]
+
+
+class Directory:
+    """What one process knows of all cells."""
+
+    def __init__(self, name: str, life: int, rng: random.Random, now: float) -> None:
+        self.name, self.life, self._rng, self._begun_ms = name, life, rng, now
+        self.index = Index()
+        self.table = Table(name, life, self.index)
+        self.spread = Spread(self.table, rng, MOST_POURS)
+        self.counts: Counter[str] = Counter()  # finds, reports, late, foreign
+        self._timers: dict[int, str] = {}
+        self._token = 0
+
+    def begin(self) -> list[Action]:
+        """The process is up."""
+        return [self._timer(PULL, 100.0 * self._rng.random()), self._timer(PRUNE, PRUNE_MS)]
+
+    def ready(self, now: float) -> bool:
+        """Whether it has been there long enough to have heard of all cells."""
+        return now - self._begun_ms >= LEARNING_MS
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take one event; what to do about it."""
+        match event:
+            case Said():
+                if isinstance(event.message, Find):
+                    return self._find(event.message, event.source, now)
+                self._report(event.message, now)
+            case Seen():
+                self.table.reborn(event.life)
+                self.spread.seen(event.here, now)
+            case shared.Heard():
+                return [*self.spread.hear(event.message, event.sender, now)]
+            case shared.Fired():
+                return self._fired(event.token, now)
+        return []
+
+    def _timer(self, what: str, delay_ms: float) -> shared.SetTimer:
+        self._token += 1
+        self._timers[self._token] = what
+        return shared.SetTimer(self._token, delay_ms)
+
+    def _fired(self, token: int, now: float) -> list[Action]:
+        what = self._timers.pop(token, "")
+        if what == PULL:
+            tells, wait = self.spread.pull(now)
+            return [*tells, self._timer(PULL, wait)]
+        if what == PRUNE:
+            self.index.prune(now)
+            self.table.forget(now, 2.0 * BOUND_MS)
+            return [self._timer(PRUNE, PRUNE_MS * (0.9 + 0.2 * self._rng.random()))]
+        return []
+
+    def _find(self, find: Find, source: str, now: float) -> list[Action]:
+        self.counts["finds"] += 1
+        sums = self.index.sums(find, now)
+        found = Found(
+            find.number, self.life, int(now), sums.cut.epoch, sums.cut.depth, sums.cut.bits, sums.addresses,
+            sums.total, sums.own, sums.before, sums.cells, sums.sure and self.ready(now),
+            int(sums.age_ms) + 1, sums.sibling, sums.sibling_epoch, sums.sibling_addresses,
+        )  # fmt: skip
+        return [api.Post(source, found)]
+
+    def _report(self, report: Report, now: float) -> None:
+        age_ms = now - report.stamp + 1.0
+        if report.life != self.life or not 0.0 <= age_ms <= BOUND_MS:
+            self.counts["late"] += 1
+            return
+        if max(map(len, (report.service, report.region, report.name))) > MOST_NAME:
+            self.counts["foreign"] += 1
+            return
+        self.counts["reports"] += 1
+        writer = f"{report.service}@{report.region}|{report.name}"
+        content = msgspec.msgpack.encode(report.summary)
+        entry = Entry(SUMMARY, writer, report.writer_life, report.version, int(age_ms), content)
+        self.table.take(entry, 0.0, "", now)
--- a/fleet/census.py
+++ b/fleet/census.py
@@ -11,6 +11,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 HOLD_MS = 10_000.0
 
 
@@ -37,6 +39,10 @@
         """The names of those that count, as far as they have been seen."""
         return frozenset(self._missing)
 
+    def keep(self, mine: Callable[[str], bool]) -> None:
+        """Count none of the others any more, there or missing: they are counted elsewhere."""
+        self._missing = {name: at for name, at in self._missing.items() if name == self._own or mine(name)}
+
     def see(self, here: set[str], now: float) -> None:
         """Take in who is there now, this process too."""
         for name in here:
--- a/fleet/interface.py
+++ b/fleet/interface.py
@@ -8,8 +8,12 @@
 
 from dataclasses import dataclass, field
 
+from fleet.cells import messages as cells
+from fleet.cells.cut import Cut
 from fleet.messages import Fact, Message, State
 
+Said = Message | cells.Message
+
 # Events: what happens to a process.
 
 
@@ -20,10 +24,11 @@
 
 @dataclass(slots=True)
 class Heard:
-    """A datagram has come; `source` is the address it was sent from."""
+    """A datagram has come; `source` is where it was sent from, `cut` its sender's, where there are cells."""
 
-    message: Message
+    message: Said
     source: str
+    cut: Cut | None = None
 
 
 @dataclass(slots=True)
@@ -33,6 +38,7 @@
     state: State
     source: str
     asked: bool
+    cut: Cut | None = None
 
 
 @dataclass(slots=True)
@@ -80,7 +86,7 @@
     """Send a datagram."""
 
     address: str
-    message: Message
+    message: Said
 
 
 @dataclass(slots=True)
--- a/fleet/membership/core.py
+++ b/fleet/membership/core.py
@@ -125,13 +125,17 @@
         """The whole view."""
         return State(self.head(), [self.own_record(), *self.view.records()])
 
+    def answer(self, asker: State) -> State:
+        """What whoever gives its view over a stream is given back."""
+        return self.state()
+
     def head(self) -> Head:
         """Who speaks."""
         return Head(self.name, self.life, self.revision, self.digest(), self.alive())
 
     # Tools of the parts
 
-    def post(self, address: str, message: Message) -> None:
+    def post(self, address: str, message: api.Said) -> None:
         """Send a datagram."""
         if not self.quiet and address:
             self.actions.append(api.Post(address, message))
@@ -202,6 +206,11 @@
                 self._knock()
             case "return":
                 self._ask_for_the_name()
+            case _:
+                self._fired_more(what, now)
+
+    def _fired_more(self, what: str, now: float) -> None:
+        """A timer that is not the membership's own."""
 
     def _begin(self) -> None:
         self._join()
@@ -267,8 +276,8 @@
 
     # Messages
 
-    def _heard(self, message: Message, source: str, now: float) -> None:
-        if self.status != ALIVE:
+    def _heard(self, message: api.Said, source: str, now: float) -> None:
+        if self.status != ALIVE or not isinstance(message, Message):
             return
         if message.head.name == self.name:
             return  # ourselves by a strange way, or a rival, which records tell better
--- a/fleet/membership/view.py
+++ b/fleet/membership/view.py
@@ -190,6 +190,14 @@
             self.here.remove(member.name)
             (self.buried.add if member.status == DEAD else self.buried.remove)(member.name)
 
+    def release(self, name: str) -> None:
+        """Know nothing of one any more that is no concern of this view: it has not died."""
+        member = self.members.pop(name)
+        if member.here():
+            self.digest ^= member.bits
+        self.here.remove(name)
+        self.buried.remove(name)
+
     def forget(self, now: float) -> None:
         """Let go of the buried whom no old news can be about any more, and of the oldest of too many."""
         gone = [m for m in self.members.values() if not m.here()]
--- a/fleet/shared/messages.py
+++ b/fleet/shared/messages.py
@@ -11,13 +11,14 @@
 import msgspec
 from msgspec import Struct
 
+from fleet.cells.messages import Summary
 from fleet.releases.member import Server
 from fleet.releases.messages import Order, Tally
 
-FINDINGS, PULSE, BINDINGS, ORDERS, RELEASE, TALLY = 1, 2, 3, 4, 5, 6
+FINDINGS, PULSE, BINDINGS, ORDERS, RELEASE, TALLY, SUMMARY = 1, 2, 3, 4, 5, 6, 7
 KINDS = {
     FINDINGS: "findings", PULSE: "pulse", BINDINGS: "bindings", ORDERS: "orders", RELEASE: "release",
-    TALLY: "tally",
+    TALLY: "tally", SUMMARY: "summary",
 }  # fmt: skip
 
 
@@ -120,7 +121,8 @@
 _orders = msgspec.msgpack.Decoder(Orders)
 _release = msgspec.msgpack.Decoder(Order)
 _tally = msgspec.msgpack.Decoder(Tally)
-Content = Findings | Pulse | Bindings | Orders | Order | Tally
+_summary = msgspec.msgpack.Decoder(Summary)
+Content = Findings | Pulse | Bindings | Orders | Order | Tally | Summary
 
 
 def decode(kind: int, content: bytes) -> Content | None:
@@ -139,6 +141,8 @@
                 return _release.decode(content)
             case 6:
                 return _tally.decode(content)
+            case 7:
+                return _summary.decode(content)
     except (msgspec.DecodeError, UnicodeDecodeError):
         pass
     return None
--- a/fleet/shared/spread.py
+++ b/fleet/shared/spread.py
@@ -34,8 +34,8 @@
 class Spread:
     """Pulls, answers, and knows from whom."""
 
-    def __init__(self, store: Store, rng: random.Random) -> None:
-        self._store, self._rng = store, rng
+    def __init__(self, store: Store, rng: random.Random, most_pours: int = MOST_POURS) -> None:
+        self._store, self._rng, self._most_pours = store, rng, most_pours
         self.partners: dict[str, Partner] = {}
         self._here: dict[str, int] = {}
         self._chance, self._drawn_ms = "", -REDRAW_MS
@@ -102,7 +102,7 @@
         cursor = message.cursor if message.life == store.life and message.cursor <= store.seq else 0
         news = store.since(cursor, sender)
         pours: list[Pour] = []
-        while news and len(pours) < MOST_POURS:
+        while news and len(pours) < self._most_pours:
             room, entries, since = ROOM, list[Entry](), cursor
             while news:
                 kind, writer, seq, held = news[0]
--- a/fleet/shared/store.py
+++ b/fleet/shared/store.py
@@ -16,6 +16,7 @@
     ORDERS,
     PULSE,
     RELEASE,
+    SUMMARY,
     TALLY,
     Content,
     Entry,
@@ -24,7 +25,7 @@
 
 DRIFT = 0.02  # rates of two clocks differ by so much at most: time that passed here is taken for more
 # Bytes of a record's content.
-MOST = {FINDINGS: 600, PULSE: 500, BINDINGS: 1100, ORDERS: 1000, RELEASE: 300, TALLY: 1100}
+MOST = {FINDINGS: 600, PULSE: 500, BINDINGS: 1100, ORDERS: 1000, RELEASE: 300, TALLY: 1100, SUMMARY: 400}
 MOST_WRITERS = 2048  # of a kind; beyond that the oldest that nobody in view wrote goes, then the oldest
 
 Key = tuple[int, str]
@@ -47,8 +48,8 @@
 class Store:
     """All records that one process holds, its own among them."""
 
-    def __init__(self, name: str, life: int) -> None:
-        self.name, self.life = name, life
+    def __init__(self, name: str, life: int, most_writers: int = MOST_WRITERS) -> None:
+        self.name, self.life, self._most_writers = name, life, most_writers
         self._held: dict[Key, Held] = {}  # those changed last come last
         self._lives: dict[str, int] = {}  # of those there
         self._version = self.seq = 0
@@ -104,10 +105,10 @@
 
     def _bound(self, kind: int) -> None:
         """Let one go where a kind has too many: of strangers the oldest, else the oldest of all."""
-        if len(self._held) <= MOST_WRITERS:
+        if len(self._held) <= self._most_writers:
             return
         mine = [key for key in self._held if key[0] == kind and key[1] != self.name]
-        if len(mine) > MOST_WRITERS:
+        if len(mine) > self._most_writers:
             strangers = [key for key in mine if key[1] not in self._lives]
             del self._held[min(strangers or mine, key=lambda key: self._held[key].born_ms)]
             self.counts["overflow"] += 1
