Host cells on the members' sockets, where the configuration asks for them

Need: cores on sockets; off unless `fleet` has `cells`, and refused beside what needs a view of all members.

Change: orchidferry/cells.py, read only where asked for; Peers takes who it is (Own) in place of a node's whole configuration, so a process without a request path can be a member, and others may listen to what comes.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -99,6 +99,10 @@
         """How many of the cell count when budgets are parted; the host's census knows."""
         return self.alive()
 
+    def unanswered(self) -> int:
+        """How many questions to the directory in a row have had no answer."""
+        return self._silent
+
     def _there(self) -> Iterator[Member]:
         return (self.view.members[name] for name in self.view.here.names())
 
@@ -128,12 +132,15 @@
             self._large_ms = self._small_ms = -1.0
         self._look_for_answer(now)
 
-    def _heard(self, message: api.Said, source: str, now: float) -> None:
-        if self.status != ALIVE:
-            return
+    def _hear(self, message: api.Said, source: str, now: float) -> None:
         if isinstance(message, Found):
-            return self._found(message, now)
-        if isinstance(message, Message):
+            if self.status == ALIVE:
+                self._found(message, now)
+        else:
+            super()._hear(message, source, now)
+
+    def _heard(self, message: Message, source: str, now: float) -> None:
+        if self.status == ALIVE:
             self._follow(source, now)
             if not self._mine(message.head.name):
                 self.strays += 1
--- a/fleet/membership/core.py
+++ b/fleet/membership/core.py
@@ -82,7 +82,7 @@
         self.actions, self._now = [], now
         match event:
             case api.Heard():
-                self._heard(event.message, event.source, now)
+                self._hear(event.message, event.source, now)
             case api.Fired():
                 self._fired(event.token, now)
             case api.Met():
@@ -276,8 +276,12 @@
 
     # Messages
 
-    def _heard(self, message: api.Said, source: str, now: float) -> None:
-        if self.status != ALIVE or not isinstance(message, Message):
+    def _hear(self, message: api.Said, source: str, now: float) -> None:
+        if isinstance(message, Message):
+            self._heard(message, source, now)
+
+    def _heard(self, message: Message, source: str, now: float) -> None:
+        if self.status != ALIVE:
             return
         if message.head.name == self.name:
             return  # ourselves by a strange way, or a rival, which records tell better
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -28,6 +28,9 @@
 
 
 SHARED = ("verdicts", "limits", "affinity", "releases")
+CELL_SHARE = frozenset(("verdicts",))  # what is shared in a cell: the others need to see all members
+CELL, LEAST_CELL, MOST_CELL = 100, 4, 1000  # members of a cell: usual, and the bounds of what may be set
+PLAIN_NAME = "[A-Za-z0-9._-]{1,64}"
 LEAST_AFFINE = 3  # nodes: of two, one that hears nothing of the other can't know who is cut off
 
 
@@ -48,6 +51,16 @@
     since_ms: dict[int, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class CellsConfig:
+    """Membership bounded to cells: whose, how large, and where the directory is."""
+
+    service: str
+    region: str
+    most: int  # members of a cell; beyond that it is cut
+    directory: list[str]  # addresses of its processes; any of them will do
+
+
 @dataclass(slots=True)
 class FleetConfig:
     """Where this process meets the others of its fleet."""
@@ -59,6 +72,7 @@
     voters: list[str]  # names of those whose majority gives duties; none: there are no duties
     share: frozenset[str] = frozenset()  # what it shares with them: see `SHARED`
     groups: tuple[str, ...] = ()  # zones that keyed requests have their homes in, the same at all nodes
+    cells: CellsConfig | None = None  # None: one view of all members
 
 
 @dataclass(slots=True)
@@ -238,7 +252,39 @@
     share, groups = _read_shared(fleet, opt(obj, "settings", dict, {}))
     if "releases" in share and not voters:
         raise Malformed("'voters' must be named to share releases", (fleet, "voters", []))
-    return FleetConfig(get(fleet, "name", str), fleet["bind"], advertise, seeds, voters, share, groups)
+    cells = _read_cells(fleet, share, voters)
+    return FleetConfig(get(fleet, "name", str), fleet["bind"], advertise, seeds, voters, share, groups, cells)
+
+
+def _read_cells(fleet: Json, share: frozenset[str], voters: list[str]) -> CellsConfig | None:
+    """The `cells` object, where there is one; refused beside what needs a view of all members."""
+    cells = opt(fleet, "cells", dict, None)
+    if cells is None:
+        return None
+    for key in ("service", "region"):
+        if not re.fullmatch(PLAIN_NAME, get(cells, key, str)):
+            text = f"{key!r} must be 1 to 64 of letters, digits, '.', '-' and '_', not {cells[key]!r:.60}"
+            raise Malformed(text, (cells, key, "a"))
+    most = opt(cells, "most", int, CELL)
+    if not LEAST_CELL <= most <= MOST_CELL:
+        text = f"'most' must be {LEAST_CELL} to {MOST_CELL} members of a cell, not {most!r:.60}"
+        raise Malformed(text, (cells, "most", CELL))
+    directory = opt(cells, "directory", list, [])
+    for n, place in enumerate(directory):
+        if not isinstance(place, str):
+            raise Malformed(
+                f"directory[{n}] must be a string, not {place!r:.60}", (directory, n, "127.0.0.1:7400")
+            )
+        try:
+            address(place)
+        except Malformed as problem:
+            raise Malformed(f"directory[{n}]: {problem}", (directory, n, "127.0.0.1:7400")) from None
+    if voters:
+        raise Malformed("'voters' must be absent: duties are not there beside 'cells'", (fleet, "voters", []))
+    if share - CELL_SHARE:
+        text = f"'share' may name verdicts alone beside 'cells', not {sorted(share)!r:.60}"
+        raise Malformed(text, (fleet, "share", []))
+    return CellsConfig(cells["service"], cells["region"], most, directory)
 
 
 def _read_shared(fleet: Json, settings: Json) -> tuple[frozenset[str], tuple[str, ...]]:
--- a/orchidferry/node.py
+++ b/orchidferry/node.py
@@ -171,13 +171,16 @@
         from orchidferry import peers
 
         self._peers = peers.Peers(
-            self._loop, self.config, fleet, self._placed, self._live.__len__, self._balancer, self._handle
-        )
+            self._loop, peers.Own.of(self.config), fleet, self._placed, self._live.__len__, self._balancer,
+            self._handle, self.config.settings,
+        )  # fmt: skip
         self._shared = self._peers.shared
         self._reserved += peers.SOCKETS
         for name, read in self._peers.figures().items():
             self.figures.gauge(name, read)
         self.admin.add("/admin/fleet", "GET", self._peers.show)
+        if self._peers.cells is not None:
+            self.admin.add("/admin/fleet/cell", "GET", self._peers.cells.show)
         if self._peers.work is not None:
             self.admin.add("/admin/duties", "GET", self._peers.work.show)
             self.admin.add_ask("/admin/duties/hand-over", "POST", self._peers.work.hand_over)
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -10,19 +10,22 @@
 import random
 import time
 from collections.abc import Callable, Coroutine
-from typing import Any
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, cast
 
 from fleet import interface as api
+from fleet.cells.cut import Cut
+from fleet.cells.messages import Message as CellMessage
 from fleet.census import Census
 from fleet.duties import messages as duties
 from fleet.duties.ledger import DUTY as LEDGER
 from fleet.membership.core import Membership
-from fleet.messages import STATUSES, About, Ack, Fact, Ping
+from fleet.messages import STATUSES, About, Ack, Fact, Message, Ping, State
 from fleet.releases.steward import LOOK_MS
 from fleet.shared import messages as shared
 from fleet.shared.core import RELEASES
 from fleet.wire import MOST_STATE, Refused, Wire
-from nickelbridge.interface import Event
+from nickelbridge.interface import Event, Settings
 from nickelbridge.logic import Balancer
 from orchidferry import VERSION, logs
 from orchidferry.config import Address, Config, FleetConfig, address, now_ms
@@ -30,6 +33,10 @@
 from orchidferry.releases import Releases
 from orchidferry.shared import SharedHost
 
+if TYPE_CHECKING:
+    from fleet.cells.totals import CellCensus
+    from orchidferry.cells import CellHost
+
 SOCKETS = 28  # of the node's limit: two of its own, and what follows
 MOST_IN, MOST_OUT = 16, 8  # streams at a time
 WHOLE_S = 2.5  # for a stream to come whole; a peer that says nothing is closed within 3 s
@@ -48,6 +55,26 @@
     return here | {members.name}
 
 
+@dataclass(slots=True)
+class Own:
+    """Who this process is among the others."""
+
+    name: str
+    seed: int
+    zone: str = ""
+    tier: int = 0
+    number: int = 0
+    nodes: int = 1
+
+    @classmethod
+    def of(cls, config: Config) -> Own:
+        """A node, by its configuration."""
+        settings = config.settings
+        return cls(
+            config.name, config.seed, settings.zone, settings.tier, settings.number, settings.nodes
+        )  # fmt: skip
+
+
 class _Ear(asyncio.DatagramProtocol):
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
@@ -65,40 +92,47 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        config: Config,
+        own: Own,
         fleet: FleetConfig,
         placed: Callable[[int, int], None],
         load: Callable[[], int],
         balancer: Balancer | None = None,
         told: Callable[[Event], None] = lambda event: None,
+        settings: Settings | None = None,
     ) -> None:
         self._loop, self._fleet, self._placed, self._load = loop, fleet, placed, load
-        self._wire = Wire(fleet.name)
+        self._flat = Wire(fleet.name)
         # A life begins with the process: by the wall's clock, corrected by what others remember of us.
         wall_ms = int(time.time() * 1000.0)
-        rng = random.Random(config.seed)
-        settings = config.settings
+        rng = random.Random(own.seed)
         facts: dict[str, Fact] = {
-            "zone": settings.zone, "tier": float(settings.tier), "program": VERSION,
-            "number": float(settings.number), "load": 0.0, "draining": False,
+            "zone": own.zone, "tier": float(own.tier), "program": VERSION,
+            "number": float(own.number), "load": 0.0, "draining": False,
         }  # fmt: skip
-        self.core = Membership(
-            config.name,
-            fleet.advertise,
-            fleet.seeds,
-            wall_ms << 16 | rng.getrandbits(16),
-            wall_ms,
-            rng,
-            facts,
-        )
-        self._tier = float(settings.tier)
-        self.census = Census(config.name, settings.number, settings.nodes)
+        uid = wall_ms << 16 | rng.getrandbits(16)
+        self.cells: CellHost | None = None
+        self.core: Membership
+        self.census: Census | CellCensus
+        if fleet.cells is not None:
+            from orchidferry.cells import CellHost
+
+            self.cells = CellHost(own, fleet, fleet.cells, uid, wall_ms, rng, facts)
+            self.core, self.census = self.cells.core, self.cells.census
+        else:
+            self.core = Membership(own.name, fleet.advertise, fleet.seeds, uid, wall_ms, rng, facts)
+            self.census = Census(own.name, own.number, own.nodes)
+        self._tier = float(own.tier)
+        # Who else wants what comes; and who wants datagrams that are not for the members.
+        self.listeners: list[Callable[[Message], None]] = []
+        self.aside: Callable[[bytes, str], bool] = lambda data, source: False
         self.work: DutyHost | None = None
         if fleet.voters:
-            self.work = DutyHost(loop, self, config.name, settings.zone, fleet.voters, rng)
+            self.work = DutyHost(loop, self, own.name, own.zone, fleet.voters, rng)
+            self.listeners.append(self.work.heard)
         self.shared: SharedHost | None = None
-        if fleet.share and balancer is not None:
+        if fleet.share and balancer is not None and settings is not None:
             self.shared = SharedHost(loop, self, fleet, settings, balancer, told, rng)
+            self.listeners.append(self.shared.heard)
             if self.work is not None:
                 self.work.ordered = self.shared.ordered
         self.releases: Releases | None = None
@@ -113,7 +147,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._in = self._out = 0
         self._over = False
-        self._place = settings.number, settings.nodes
+        self._place = own.number, own.nodes
         self._rates = (0.0, 0.0)
         self._seen = (0, 0, loop.time())
         self.counts = dict.fromkeys(
@@ -189,7 +223,7 @@
     def _do(self, action: api.Action) -> None:
         match action:
             case api.Post():
-                self._send(self._wire.write(action.message), action.address)
+                self._send(self._write(action.message), action.address)
             case api.SetTimer():
                 self._loop.call_later(action.delay_ms / 1000.0, self.handle, api.Fired(action.token))
             case api.Exchange():
@@ -197,6 +231,8 @@
             case api.Dial():
                 self._call(action.address, self._probe(action))
             case api.Changed():
+                if self.cells is not None and action.what == "cut":
+                    self.cells.was_cut()
                 self._recount()
             case api.Note():
                 text = "fleet: " + ", ".join(f"{name} %({name})s" for name in action.fields)
@@ -219,15 +255,35 @@
         """A datagram has come, from anybody."""
         self.counts["received"] += 1
         self.counts["received_bytes"] += len(data)
+        source = f"{sender[0]}:{sender[1]}"
+        if self.aside(data, source):
+            return
         try:
-            message = self._wire.read(data)
+            message, cut = self._read(data)
         except Refused as reason:
             return self._refuse(str(reason))
-        self.handle(api.Heard(message, f"{sender[0]}:{sender[1]}"))
-        if self.work is not None and not self.core.quiet:
-            self.work.heard(message)
-        if self.shared is not None and not self.core.quiet:
-            self.shared.heard(message)
+        self.handle(api.Heard(message, source, cut))
+        if not self.core.quiet and not isinstance(message, CellMessage):
+            for heard in self.listeners:
+                heard(message)
+
+    # Bytes, of a flat fleet or of one with cells
+
+    def _write(self, message: api.Said) -> bytes:
+        if self.cells is not None:
+            return self.cells.wire.write(message)
+        return self._flat.write(cast(Message, message))  # a flat core says nothing else
+
+    def _read(self, data: bytes) -> tuple[api.Said, Cut | None]:
+        return self.cells.wire.read(data) if self.cells is not None else (self._flat.read(data), None)
+
+    def _write_state(self, state: State) -> bytes:
+        return (self.cells.wire if self.cells is not None else self._flat).write_state(state)
+
+    def _read_state(self, data: bytes) -> tuple[State, Cut | None]:
+        if self.cells is not None:
+            return self.cells.wire.read_state(data)
+        return self._flat.read_state(data), None
 
     def _refuse(self, reason: str) -> None:
         self.counts["refused"] += 1
@@ -254,23 +310,23 @@
         return await asyncio.open_connection(*address(target), local_addr=local, limit=MOST_STATE + 1024)
 
     async def _exchange(self, action: api.Exchange) -> None:
-        data = await self._ask(action.address, STATE, self._wire.write_state(action.state))
+        data = await self._ask(action.address, STATE, self._write_state(action.state))
         if data is None:
             return self.handle(api.Missed(action.address))
         try:
-            state = self._wire.read_state(data)
+            state, cut = self._read_state(data)
         except Refused as reason:
             self._refuse(str(reason))
             return self.handle(api.Missed(action.address))
-        self.handle(api.Met(state, action.address, True))
+        self.handle(api.Met(state, action.address, True, cut))
 
     async def _probe(self, action: api.Dial) -> None:
         ping = Ping(self.core.head(), action.number, "", [])
-        data = await self._ask(action.address, PROBE, self._wire.write(ping))
+        data = await self._ask(action.address, PROBE, self._write(ping))
         if data is None:
             return
         try:
-            message = self._wire.read(data)
+            message, _ = self._read(data)
         except Refused as reason:
             return self._refuse(str(reason))
         if isinstance(message, Ack):
@@ -317,19 +373,23 @@
 
     def _answer(self, kind: bytes, data: bytes, writer: asyncio.StreamWriter) -> bytes:
         if kind == PROBE:
-            message = self._wire.read(data)
+            message, _ = self._read(data)
             number = message.number if isinstance(message, Ping) else 0
-            return self._wire.write(Ack(self.core.head(), number, self.core.name, self.core.life, []))
-        state = self._wire.read_state(data)
-        answer = self._wire.write_state(self.core.state())
+            return self._write(Ack(self.core.head(), number, self.core.name, self.core.life, []))
+        state, cut = self._read_state(data)
+        answer = self._write_state(self.core.answer(state))
         sender = next((r.address for r in state.records if r.name == state.head.name), "")
-        self.handle(api.Met(state, sender, False))
+        self.handle(api.Met(state, sender, False, cut))
         return answer
 
     # What the node takes from it
 
     def _recount(self) -> None:
-        self.census.see(of_tier(self.core, self._tier), now_ms())
+        here = of_tier(self.core, self._tier)
+        if self.cells is not None:
+            self.cells.see(here, now_ms())
+        else:
+            self.census.see(here, now_ms())
         place = self.census.place()
         if place != self._place:
             self._place = place
@@ -394,13 +454,13 @@
             return
         member = self.core.view.get(name)
         if member is not None and member.here() and not self.core.quiet:
-            self._send(self._wire.write(About(self.core.head(), content, [])), member.address)
+            self._send(self._write(About(self.core.head(), content, [])), member.address)
 
     def ask_view(self, name: str) -> None:
         """Have a member say which view it holds: its answer tells."""
         member = self.core.view.get(name)
         if member is not None and not self.core.quiet:
-            self._send(self._wire.write(Ping(self.core.head(), 0, name, [])), member.address)
+            self._send(self._write(Ping(self.core.head(), 0, name, [])), member.address)
 
     # What operators see
 
@@ -408,6 +468,7 @@
         """Gauges beside the node's own."""
         core = self.core
         more = self.shared.figures() if self.shared is not None else {}
+        more |= self.cells.figures() if self.cells is not None else {}
         return more | {
             "fleet_members": core.alive,
             "fleet_suspects": lambda: sum(m.status == 1 for m in core.view.members.values()),
--- a/orchidferry/shared.py
+++ b/orchidferry/shared.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+from fleet.cells.totals import CellCensus
 from fleet.census import Census
 from fleet.membership.core import Membership
 from fleet.messages import About, Message
@@ -80,7 +81,7 @@
     )
 
 
-def seen(members: Membership, census: Census) -> shared.Seen:
+def seen(members: Membership, census: Census | CellCensus) -> shared.Seen:
     """Who is there, and who counts."""
     here = {} if members.quiet else {m.name: m.life for m in members.view.members.values() if m.here()}
     return shared.Seen(members.life, here, census.counted(), census.base(), members.health.score)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -25,7 +25,7 @@
 from lab.processes.day import play_processes
 from lab.scenario import parse
 from orchidferry.config import BadConfig, Config, FleetConfig, read_config
-from orchidferry.peers import MOST_IN, Peers
+from orchidferry.peers import MOST_IN, Own, Peers
 from tests.peers import run, settings, until
 from tests.test_wire import ROOT
 
@@ -60,7 +60,9 @@
         )
         made = config(self._path, name, n, self._nodes)
         note = self.placed[name]
-        return Peers(asyncio.get_running_loop(), made, fleet, lambda *place: note.append(place), lambda: 3)
+        return Peers(
+            asyncio.get_running_loop(), Own.of(made), fleet, lambda *place: note.append(place), lambda: 3
+        )
 
     def agree(self, count: int) -> bool:
         cores = [member.core for member in self.members.values()]
