Add the directory's process, and commands that show cells

Need: the control machines' part, without a request path, and what on-call staff look at.

Directory processes meet under a fleet name of their own on the socket on which members ask them.

--- a/dunlinloft/check.py
+++ b/dunlinloft/check.py
@@ -9,11 +9,12 @@
 import difflib
 import json
 import re
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from nickelbridge.settings import Malformed
-from orchidferry.config import parse_config, path_in
+from orchidferry.config import parse_config, parse_directory, path_in
 
 MOST = 200  # problems; a file with more is no configuration
 NEAR = 0.8  # how alike a key that is not known is to one that is missing, to be taken for it
@@ -50,8 +51,8 @@
         return super().get(key, default)
 
 
-def check_file(path: Path) -> list[str]:
-    """Everything that is wrong with a file, a line each; empty where a node can be started with it."""
+def check_file(path: Path, of_directory: bool = False) -> list[str]:
+    """Everything that is wrong with a file, a line each; empty where a process can be started with it."""
     try:
         root = json.loads(path.read_text(encoding="utf-8"), object_pairs_hook=_Object)
     except OSError as problem:
@@ -60,16 +61,16 @@
         return [f"not JSON: {problem!s:.200}"]
     if not isinstance(root, _Object):
         return ["must be an object"]
-    problems = _read(root)
+    problems = _read(root, parse_directory if of_directory else parse_config)
     return problems + _mistyped(root, "")
 
 
-def _read(root: _Object) -> list[str]:
+def _read(root: _Object, parse: Callable[[_Object], object]) -> list[str]:
     found: list[str] = []
     mended: set[str] = set()
     for _ in range(MOST):
         try:
-            parse_config(root)
+            parse(root)
         except Malformed as problem:
             if problem.place is None:
                 return [*found, str(problem)]
--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -42,18 +42,29 @@
     os.execv(sys.executable, [sys.executable, "-B", "-m", "orchidferry"])
 
 
+@main.command()
+@click.argument("config", required=False, type=click.Path(dir_okay=False))
+def directory(config: str | None) -> None:
+    """Run a process of the directory of cells from CONFIG, or from the file that NODE_CONFIG names."""
+    if config is not None:
+        os.environ["NODE_CONFIG"] = config
+    os.execv(sys.executable, [sys.executable, "-B", "-m", "orchidferry.directory"])
+
+
 @main.command()
 @click.argument("config", type=click.Path(dir_okay=False))
-def check(config: str) -> None:
+@click.option("--directory", "of_directory", is_flag=True, help="It is for a process of the directory.")
+def check(config: str, of_directory: bool) -> None:
     """Say all that is wrong with a node's CONFIG, each with its path in the file."""
     from dunlinloft.check import check_file
 
-    problems = check_file(Path(config))
+    problems = check_file(Path(config), of_directory)
     for problem in problems:
         click.echo(f"{config}: {problem}", err=True)
     if problems:
         sys.exit(UNKEPT)
-    click.echo(f"{config}: a node can be started with it")
+    what = "a process of the directory" if of_directory else "a node"
+    click.echo(f"{config}: {what} can be started with it")
 
 
 @main.group()
@@ -80,6 +91,27 @@
     sys.exit(fleetcli.watch(admin))
 
 
+@fleet.command("cell")
+@admin_option
+@click.option("--json", "as_json", is_flag=True, help="All that the endpoint tells.")
+def fleet_cell(admin: str, as_json: bool) -> None:
+    """A node's cell and what it knows of its whole service; exit status 1 where the fallback is in force."""
+    from dunlinloft import cellscli
+
+    sys.exit(cellscli.cell(admin, as_json))
+
+
+@fleet.command("directory")
+@click.option("--service", default="", help="This service's cells alone.")
+@admin_option
+@click.option("--json", "as_json", is_flag=True, help="All that the endpoint tells.")
+def fleet_directory(admin: str, service: str, as_json: bool) -> None:
+    """The cells that a process of the directory knows; exit status 1 where some are stale."""
+    from dunlinloft import cellscli
+
+    sys.exit(cellscli.directory(admin, service, as_json))
+
+
 @fleet.command("duties")
 @admin_option
 @click.option("--json", "as_json", is_flag=True, help="All that the endpoint tells.")
--- a/dunlinloft/fleetcli.py
+++ b/dunlinloft/fleetcli.py
@@ -28,7 +28,8 @@
     """The admin endpoint gives no answer of use; says why."""
 
 
-def _bad(problem: NoAnswer) -> int:
+def bad(problem: NoAnswer) -> int:
+    """Say what is wrong; the exit status."""
     err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
     return BAD_FILE
 
@@ -106,7 +107,7 @@
     try:
         state = read(admin)
     except NoAnswer as problem:
-        return _bad(problem)
+        return bad(problem)
     if as_json:
         print(json.dumps(state, indent=2))
     else:
@@ -133,7 +134,7 @@
     try:
         state = read(admin, "/admin/duties")
     except NoAnswer as problem:
-        return _bad(problem)
+        return bad(problem)
     held = all(row["holder"] for row in state["duties"])
     if as_json:
         print(json.dumps(state, indent=2))
@@ -172,7 +173,7 @@
     try:
         read(admin, f"/admin/duties/hand-over?{query}", "POST")
     except NoAnswer as problem:
-        return _bad(problem)
+        return bad(problem)
     out.print(f"{duty} is handed over to {to or 'whoever is next'}", highlight=False)
     return SUCCESS
 
@@ -182,7 +183,7 @@
     try:
         found = read(admin, "/admin/shared")
     except NoAnswer as problem:
-        return _bad(problem)
+        return bad(problem)
     limits, homes = found["limits"], found["affinity"]
     fallback = (limits["in_use"] and limits["fallback"]) or (homes["in_use"] and homes["cut_off"])
     if as_json:
@@ -253,7 +254,7 @@
             status = status if state == "kept" else UNKEPT
         found = read(admin, "/admin/ledger")
     except NoAnswer as problem:
-        return _bad(problem)
+        return bad(problem)
     if as_json:
         print(json.dumps(found, indent=2))
         return status
@@ -283,7 +284,7 @@
             status = SUCCESS if state == "kept" else UNKEPT
         found = read(admin, "/admin/voters")
     except NoAnswer as problem:
-        return _bad(problem)
+        return bad(problem)
     missing = [row["name"] for row in found["voters"] if not row["there"]]
     status = UNKEPT if missing or found["behind"] else status
     if as_json:
--- a/orchidferry/config.py
+++ b/orchidferry/config.py
@@ -11,14 +11,16 @@
 import re
 import time
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from nickelbridge import interface as api
 from nickelbridge.settings import NUMBER, Json, Malformed, get, objects, opt, read_settings, word
 from orchidferry import logs
 
 Address = tuple[str, int]
+T = TypeVar("T")
 
 STATUSES = {
     "active": api.Health.IN_SERVICE,
@@ -191,7 +193,11 @@
 
 
 def read_config(path: str) -> Config:
-    """Read the file; `BadConfig` says in one line what is wrong with it."""
+    """Read a node's file; `BadConfig` says in one line what is wrong with it."""
+    return _read_file(path, parse_config)
+
+
+def _read_file(path: str, parse: Callable[[Json], T]) -> T:
     try:
         with open(path, encoding="utf-8") as file:
             obj = json.load(file)
@@ -202,7 +208,7 @@
     if not isinstance(obj, dict):
         raise BadConfig(f"{path}: must be an object")
     try:
-        return parse_config(obj)
+        return parse(obj)
     except Malformed as problem:
         raise BadConfig(f"{path}: {_located(obj, problem)}") from None
     except ValueError as problem:
@@ -310,19 +316,60 @@
     return frozenset(share), tuple(groups)
 
 
+@dataclass(slots=True)
+class DirectoryConfig:
+    """All that a process of the directory knows when it starts; its seeds are other such processes."""
+
+    name: str
+    seed: int
+    management: Address | None
+    zone: str
+    fleet: FleetConfig
+    log: str = logs.TEXT
+
+
+def read_directory(path: str) -> DirectoryConfig:
+    """Read the file of a directory's process; `BadConfig` says in one line what is wrong with it."""
+    return _read_file(path, parse_directory)
+
+
+def parse_directory(obj: Json) -> DirectoryConfig:
+    """Turn the file's object into a configuration; `Malformed` or `ValueError` says what is wrong with it."""
+    fleet = read_fleet(obj)
+    if fleet is None:
+        raise Malformed("'fleet' is missing: it names the fleet whose directory this is", (obj, "fleet", {}))
+    for key in ("voters", "share", "cells"):
+        if obj["fleet"].get(key):
+            raise Malformed(
+                f"{key!r} must be absent: a directory's process only knows cells", (obj["fleet"], key, None)
+            )
+    return DirectoryConfig(
+        name=get(obj, "name", str),
+        seed=hex_digits(obj, "seed"),
+        management=_management(obj),
+        zone=opt(obj, "zone", str, ""),
+        fleet=fleet,
+        log=word(opt(obj, "log", dict, {"form": logs.TEXT}), "form", logs.FORMS),
+    )
+
+
+def _management(obj: Json) -> Address | None:
+    """Where operators call, by the environment or the file."""
+    management = os.environ.get("NODE_MANAGEMENT")
+    if management:
+        return address(management)
+    return address_at(obj, "management") if opt(obj, "management", str, None) else None
+
+
 def parse_config(obj: Json) -> Config:
     """Turn the file's object into a configuration; `Malformed` or `ValueError` says what is wrong with it."""
     limits = opt(obj, "limits", dict, {})
-    management = os.environ.get("NODE_MANAGEMENT")
-    admin = address(management) if management else None
-    if not management and opt(obj, "management", str, None):
-        admin = address_at(obj, "management")
     return Config(
         name=get(obj, "name", str),
         listen=address_at(obj, "listen"),
         discovery=address_at(obj, "discovery"),
         seed=hex_digits(obj, "seed"),
-        management=admin,
+        management=_management(obj),
         sockets=opt(limits, "sockets", int, 1024),
         memory_mb=opt(limits, "memory_mb", NUMBER, 192),
         known=read_listing(opt(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
--- /dev/null
+++ b/orchidferry/directory.py
@@ -0,0 +1,192 @@
+"""A process of the directory: for control machines, without a request path.
+
+It answers members of cells and takes their reports on the socket on which the directory's processes meet
+each other. Started by `python -m orchidferry.directory` with the file that NODE_CONFIG names.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import sys
+from dataclasses import replace
+from typing import Any
+
+import uvloop
+
+from fleet import interface as api
+from fleet.cells import directory as cells
+from fleet.cells.index import Cell, Service
+from fleet.cells.messages import Found
+from fleet.cells.messages import Message as CellMessage
+from fleet.cells.totals import BOUND_MS
+from fleet.cells.wire import DirectoryWire
+from fleet.messages import About, Message
+from fleet.shared import messages as shared
+from fleet.wire import Refused
+from orchidferry import logs
+from orchidferry.config import BadConfig, DirectoryConfig, now_ms, read_directory
+from orchidferry.management import AdminEndpoint
+from orchidferry.peers import GOODBYE_S, Own, Peers
+
+SEEN_S = 1.0  # how often it is looked at which other processes are there
+OWN_FLEET = "{}/directory"  # the name under which the directory's processes meet
+
+
+class DirectoryHost:
+    """The core among sockets."""
+
+    def __init__(self, config: DirectoryConfig, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop, self.config = loop, config
+        fleet = replace(config.fleet, name=OWN_FLEET.format(config.fleet.name))
+        own = Own(config.name, config.seed, config.zone)
+        self.peers = Peers(loop, own, fleet, lambda number, nodes: None, lambda: 0)
+        self.peers.aside = self._datagram
+        self.peers.listeners.append(self._heard)
+        self.wire = DirectoryWire(config.fleet.name)
+        life = self.peers.core.life
+        self.core = cells.Directory(config.name, life, random.Random(config.seed), now_ms())
+        self._over = False
+        self.admin = AdminEndpoint(
+            loop,
+            {
+                "/admin/health": ("GET", self._health),
+                "/admin/directory": ("GET", self.show),
+                "/admin/fleet": ("GET", self.peers.show),
+            },
+        )
+
+    async def start(self) -> None:
+        """Meet the others and answer members; `OSError` where the admin endpoint's address is taken."""
+        if self.config.management is not None:
+            await self.admin.listen(self.config.management)
+        self.peers.start()
+        self._do(self.core.begin())
+        self._see()
+
+    async def stop(self) -> None:
+        """Say goodbye to the other processes."""
+        self._over = True
+        self.peers.depart(handing_over=False)
+        await asyncio.sleep(2.0 * GOODBYE_S)
+
+    def _see(self) -> None:
+        if self._over:
+            return
+        core = self.peers.core
+        here = {m.name: m.life for m in core.view.members.values() if m.here()}
+        self._give(cells.Seen(core.life, here))
+        self._loop.call_later(SEEN_S, self._see)
+
+    def _give(self, event: cells.Event) -> None:
+        if self._over:
+            return
+        try:
+            self._do(self.core.handle(event, now_ms()))
+        except Exception:
+            self.peers.counts["errors"] += 1
+            logs.exception("directory error", "handling %(what)s", what=type(event).__name__)
+
+    def _do(self, actions: list[cells.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Post():
+                    if isinstance(action.message, CellMessage):
+                        self.peers.send(self.wire.write(action.message), action.address)
+                case shared.Tell():
+                    self.peers.tell(action.name, action.message)
+                case shared.SetTimer():
+                    self._loop.call_later(action.delay_ms / 1000.0, self._give, shared.Fired(action.token))
+
+    def _datagram(self, data: bytes, source: str) -> bool:
+        """Take a member's datagram; False where it is one of the directory's own processes'."""
+        if not self.wire.mine(data):
+            return False
+        try:
+            message = self.wire.read(data)
+        except Refused as reason:
+            self.peers.refuse(str(reason))
+            return True
+        if not isinstance(message, Found):
+            self._give(cells.Said(message, source))
+        return True
+
+    def _heard(self, message: Message) -> None:
+        if isinstance(message, About) and isinstance(message.content, shared.Message):
+            self._give(shared.Heard(message.content, message.head.name))
+
+    # What operators see
+
+    def _health(self) -> tuple[int, dict[str, Any]]:
+        return 200, {"ready": self.core.ready(now_ms())}
+
+    def show(self) -> tuple[int, dict[str, Any]]:
+        """Services with their cells, and how old what is known of each is."""
+        now, core = now_ms(), self.core
+        return 200, {
+            "name": self.config.name,
+            "fleet": self.config.fleet.name,
+            "learning": not core.ready(now),
+            "processes": self.peers.core.alive(),
+            "counts": dict(core.counts) | {"records": sum(1 for _ in core.table.all())},
+            "refused_for": self.peers.reasons,
+            "bound_s": BOUND_MS / 1000.0,
+            "services": {
+                name: _service(service, now) for name, service in sorted(core.index.services.items())
+            },
+        }  # fmt: skip
+
+
+def _service(service: Service, now: float) -> list[dict[str, Any]]:
+    return [_cell(cell, now) for _, cell in sorted(service.cells.items())]
+
+
+def _cell(cell: Cell, now: float) -> dict[str, Any]:
+    youngest = cell.youngest().summary
+    return {
+        "region": cell.region, "cell": cell.cut.text(), "epoch": cell.cut.epoch,
+        "members": youngest.members, "counted": cell.counted(now), "load": youngest.load,
+        "program": youngest.program, "digest": f"{youngest.digest:016x}", "addresses": cell.addresses(),
+        "reporters": sorted(cell.voices), "age_s": round(cell.age_ms(now) / 1000.0, 1),
+        "stale": not cell.fresh(now),
+    }  # fmt: skip
+
+
+async def run(path: str) -> int:
+    """Serve until SIGTERM; the exit status."""
+    try:
+        config = read_directory(path)
+    except BadConfig as problem:
+        print(f"orchidferry.directory: {problem}", file=sys.stderr)
+        return 2
+    logs.setup(config.name, config.log)
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    loop.add_signal_handler(signal.SIGINT, stopping.set)
+    host = DirectoryHost(config, loop)
+    try:
+        await host.start()
+    except OSError as problem:
+        print(f"orchidferry.directory: can't listen: {problem}", file=sys.stderr)
+        return 2
+    logs.info("started", "a process of the directory of %(fleet)s", fleet=config.fleet.name)
+    await stopping.wait()
+    logs.info("stopping", "stopping")
+    await host.stop()
+    return 0
+
+
+def main() -> int:
+    """The program."""
+    path = os.environ.get("NODE_CONFIG")
+    if not path:
+        print("orchidferry.directory: NODE_CONFIG must name the configuration file", file=sys.stderr)
+        return 2
+    return uvloop.run(run(path))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -223,7 +223,7 @@
     def _do(self, action: api.Action) -> None:
         match action:
             case api.Post():
-                self._send(self._write(action.message), action.address)
+                self.send(self._write(action.message), action.address)
             case api.SetTimer():
                 self._loop.call_later(action.delay_ms / 1000.0, self.handle, api.Fired(action.token))
             case api.Exchange():
@@ -240,7 +240,8 @@
 
     # Datagrams
 
-    def _send(self, data: bytes, target: str) -> None:
+    def send(self, data: bytes, target: str) -> None:
+        """Send a datagram; one that can't be sent is counted."""
         if self._udp is None or self._udp.is_closing():
             return
         try:
@@ -261,7 +262,7 @@
         try:
             message, cut = self._read(data)
         except Refused as reason:
-            return self._refuse(str(reason))
+            return self.refuse(str(reason))
         self.handle(api.Heard(message, source, cut))
         if not self.core.quiet and not isinstance(message, CellMessage):
             for heard in self.listeners:
@@ -285,7 +286,8 @@
             return self.cells.wire.read_state(data)
         return self._flat.read_state(data), None
 
-    def _refuse(self, reason: str) -> None:
+    def refuse(self, reason: str) -> None:
+        """Count what says nothing to this process."""
         self.counts["refused"] += 1
         self.reasons[reason] = self.reasons.get(reason, 0) + 1
 
@@ -316,7 +318,7 @@
         try:
             state, cut = self._read_state(data)
         except Refused as reason:
-            self._refuse(str(reason))
+            self.refuse(str(reason))
             return self.handle(api.Missed(action.address))
         self.handle(api.Met(state, action.address, True, cut))
 
@@ -328,7 +330,7 @@
         try:
             message, _ = self._read(data)
         except Refused as reason:
-            return self._refuse(str(reason))
+            return self.refuse(str(reason))
         if isinstance(message, Ack):
             self.handle(api.Ponged(action.number, message.whom, message.life))
 
@@ -351,7 +353,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer a peer, or whoever connects: within `WHOLE_S` it has asked, or it is closed."""
         if self._in >= MOST_IN:
-            self._refuse("crowd")
+            self.refuse("crowd")
             return writer.close()
         self._in += 1
         try:
@@ -364,9 +366,9 @@
                 writer.write(len(answer).to_bytes(4, "big") + answer)
                 await writer.drain()
         except Refused as reason:
-            self._refuse(str(reason))
+            self.refuse(str(reason))
         except (OSError, TimeoutError, EOFError):
-            self._refuse("short")
+            self.refuse("short")
         finally:
             self._in -= 1
             writer.close()
@@ -454,13 +456,13 @@
             return
         member = self.core.view.get(name)
         if member is not None and member.here() and not self.core.quiet:
-            self._send(self._write(About(self.core.head(), content, [])), member.address)
+            self.send(self._write(About(self.core.head(), content, [])), member.address)
 
     def ask_view(self, name: str) -> None:
         """Have a member say which view it holds: its answer tells."""
         member = self.core.view.get(name)
         if member is not None and not self.core.quiet:
-            self._send(self._write(Ping(self.core.head(), 0, name, [])), member.address)
+            self.send(self._write(Ping(self.core.head(), 0, name, [])), member.address)
 
     # What operators see
 
