Test cells on real sockets: cuts, newcomers, the directory's process, bad settings

14 members with cells of 6 are cut and a newcomer finds its cell by two directory processes alone, then by seeds alone; rubbish at the directory's socket is counted; bad settings say one line with their path; a flat fleet's node loads none of it.

Wrong at first in the test itself: it waited for what was replaced to go from the directory's list, which takes 15 s by design.

--- /dev/null
+++ b/tests/test_cells_sockets.py
@@ -0,0 +1,245 @@
+"""Cells on real sockets: cuts, newcomers with and without the directory, its process, and bad settings."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import urllib.request
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from dunlinloft.cellscli import cell_text, cells_table
+from dunlinloft.check import check_file
+from fleet.cells.cut import path
+from lab.processes.block import Block, text
+from orchidferry.config import BadConfig, CellsConfig, DirectoryConfig, FleetConfig, read_directory
+from orchidferry.directory import DirectoryHost
+from orchidferry.peers import Own, Peers
+from tests.peers import LIMIT_S, run, settings, until
+from tests.test_peers import config
+from tests.test_wire import ROOT
+
+MOST = 6
+DIRECTORY = 200  # the directory's first place in the block, beyond all members
+
+
+class Service:
+    """Members of one service in one region, and the directory's processes."""
+
+    def __init__(self, members: int, processes: int, seeds: list[int] | None = None) -> None:
+        self.block = Block()
+        loop = asyncio.get_running_loop()
+        places = [text(self.block.peer(DIRECTORY + n)) for n in range(processes)]
+        self.directory = [
+            DirectoryHost(
+                DirectoryConfig(f"d{n}", n, None, "z1", FleetConfig("linz", at, at, places[:1], [])), loop
+            )
+            for n, at in enumerate(places)
+        ]
+        self._places = places
+        self.members: dict[str, Peers] = {}
+        self._seeds = [text(self.block.peer(n)) for n in seeds or []]
+        self._first = members
+
+    async def start(self) -> None:
+        for host in self.directory:
+            await host.start()
+        for n in range(self._first):
+            self.add(n)
+
+    def add(self, n: int) -> Peers:
+        at = text(self.block.peer(n))
+        fleet = FleetConfig("linz", at, at, self._seeds, [])
+        fleet.cells = CellsConfig("booking", "east", MOST, self._places)
+        own = Own(f"m{n}", n, "z1", 0, n, self._first)
+        peers = Peers(asyncio.get_running_loop(), own, fleet, lambda number, nodes: None, lambda: 2)
+        self.members[own.name] = peers
+        peers.start()
+        return peers
+
+    def settled(self) -> bool:
+        """Whether each member sees exactly those of its cell, and no cell is too large."""
+        for peers in self.members.values():
+            core = peers.core
+            assert peers.cells is not None
+            cut = peers.cells.core.cut
+            truth = {name for name in self.members if cut.holds(path(name))}
+            seen = {m.name for m in core.view.members.values() if m.here()} | {core.name}
+            if seen != truth or len(truth) > MOST or core.status:
+                return False
+        return True
+
+    async def close(self) -> None:
+        for peers in self.members.values():
+            peers.depart(handing_over=True)
+        for host in self.directory:
+            await host.stop()
+        self.block.release()
+
+
+def test_members_are_cut_and_a_newcomer_finds_its_cell_by_the_directory_alone() -> None:
+    async def play() -> None:
+        service = Service(14, 2)
+        await service.start()
+        try:
+            await until(service.settled)
+            newcomer = service.add(20)
+            await until(service.settled)
+            assert newcomer.core.alive() > 1
+            for peers in service.members.values():
+                assert peers.counts["errors"] == 0 and peers.counts["refused"] == 0
+                assert peers.core.buried == 0
+
+            def listed() -> bool:
+                """Each cell at each process, beside what was replaced a moment ago."""
+                truth = {p.cells.core.cut.text(): p.core.alive() for p in service.members.values() if p.cells}
+                shown = [host.show()[1]["services"].get("booking", []) for host in service.directory]
+                return all(
+                    truth.items() <= {c["cell"]: c["members"] for c in cells}.items() for cells in shown
+                )
+
+            await until(listed)  # both: what one was told the other pulls
+            state = service.directory[0].show()[1]
+            assert state["learning"] and "not know of all yet" in str(cells_table(state).renderables[1])
+            shown = newcomer.cells.show()[1] if newcomer.cells else {}
+            assert shown["fallback"] and shown["directory"]["age_s"] is not None  # it has just started
+            assert any("fallback" in line for line in cell_text(shown))
+            assert newcomer.census.place()[1] >= 15  # what is known counts at once, sure or not
+        finally:
+            await service.close()
+
+    run(play())
+
+
+def test_a_newcomer_finds_its_cell_by_any_seed_where_there_is_no_directory() -> None:
+    async def play() -> None:
+        service = Service(14, 0, seeds=[0, 1, 2])
+        await service.start()
+        try:
+            await until(service.settled)
+            cuts = {peers.cells.core.cut.cell() for peers in service.members.values() if peers.cells}
+            assert len(cuts) > 1
+            for n in (30, 31, 32):
+                service.add(n)
+            await until(service.settled)
+            assert all(peers.core.buried == 0 for peers in service.members.values())
+        finally:
+            await service.close()
+
+    run(play())
+
+
+BAD_CELLS: list[tuple[dict[str, Any], dict[str, Any], str]] = [
+    ({"service": "a b"}, {}, "fleet.cells.service: 'service' must be 1 to 64 of letters"),
+    ({"region": ""}, {}, "fleet.cells.region: 'region' must be 1 to 64"),
+    ({"region": None}, {}, "fleet.cells.region: 'region' must be a string, not None"),
+    ({"most": 3}, {}, "fleet.cells.most: 'most' must be 4 to 1000"),
+    ({"most": "many"}, {}, "fleet.cells.most: 'most'"),
+    ({"directory": ["nowhere"]}, {}, "fleet.cells.directory[0]: directory[0]: 'nowhere' is no address"),
+    ({"directory": [7]}, {}, "fleet.cells.directory[0]: directory[0] must be a string, not 7"),
+    ({}, {"voters": ["n1", "n2", "n3"]}, "fleet.voters: 'voters' must be absent"),
+    ({}, {"share": ["limits"]}, "fleet.share: 'share' may name verdicts alone beside 'cells'"),
+]
+
+
+@pytest.mark.parametrize(("cells", "more", "line"), BAD_CELLS)
+def test_bad_settings_of_cells_are_refused_in_one_line_with_their_path(
+    tmp_path: Path, cells: dict[str, Any], more: dict[str, Any], line: str
+) -> None:
+    good = {"service": "booking", "region": "east", "directory": ["127.0.0.1:7400"]}
+    fleet = {"name": "linz", "bind": "127.0.0.1:7400", "seeds": []}
+    made = config(tmp_path, fleet=fleet | {"cells": good})
+    assert made.fleet is not None and made.fleet.cells is not None and made.fleet.cells.most == 100
+    with pytest.raises(BadConfig) as caught:
+        config(tmp_path, fleet=fleet | more | {"cells": good | cells})
+    said = str(caught.value)
+    assert line in said and "\n" not in said
+
+
+def directory_file(tmp_path: Path, **more: Any) -> Path:
+    obj = {"name": "d1", "seed": "ab", "fleet": {"name": "linz", "bind": "127.0.0.1:7400", "seeds": []}}
+    file = tmp_path / "directory.json"
+    file.write_text(json.dumps(obj | more))
+    return file
+
+
+def test_a_directorys_settings_are_refused_in_one_line_with_their_path(tmp_path: Path) -> None:
+    assert read_directory(str(directory_file(tmp_path))).fleet.name == "linz"
+    assert check_file(directory_file(tmp_path), of_directory=True) == []
+    cases: list[tuple[dict[str, Any], str]] = [
+        ({"fleet": None}, "'fleet' is missing"),
+        ({"seed": "xyz"}, "seed: 'seed' must be hex digits"),
+        (
+            {"fleet": {"name": "l", "bind": "127.0.0.1:1", "seeds": [], "voters": ["a", "b", "c"]}},
+            "fleet.voters:",
+        ),
+    ]
+    for more, line in cases:
+        with pytest.raises(BadConfig) as caught:
+            read_directory(str(directory_file(tmp_path, **more)))
+        assert line in str(caught.value) and "\n" not in str(caught.value)
+        assert len(check_file(directory_file(tmp_path, **more), of_directory=True)) >= 1
+
+
+def test_the_directorys_process_answers_operators_survives_rubbish_and_ends_at_sigterm(
+    tmp_path: Path,
+) -> None:
+    block = Block()
+    at, admin = block.peer(1), block.peer(2)
+    fleet = {"name": "linz", "bind": text(at), "seeds": []}
+    file = directory_file(tmp_path, fleet=fleet, management=text(admin))
+    environment = os.environ | {"NODE_CONFIG": str(file)}
+    process = subprocess.Popen(
+        [sys.executable, "-B", "-m", "orchidferry.directory"], env=environment, cwd=ROOT
+    )
+    try:
+
+        def ask(what: str) -> dict[str, Any]:
+            with urllib.request.urlopen(f"http://{text(admin)}/admin/{what}", timeout=5.0) as answer:
+                found: dict[str, Any] = json.load(answer)
+                return found
+
+        async def up() -> None:
+            while True:
+                try:
+                    await asyncio.to_thread(ask, "health")
+                    return
+                except OSError:
+                    await asyncio.sleep(0.05)
+
+        asyncio.run(asyncio.wait_for(up(), LIMIT_S))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+            for data in (b"", b"\x03", b"\x03" + bytes(40), os.urandom(300), b"\x02" * 20, bytes(1400)):
+                stranger.sendto(data, at)
+        shown = ask("directory")
+        while sum(shown["refused_for"].values()) < 5:  # the empty one may not even arrive as one
+            shown = ask("directory")
+        assert shown["services"] == {} and shown["learning"]
+        command = [sys.executable, "-m", "dunlinloft", "fleet", "directory", "--admin", text(admin)]
+        done = subprocess.run(command, capture_output=True, text=True, cwd=ROOT, timeout=LIMIT_S)
+        assert done.returncode == 1 and "started lately" in done.stdout  # it is learning
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(LIMIT_S) == 0
+    finally:
+        process.kill()
+        process.wait()
+        block.release()
+
+
+def test_a_flat_fleets_node_loads_no_cells(tmp_path: Path) -> None:
+    made = config(tmp_path, fleet={"name": "linz", "bind": "127.0.0.1:7400", "seeds": []})
+    assert made.fleet is not None and made.fleet.cells is None and settings()
+    code = (
+        "import sys, orchidferry.peers; "
+        "print(sorted(set(sys.modules) & {'orchidferry.cells', 'fleet.cells.core', 'fleet.cells.wire', "
+        "'fleet.cells.index', 'fleet.cells.directory'}))"
+    )
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert found.stdout.strip() == "[]"
