Play services in cells and their directory in virtual time

Need: the cores of cells had never run.

Meeting.post takes what a core may say and sends what a flat one does.

--- /dev/null
+++ b/lab/virtual/cell_processes.py
@@ -0,0 +1,96 @@
+"""Processes of services in cells and of their directory, as hosts make them; see `lab.virtual.cells`."""
+
+from __future__ import annotations
+
+from fleet import interface as api
+from fleet.cells.core import CellMembership
+from fleet.cells.cut import Cut
+from fleet.cells.directory import Directory
+from fleet.cells.totals import CellCensus
+from fleet.cells.wire import CellWire, DirectoryWire
+from fleet.census import Census
+from fleet.membership.core import Membership
+from fleet.messages import Message, State
+from fleet.wire import Wire
+from lab.lines import Line, Lines
+from lab.names import Names
+from lab.virtual.fleet import Fleet
+from lab.virtual.meeting import Meeting, Process
+
+FLEET = "loft"
+
+
+class Hosted(CellMembership):
+    """A core whose budgets are parted by its host's census."""
+
+    census: CellCensus
+
+    def counted(self) -> int:
+        """As the census has it."""
+        return self.census.cell()
+
+
+class Paths(Lines):
+    """Links between groups of processes: few, however many processes there are."""
+
+    def __init__(self, groups: dict[str, str], names: Names, jitter: float, fleet: Fleet) -> None:
+        super().__init__(names, 0.2, 10.0, jitter, fleet, fleet.seed)
+        self._groups = groups
+
+    def between(self, source: str, target: str) -> Line:
+        """The line from one process to another, which all of their groups share."""
+        return super().between(self._groups[source], self._groups[target])
+
+
+class Member(Process):
+    """A member's process: its core, its bytes, its census."""
+
+    def __init__(self, meeting: Meeting, name: str, core: Membership, service: str, region: str) -> None:
+        super().__init__(meeting, name, core)
+        self.service, self.region = service, region
+        self.wire: CellWire | Wire = Wire(FLEET)
+        self.census: CellCensus | Census
+
+    def recount(self) -> None:
+        """What a host does now and then, and when it is told of totals."""
+        here = {member.name for member in self.core.view.members.values() if member.here()} | {self.name}
+        if isinstance(self.census, CellCensus) and isinstance(self.core, CellMembership):
+            self.census.see(here, self.now(), self.core.totals, self.core.cut)
+        elif isinstance(self.census, Census):
+            self.census.see(here, self.now())
+
+    def part(self) -> float:
+        """The share of a budget that it takes."""
+        return 1.0 / self.census.place()[1]
+
+
+class Guide(Process):
+    """A process of the directory: its membership among its like, and what it knows of cells."""
+
+    def __init__(self, meeting: Meeting, name: str, core: Membership, directory: Directory) -> None:
+        super().__init__(meeting, name, core)
+        self.directory = directory
+        self.wire, self.link = Wire(FLEET + ".directory"), DirectoryWire(FLEET)
+
+    def here(self) -> dict[str, int]:
+        """Its like, with their lives."""
+        return {m.name: m.life for m in self.core.view.members.values() if m.here()}
+
+
+def written(process: Process, message: api.Said) -> bytes:
+    """A message as this process says it."""
+    if isinstance(process, Guide) and not isinstance(message, Message):
+        return process.link.write(message)
+    assert isinstance(process, Member | Guide)
+    if isinstance(process.wire, CellWire):
+        return process.wire.write(message)
+    assert isinstance(message, Message)
+    return process.wire.write(message)
+
+
+def read_state(process: Process, data: bytes) -> tuple[State, Cut | None]:
+    """A view as its bytes say it, and its sender's cut."""
+    assert isinstance(process, Member | Guide)
+    if isinstance(process.wire, CellWire):
+        return process.wire.read_state(data)
+    return process.wire.read_state(data), None
--- a/lab/virtual/meeting.py
+++ b/lab/virtual/meeting.py
@@ -111,8 +111,10 @@
 
     # Links
 
-    def post(self, process: Process, address: str, message: Message) -> None:
+    def post(self, process: Process, address: str, message: api.Said) -> None:
         """A datagram goes out."""
+        if not isinstance(message, Message):
+            return  # a flat core says nothing else
         size = size_of(message)
         self.bytes[process.name] += size
         self.datagrams[process.name] += 1
