Let islands of a cell find each other without a directory

Cause: newcomers that asked the same seed one after the other were told of each other, as the last of three strangers are remembered, and not of who was there; and a few that see each other did not follow a seed's word any more.

A seed's word is followed also by those that are not alone, only established members are remembered before newcomers, and seeds of other cells are asked every 2 minutes instead of 10.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -27,7 +27,7 @@
 MERGE_MS = 20_000.0  # so long two halves have to be small enough before they merge
 MERGE_SHARE = 0.5  # of the bound, that they may make up together
 LONELY_MS = 5_000.0  # who is alone speaks for a cell only after having looked for it so long
-ELSEWHERE_MS = 600_000.0  # a seed that belongs to another cell is not asked again for so long
+ELSEWHERE_MS = 120_000.0  # a seed that belongs to another cell is not asked again for so long
 MOST_POINTERS = 3  # addresses beyond each bit of the cell, for strangers when there is no directory
 
 
@@ -161,7 +161,10 @@
         if self._mine(state.head.name):
             return super()._met(state, source, asked, now)
         self.strays += 1
-        self._point(state.head.name, source)
+        if state.head.members > 1 or not self._toward(path(state.head.name)):
+            self._point(
+                state.head.name, source
+            )  # not newcomers: they know nobody there, and would crowd out who does
         if asked:
             self._elsewhere[source] = now
         else:
@@ -285,10 +288,10 @@
         self.post(place.directory[self._turn % len(place.directory)], find)
 
     def _found(self, found: Found, now: float) -> None:
-        if found.number == 0:  # a member's word: only of use to whoever has not found its cell
-            if not len(self.view.here):
-                self._meet(found.addresses, now)
-            return
+        if (
+            found.number == 0
+        ):  # a member's word to a stranger, which may be one of a few that found each other only
+            return self._meet(found.addresses, now)
         if self._asked is None or found.number != self._asked[0]:
             return
         (_, asked_ms, asked_of), self._asked, self._silent = self._asked, None, 0
