Refuse cuts and summaries that can't be, which could end a member or the directory

Cause: a Find with a depth above 32 raised in the directory (negative shift), an epoch near 2^32 in a member (its four bytes), and a summary of any numbers or long addresses spoilt sums or made an answer too long for a datagram.

Cuts are sound up to an epoch of 2^31, finds and summaries are checked before they are taken.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -236,8 +236,10 @@
         elif self._small_ms < 0.0:
             self._small_ms = now
         elif now - self._small_ms >= MERGE_MS:
-            epoch = max(self.cut.epoch, totals.found.sibling_epoch) + 1
-            self._cut_to(self.cut.whole(epoch), now)
+            whole = self.cut.whole(max(self.cut.epoch, totals.found.sibling_epoch) + 1)
+            if not whole.sound():
+                return
+            self._cut_to(whole, now)
             for address in totals.found.sibling_addresses:
                 self._exchange(address, now)
 
--- a/fleet/cells/cut.py
+++ b/fleet/cells/cut.py
@@ -13,6 +13,7 @@
 
 PATH_BITS = 32
 MOST_DEPTH = 20  # bits of a cell; a million cells of one service in one region
+MOST_EPOCH = 1 << 31  # beyond it a cut is not believed, so that the next still fits its four bytes
 
 
 def path(name: str) -> int:
@@ -59,7 +60,11 @@
 
     def sound(self) -> bool:
         """Whether it can be one at all."""
-        return 0 <= self.depth <= MOST_DEPTH and 0 <= self.bits < 1 << self.depth and self.epoch >= 0
+        return (
+            0 <= self.depth <= MOST_DEPTH
+            and 0 <= self.bits < 1 << self.depth
+            and 0 <= self.epoch < MOST_EPOCH
+        )
 
 
 def shared_bits(a: int, b: int) -> int:
--- a/fleet/cells/directory.py
+++ b/fleet/cells/directory.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from fleet import interface as api
-from fleet.cells.index import Index
+from fleet.cells.cut import Cut
+from fleet.cells.index import Index, sound
 from fleet.cells.messages import Find, Found, Report, Summary
 from fleet.cells.totals import BOUND_MS
 from fleet.shared import messages as shared
@@ -131,6 +132,10 @@
         return []
 
     def _find(self, find: Find, source: str, now: float) -> list[Action]:
+        cut = Cut(find.epoch, find.depth, find.bits)
+        if not cut.sound() or max(map(len, (find.service, find.region, find.name))) > MOST_NAME:
+            self.counts["foreign"] += 1
+            return []
         self.counts["finds"] += 1
         sums = self.index.sums(find, now)
         found = Found(
@@ -145,7 +150,8 @@
         if report.life != self.life or not 0.0 <= age_ms <= BOUND_MS:
             self.counts["late"] += 1
             return
-        if max(map(len, (report.service, report.region, report.name))) > MOST_NAME:
+        named = max(map(len, (report.service, report.region, report.name))) <= MOST_NAME
+        if not named or not sound(report.summary):
             self.counts["foreign"] += 1
             return
         self.counts["reports"] += 1
--- a/fleet/cells/index.py
+++ b/fleet/cells/index.py
@@ -17,9 +17,22 @@
 SETTLE_MS = 15_000.0  # since cells last changed, before a service's sum counts as whole
 FORGET_MS = 2 * 3_600_000.0  # a cell that nobody reported for so long has ended; regions come back sooner
 
+MOST_COUNTED = 100_000  # members of a cell: whoever says more is broken
+MOST_ADDRESS = 64  # characters of an address
+
 Key = tuple[str, int, int]  # region, depth, bits
 
 
+def sound(summary: Summary) -> bool:
+    """Whether a summary can be one at all: one that can't would spoil sums, or answers that carry it on."""
+    return (
+        Cut(summary.epoch, summary.depth, summary.bits).sound()
+        and 0 <= summary.members <= summary.counted <= MOST_COUNTED
+        and len(summary.addresses) <= MOST_ADDRESSES
+        and all(len(address) <= MOST_ADDRESS for address in summary.addresses)
+    )
+
+
 @dataclass(slots=True)
 class Voice:
     """A member's latest word for a cell."""
@@ -118,9 +131,9 @@
         self, service: str, region: str, name: str, summary: Summary, born_ms: float, now: float
     ) -> None:
         """A member's word for its cell."""
-        cut = Cut(summary.epoch, summary.depth, summary.bits)
-        if not cut.sound():
+        if not sound(summary):
             return
+        cut = Cut(summary.epoch, summary.depth, summary.bits)
         known = self.services.setdefault(service, Service())
         key = region, cut.depth, cut.bits
         cell = known.cells.get(key)
--- /dev/null
+++ b/tests/test_cell_wire.py
@@ -0,0 +1,195 @@
+"""What members of cells and the directory say, as bytes; a flat fleet's bytes are as they were."""
+
+from __future__ import annotations
+
+import random
+import zlib
+from typing import Any
+
+import msgspec
+import pytest
+
+from fleet import interface as api
+from fleet import wire
+from fleet.cells.core import CellMembership, Place
+from fleet.cells.cut import MOST_DEPTH, MOST_EPOCH, Cut
+from fleet.cells.directory import Directory, Said
+from fleet.cells.messages import Find, Found, Report, Summary
+from fleet.cells.wire import CellWire, DirectoryWire
+from fleet.messages import ALIVE, Ack, Head, Ping, Record, State
+from fleet.wire import MOST_DATAGRAM, Refused, Wire
+
+LONG = "x" * 64
+CUT = Cut(3, 2, 1)
+SUMMARY = Summary(3, 2, 1, 9, 10, 2**63, 4.5, "1", ["127.0.2.1:7400"])
+FIND = Find(7, "n1", "web", "east", 3, 2, 1)
+FOUND = Found(7, 1_700_000_000_000, 5000, 3, 2, 1, ["127.0.2.1:7400"], 40, 9, 10, 4, True, 900, 8, 3, ["a"])
+REPORT = Report(1_700_000_000_000, 5000, "n1", 17, 4, "web", "east", SUMMARY)
+
+
+def members(cut: Cut = CUT, fleet: str = "loft", service: str = "web") -> CellWire:
+    return CellWire(fleet, service, "east", lambda: cut)
+
+
+def ping(records: int = 1) -> Ping:
+    told = [Record(f"n{n}", 17, 0, ALIVE, 5, "127.0.2.1:7400", 0, {"zone": "a"}) for n in range(records)]
+    return Ping(Head("n1", 17, 0, 2**63, 3), 4, "n2", told)
+
+
+def test_members_messages_are_read_as_written_with_their_senders_cut() -> None:
+    data = members().write(ping())
+    assert members(Cut()).read(data) == (ping(), Cut(3, 2, 1))
+    state = State(ping().head, ping(30).records)
+    assert members(Cut()).read_state(members().write_state(state)) == (state, Cut(3, 2, 1))
+    assert len(members().write(ping(200))) <= MOST_DATAGRAM
+
+
+@pytest.mark.parametrize("message", [FIND, FOUND, REPORT])
+def test_what_is_said_with_the_directory_is_read_as_written_by_both_sides(message: Any) -> None:
+    directory = DirectoryWire("loft")
+    assert directory.read(members().write(message)) == message
+    assert members().read(directory.write(message)) == (message, None)
+    assert directory.mine(directory.write(message))
+    assert not directory.mine(Wire("loft").write(ping()))
+
+
+def test_the_longest_answer_and_report_that_can_be_are_datagrams() -> None:
+    cut = MOST_EPOCH - 1, MOST_DEPTH, (1 << MOST_DEPTH) - 1
+    summary = Summary(*cut, 100_000, 100_000, 2**64 - 1, 1e300, LONG, [LONG] * 4)
+    report = Report(2**63, 2**63, LONG, 2**63, 2**63, LONG, LONG, summary)
+    big = 2**32
+    found = Found(
+        2**63, 2**63, 2**63, *cut, [LONG] * 4, big, big, big, big, True, big, big, big, [LONG] * 3
+    )  # fmt: skip
+    for message in (report, found, Find(2**63, LONG, LONG, LONG, *cut)):
+        assert len(DirectoryWire("loft").write(message)) <= MOST_DATAGRAM
+
+
+def test_what_is_not_for_a_member_of_this_cell_and_service_is_refused_by_its_reason() -> None:
+    data = members().write(ping())
+    bad = {
+        b"": "short", data[:5]: "short", data[:18]: "short", data + bytes(2000): "long",
+        bytes([9]) + data[1:]: "version", Wire("loft").write(ping()): "version",
+        members(fleet="graz").write(ping()): "foreign", members(service="db").write(ping()): "foreign",
+        DirectoryWire("graz").write(FIND): "foreign", DirectoryWire("loft").write(FIND)[:-2]: "broken",
+        data[:-2]: "broken", members(Cut(0, 21, 0)).write(ping()): "broken",
+        members(Cut(0, 2, 4)).write(ping()): "broken", members(Cut(MOST_EPOCH, 2, 1)).write(ping()): "broken",
+    }  # fmt: skip
+    for received, reason in bad.items():
+        with pytest.raises(Refused, match=reason):
+            members().read(received)
+    with pytest.raises(Refused, match="version"):
+        Wire("loft").read(data)
+    with pytest.raises(Refused, match="version"):
+        Wire("loft").read_state(members().write_state(State(ping().head, [])))
+    with pytest.raises(Refused, match="version"):
+        members().read_state(Wire("loft").write_state(State(ping().head, [])))
+
+
+def test_a_later_versions_fields_are_skipped() -> None:
+    for message in (FIND, FOUND, REPORT):
+        data = DirectoryWire("loft").write(message)
+        plain = msgspec.msgpack.decode(data[5:])
+        assert DirectoryWire("loft").read(data[:5] + msgspec.msgpack.encode([*plain, "later"])) == message
+
+
+# A flat fleet's bytes, layout by layout: version, CRC of the fleet's name, then MessagePack arrays.
+
+HEAD = "95a26e3111" + "00" + "cf8000000000000000" + "03"  # n1, life 17, revision 0, digest 2**63, 3 members
+FACTS = "81" + "a47a6f6e65" + "a161"  # {"zone": "a"}
+RECORD = "99a26e30" + "11000005" + "ae" + b"127.0.2.1:7400".hex() + "00" + FACTS + "90"
+PING = "01" + "9501" + HEAD + "04" + "a26e32" + "91" + RECORD
+ACK = "01" + "9602" + HEAD + "04" + "a26e32" + "12" + "90"
+STATE = "01" + "92" + HEAD + "91" + RECORD
+
+
+def golden(text: str) -> bytes:
+    data = bytes.fromhex(text)
+    return data[:1] + zlib.crc32(b"loft").to_bytes(4, "big") + data[1:]
+
+
+def test_without_cells_everything_is_byte_for_byte_as_it_was() -> None:
+    flat = Wire("loft")
+    assert wire.MOST_DATAGRAM == 1400 and wire.MOST_STATE == 512 * 1024
+    for message, text in ((ping(), PING), (Ack(ping().head, 4, "n2", 18, []), ACK)):
+        assert flat.write(message) == golden(text)
+        assert flat.read(golden(text)) == message
+    state = State(ping().head, ping().records)
+    assert flat.write_state(state) == golden(STATE)
+    assert flat.read_state(golden(STATE)) == state
+
+
+# Broken peers
+
+
+def member() -> CellMembership:
+    place = Place("web", "east", 8, ["addr:dir"])
+    made = CellMembership("n2", "addr:n2", [], 5, 5, random.Random(1), {"load": 1.0}, place)
+    made.handle(api.Begin(), 0.0)
+    return made
+
+
+def bent(data: bytes, rng: random.Random, start: int) -> bytes:
+    received = bytearray(data)
+    for _ in range(rng.randrange(1, 4)):
+        received[rng.randrange(start, len(data))] = rng.randrange(256)
+    return bytes(received[: len(data) if rng.random() < 0.8 else rng.randrange(len(data))])
+
+
+def test_bent_bytes_never_do_more_to_a_member_than_be_refused() -> None:
+    rng, core, read = random.Random(4), member(), 0
+    link = CellWire("loft", "web", "east", lambda: core.cut)
+    good = [members().write(ping()), members().write(FOUND)]
+    for n in range(4000):
+        now = 40.0 * n
+        for action in core.handle(api.Fired(rng.randrange(n + 1)), now):
+            if isinstance(action, api.Post):
+                link.write(action.message)
+        try:
+            message, cut = link.read(bent(rng.choice(good), rng, 5))
+        except Refused:
+            continue
+        if isinstance(message, Found) and core._asked is not None:
+            message.number = core._asked[0]
+        read += 1
+        for action in core.handle(api.Heard(message, "addr:x", cut), now):
+            if isinstance(action, api.Post):
+                assert len(link.write(action.message)) <= MOST_DATAGRAM
+            if isinstance(action, api.Exchange):
+                link.write_state(action.state)
+    assert read > 300
+
+
+def test_bent_bytes_never_do_more_to_the_directory_than_be_refused() -> None:
+    rng, link = random.Random(5), DirectoryWire("loft")
+    directory = Directory("d1", 1_700_000_000_000, random.Random(1), 0.0)
+    good, read = [link.write(FIND), link.write(REPORT)], 0
+    for _ in range(4000):
+        try:
+            message = link.read(bent(rng.choice(good), rng, 5))
+        except Refused:
+            continue
+        if isinstance(message, Find | Report):
+            read += 1
+            for action in directory.handle(Said(message, "addr:x"), 5_500.0):
+                assert isinstance(action, api.Post) and isinstance(action.message, Found)
+                assert len(link.write(action.message)) <= MOST_DATAGRAM
+    assert read > 300
+    assert directory.counts["foreign"]
+
+
+@pytest.mark.parametrize(
+    "summary",
+    [
+        Summary(1, 1, 1, 5, 4, 0, 0.0, "1", []),
+        Summary(1, 1, 1, -1, 4, 0, 0.0, "1", []),
+        Summary(1, 1, 1, 5, 10**9, 0, 0.0, "1", []),
+        Summary(1, 1, 2, 5, 5, 0, 0.0, "1", []),
+        Summary(1, 1, 1, 5, 5, 0, 0.0, "1", ["a" * 65]),
+    ],
+)
+def test_a_summary_that_can_not_be_one_spoils_no_sums(summary: Summary) -> None:
+    directory = Directory("d1", 3, random.Random(1), 0.0)
+    directory.handle(Said(Report(3, 5000, "n1", 17, 4, "web", "east", summary), "addr:n1"), 5_500.0)
+    assert directory.index.services == {}
+    assert directory.counts["foreign"] == 1
