Bring a member home that is in a cell which its name does not belong to

Cause: a cut was followed only for its greater key, so a member with a wrong cut of the same epoch or a newer one stayed alone for good, with the directory and without. Its own cell is followed now whatever the epochs say, and the directory tells it.

--- a/fleet/cells/cut.py
+++ b/fleet/cells/cut.py
@@ -78,6 +78,8 @@
     Of a cell that was cut while this one was away the other half's cut says only that it was cut: this
     one's half begins with the epoch after its own, as it did for those that were there.
     """
+    if not own.holds(own_path):  # in the wrong cell: its own knows better, however old
+        return other if other.holds(own_path) else None
     if other.key() <= own.key():
         return None
     if other.holds(own_path):
--- a/fleet/cells/index.py
+++ b/fleet/cells/index.py
@@ -215,7 +215,7 @@
             sums.addresses = best.addresses()
         parts = [cell for cell in here if mine.contains(cell.cut)]
         best = best or max(parts, key=lambda c: c.cut.key(), default=None)
-        if best is not None and best.cut.key() > mine.key():
+        if best is not None and (best.cut.key() > mine.key() or not mine.holds(askers_path)):
             sums.cut = best.cut
 
     def _siblings(self, sums: Sums, here: list[Cell], mine: Cut, now: float) -> None:
--- a/lab/virtual/cell_oracle.py
+++ b/lab/virtual/cell_oracle.py
@@ -107,7 +107,7 @@
 def parted(fleet: CellFleet) -> bool:
     """Whether each member's part is what it should be in the end, and rests on what the directory says."""
     return all(
-        member.census.place()[1] == len(members) and not getattr(member.census, "fallback", False)
+        member.census.place()[1] == len(members) and not member.fallback()
         for members in by_service(fleet).values()
         for member in members
     )
--- a/lab/virtual/cell_processes.py
+++ b/lab/virtual/cell_processes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from fleet import interface as api
 from fleet.cells.core import CellMembership
 from fleet.cells.cut import Cut
@@ -59,6 +61,15 @@
         elif isinstance(self.census, Census):
             self.census.see(here, self.now())
 
+    def fallback(self) -> bool:
+        """Whether it holds what the directory says for too old, or has been told nothing."""
+        return isinstance(self.census, CellCensus) and self.census.fallback
+
+    def told_ms(self) -> float:
+        """How old what the directory told it last is at most."""
+        totals = self.core.totals if isinstance(self.core, CellMembership) else None
+        return totals.age_ms(self.now()) if totals is not None else math.inf
+
     def part(self) -> float:
         """The share of a budget that it takes."""
         return 1.0 / self.census.place()[1]
