Let one that is cut off speak for nobody but itself, and the last that leaves be heard

Cause: of two words for a cell the youngest said how many are there, so a member cut off from the rest, which reports one, had siblings merge into a cell too large, and its farewell ended the whole cell. The greatest of the fresh words counts now, as it did for parts. And the last member of a cell that had not yet reported said nothing as it left, so its cell counted for two hours.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -175,7 +175,7 @@
         return self.state() if self._mine(asker.head.name) else State(self.head(), [self.own_record()])
 
     def _leave(self) -> None:
-        last = not len(self.view.here) and self._reported is not None
+        last = not len(self.view.here) and self.reporter()
         if self.status == ALIVE and last and self._stamp[0]:
             summary = self.summary()
             summary.members = summary.counted = 0
--- a/fleet/cells/index.py
+++ b/fleet/cells/index.py
@@ -61,9 +61,16 @@
         return self.age_ms(now) <= BOUND_MS
 
     def counted(self, now: float) -> int:
-        """The most that a fresh word says, else the youngest."""
-        fresh = [v.summary.counted for v in self.voices.values() if now - v.born_ms <= BOUND_MS]
-        return max(fresh, default=self.youngest().summary.counted)
+        """Of those that count, the most that a fresh word says, else the youngest."""
+        return max(summary.counted for summary in self._told(now))
+
+    def members(self, now: float) -> int:
+        """Of those there, in the same way: one that is cut off speaks for itself alone."""
+        return max(summary.members for summary in self._told(now))
+
+    def _told(self, now: float) -> list[Summary]:
+        fresh = [v.summary for v in self.voices.values() if now - v.born_ms <= BOUND_MS]
+        return fresh or [self.youngest().summary]
 
     def addresses(self) -> list[str]:
         """Some members' addresses, of the youngest word first."""
@@ -158,7 +165,7 @@
                 del self.services[name]
 
     def _over(self, service: Service, cell: Cell, now: float) -> bool:
-        if cell.youngest().summary.members == 0 or cell.age_ms(now) > FORGET_MS:
+        if cell.members(now) == 0 or cell.age_ms(now) > FORGET_MS:
             return True
         newer = [
             other for other in service.cells.values()
@@ -226,5 +233,5 @@
         if not cells:
             sums.sibling = 0 if sums.sure else -1
         elif len(cells) == 1 and cells[0].cut.cell() == sibling.cell() and cells[0].fresh(now):
-            sums.sibling = cells[0].youngest().summary.members
+            sums.sibling = cells[0].members(now)
             sums.sibling_epoch, sums.sibling_addresses = cells[0].cut.epoch, cells[0].addresses()[:3]
