Move pointers to other cells into a file of their own, and file the sibling's rightly

Cause: addresses of the sibling were filed under the depth of the cut that may have changed by then, and grew by the same address over and over.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass, field
 
 from fleet import interface as api
-from fleet.cells.cut import MOST_DEPTH, Cut, newer, path, shared_bits
+from fleet.cells.cut import MOST_DEPTH, Cut, newer, path
 from fleet.cells.messages import MOST_ADDRESSES, Find, Found, Report, Summary
+from fleet.cells.pointers import Pointers
 from fleet.cells.totals import Totals
 from fleet.membership.core import SPREAD_FULL, Membership
 from fleet.membership.view import Member
@@ -28,7 +29,6 @@
 MERGE_SHARE = 0.5  # of the bound, that they may make up together
 LONELY_MS = 5_000.0  # who is alone speaks for a cell only after having looked for it so long
 ELSEWHERE_MS = 120_000.0  # a seed that belongs to another cell is not asked again for so long
-MOST_POINTERS = 3  # addresses beyond each bit of the cell, for strangers when there is no directory
 
 
 @dataclass(slots=True)
@@ -55,7 +55,7 @@
         self.cuts = self.strays = 0
         self._path = path(name)
         self._heard_cut: Cut | None = None  # of whose message is at hand
-        self._pointers: dict[int, list[str]] = {}  # by how many bits they share with us
+        self._pointers = Pointers(self._path)
         self._elsewhere: dict[str, float] = {}  # seeds of other cells, and when that was seen
         self._asked: tuple[int, float, Cut] | None = None  # number, when, as of which cut
         self._question = rng.getrandbits(40) + 1
@@ -161,14 +161,13 @@
         if self._mine(state.head.name):
             return super()._met(state, source, asked, now)
         self.strays += 1
-        if state.head.members > 1 or not self._toward(path(state.head.name)):
-            self._point(
-                state.head.name, source
-            )  # not newcomers: they know nobody there, and would crowd out who does
+        if state.head.members > 1 or not self._pointers.toward(path(state.head.name)):
+            # Not newcomers: they know nobody there, and would crowd out those who do.
+            self._pointers.met(path(state.head.name), source)
         if asked:
             self._elsewhere[source] = now
         else:
-            self.post(source, Found(0, 0, 0, 0, 0, 0, self._toward(path(state.head.name))))
+            self.post(source, Found(0, 0, 0, 0, 0, 0, self._pointers.toward(path(state.head.name))))
 
     def answer(self, asker: State) -> State:
         """To a stranger only who speaks: it is told separately whom to ask."""
@@ -204,10 +203,10 @@
         self.cut = cut
         self.cuts += 1
         self._large_ms = self._small_ms = -1.0
-        self._pointers = {bits: known for bits, known in self._pointers.items() if bits < cut.depth}
+        self._pointers.keep(cut.depth)
         for member in [m for m in self.view.members.values() if not self._mine(m.name)]:
             if member.here():
-                self._point(member.name, member.address)
+                self._pointers.met(path(member.name), member.address)
             self.view.release(member.name)
             self.actions.append(api.Changed(member.name, "gone"))
         self.actions.append(api.Changed(self.name, "cut"))
@@ -243,17 +242,7 @@
             for address in totals.found.sibling_addresses:
                 self._exchange(address, now)
 
-    # Strangers
-
-    def _point(self, name: str, address: str) -> None:
-        """Remember where others are, for strangers on the way to them."""
-        known = self._pointers.setdefault(shared_bits(path(name), self._path), [])
-        if address and address not in known:
-            known.append(address)
-            del known[:-MOST_POINTERS]
-
-    def _toward(self, strangers_path: int) -> list[str]:
-        return list(self._pointers.get(shared_bits(strangers_path, self._path), ()))
+    # Seeds
 
     def _absent_seeds(self) -> list[str]:
         seeds = super()._absent_seeds()
@@ -304,8 +293,7 @@
         if cut is not None:
             self._cut_to(cut, now)
         for address in found.sibling_addresses:
-            self._pointers.setdefault(self.cut.depth - 1, []).append(address)
-            del self._pointers[self.cut.depth - 1][:-MOST_POINTERS]
+            self._pointers.add(asked_of.depth - 1, address)
         self._meet(found.addresses, now)
         self.actions.append(api.Changed(self.name, "totals"))
         if self.reporter():
