Test the hard cases of cells in virtual time

Cuts and merges while members join and die, disagreement, cells of one and two, strays, the reporter killed and stopped, no directory for an hour, a third of it lost, regions cut for an hour, a zone lost, stale summaries, versions side by side, loss.

--- /dev/null
+++ b/tests/test_cells.py
@@ -0,0 +1,357 @@
+"""Cells in virtual time: the hard cases, each with what must hold in it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from fleet.cells.core import CellMembership
+from fleet.cells.cut import Cut, path
+from fleet.cells.totals import BOUND_MS
+from fleet.census import HOLD_MS
+from fleet.membership.core import Membership
+from lab.virtual.cell_oracle import Watch, amiss, cells, parted, quiet, sums, told_right
+from lab.virtual.cells import CellFleet
+
+HOUR_MS = 3_600_000.0
+
+
+def settled(sizes: dict[str, int], seed: int, **more: Any) -> CellFleet:
+    """A fleet in which all is quiet, known to the directory, and parted by what that says."""
+    fleet = CellFleet(sizes, seed, **more)
+    quiet(fleet)
+    until(fleet, lambda: told_right(fleet) and ("file" in more or parted(fleet)), 120_000.0)
+    assert fleet.false_deaths == []
+    return fleet
+
+
+def until(fleet: CellFleet, holds: Callable[[], bool], limit_ms: float) -> float:
+    took = fleet.run(limit_ms, holds, every_ms=250.0)
+    assert holds(), f"not so after {limit_ms:.0f} ms, seed {fleet.seed}"
+    return took
+
+
+def right(fleet: CellFleet, limit_ms: float = 120_000.0) -> None:
+    """All is quiet again, and the directory says the truth to all."""
+    quiet(fleet, limit_ms)
+    until(fleet, lambda: told_right(fleet) and parted(fleet), limit_ms)
+
+
+def cell_of(fleet: CellFleet, name: str) -> list[str]:
+    """Who is in one's cell, by the oracle."""
+    member, cut = fleet.at(name), fleet.cut_of(name)
+    return sorted(m.name for m in cells(fleet)[member.service, member.region, cut])
+
+
+def reporter(fleet: CellFleet, name: str) -> str:
+    """Who speaks for one's cell."""
+    spoken = [
+        other for other in cell_of(fleet, name)
+        if isinstance(core := fleet.at(other).core, CellMembership) and core.reporter()
+    ]  # fmt: skip
+    assert len(spoken) == 1
+    return spoken[0]
+
+
+# Cutting and merging
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_cell_is_cut_and_merges_while_members_join_and_die(seed: int) -> None:
+    fleet = settled({"web": 7}, seed, file=40)
+    watch = Watch(fleet)
+    assert len(cells(fleet)) == 1
+    for n in range(33):
+        fleet.start(fleet.add("web", "east"))
+        fleet.run(700.0)
+        if n % 4 == 3:
+            fleet.kill(fleet.rng.choice(fleet.members()).name)
+    quiet(fleet)
+    until(fleet, lambda: told_right(fleet), 120_000.0)
+    assert len(cells(fleet)) >= 4
+    assert watch.most["web"] <= 1.0 + 1e-9
+    while len(fleet.members()) > 3:
+        fleet.leave(fleet.rng.choice(fleet.members()).name)
+        fleet.run(500.0)
+    quiet(fleet, 300_000.0)
+    until(fleet, lambda: len(cells(fleet)) == 1, 300_000.0)
+    quiet(fleet, 30_000.0)
+    assert watch.most["web"] <= 1.0 + 1e-9
+    assert fleet.false_deaths == []
+
+
+def test_two_sides_of_a_split_cell_disagree_on_the_cut_and_agree_again() -> None:
+    fleet = CellFleet({"web": 8}, 5, directory=0)
+    quiet(fleet)
+    sides = fleet.names[:6], fleet.names[6:]
+    ill = fleet.split(*sides)
+    fleet.run(15_000.0)
+    for _ in range(4):
+        name = fleet.add("web", "east")
+        fleet.groups[name] = fleet.groups[sides[0][0]]
+        fleet.start(name)
+    fleet.run(30_000.0)
+    assert fleet.cut_of(sides[0][0]).depth == 1
+    assert fleet.cut_of(sides[1][0]).depth == 0
+    fleet.lines.recover(ill)
+    quiet(fleet)
+    assert fleet.cut_of(sides[1][0]).depth >= 1
+    assert fleet.false_deaths == []
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_members_that_were_told_different_cuts_follow_one_in_the_end(seed: int) -> None:
+    fleet = settled({"web": 7}, seed)
+    cuts = [Cut(4, 0, 0), Cut(4, 1, 0), Cut(4, 1, 1), Cut(5, 2, 1), Cut(5, 1, 1), Cut(6, 0, 0)]
+    for name in fleet.names:
+        core = fleet.at(name).core
+        cut = fleet.rng.choice([cut for cut in cuts if cut.holds(path(name))])
+        assert isinstance(core, CellMembership)
+        core.actions = []
+        core._cut_to(cut, fleet.now())
+    fleet.run(1_000.0)
+    quiet(fleet, 90_000.0)
+    assert fleet.false_deaths == []
+
+
+# Small cells, and strays
+
+
+def test_cells_of_one_and_two_are_known_and_shrink_no_part_for_good() -> None:
+    fleet = settled({"solo": 1, "duo": 2, "web": 4}, 6)
+    watch = Watch(fleet)
+    fleet.kill("duo-east-1")
+    fleet.kill("solo-east-0")
+    fleet.run(60_000.0)
+    assert fleet.at("duo-east-0").part() == 0.5  # the other may be there, beyond a cut
+    fleet.start("duo-east-1")
+    fleet.start("solo-east-0")
+    right(fleet)
+    assert fleet.at("solo-east-0").part() == 1.0
+    fleet.leave("duo-east-0")
+    fleet.run(1_000.0)
+    fleet.leave("duo-east-1")
+    fleet.run(BOUND_MS + 5_000.0)
+    assert all("duo" not in guide.directory.index.services for guide in fleet.directory())
+    fleet.start("duo-east-0")
+    fleet.start("duo-east-1")
+    right(fleet)
+    assert all(most <= 1.0 + 1e-9 for most in watch.most.values())
+    assert fleet.false_deaths == []
+
+
+def test_a_member_in_the_wrong_cell_finds_its_own_with_the_directory_and_without() -> None:
+    for directory in (3, 0):
+        fleet = CellFleet({"web": 24}, 7, directory=directory)
+        quiet(fleet)
+        fleet.run(60_000.0)
+        for n, epoch in ((3, 0), (8, 1), (13, 9)):
+            name, core = fleet.names[n], fleet.at(fleet.names[n]).core
+            assert isinstance(core, CellMembership)
+            right_cut = core.cut
+            wrong = Cut(right_cut.epoch if epoch == 1 else epoch, right_cut.depth, right_cut.bits ^ 1)
+            core.actions = []
+            core._cut_to(wrong, fleet.now())
+            fleet.run(2_000.0)
+            assert not fleet.cut_of(name).holds(path(name)) or fleet.cut_of(name) == right_cut
+        quiet(fleet, 150_000.0)
+        assert fleet.false_deaths == []
+
+
+def test_one_that_was_stopped_while_its_cell_was_cut_twice_and_merged_comes_home() -> None:
+    fleet = settled({"web": 6}, 8, file=40)
+    fleet.stop("web-east-2")
+    for _ in range(24):
+        fleet.start(fleet.add("web", "east"))
+    fleet.run(30_000.0)
+    assert len(cells(fleet)) >= 4
+    fleet.cont("web-east-2")
+    quiet(fleet, 30_000.0)
+    fleet.stop("web-east-2")
+    for name in [member.name for member in fleet.members()][3:]:
+        fleet.leave(name)
+        fleet.run(400.0)
+    until(fleet, lambda: len(cells(fleet)) == 1, 300_000.0)
+    fleet.cont("web-east-2")
+    quiet(fleet, 30_000.0)
+    assert len(cells(fleet)) == 1
+    assert fleet.false_deaths == []
+
+
+def test_one_of_another_service_or_region_that_is_sent_to_a_cell_is_refused_there() -> None:
+    fleet = settled({"web": 6, "db": 2}, 9, regions=("east", "west"))
+    stray = fleet.at("db-west-0")
+    stray.core._seeds = ["addr:web-west-0", "addr:web-east-0"]
+    fleet.kill("db-east-0")
+    fleet.run(30_000.0)
+    assert fleet.refused["foreign"] > 0
+    assert amiss(fleet) == ""
+
+
+# The reporter
+
+
+@pytest.mark.parametrize("how", ["kill", "stop"])
+def test_another_speaks_for_the_cell_when_its_reporter_dies_or_is_stopped(how: str) -> None:
+    fleet = settled({"web": 14}, 10, most=8)
+    for _ in range(3):
+        name = reporter(fleet, fleet.names[0])
+        rest = next(other for other in cell_of(fleet, name) if other != name)
+        getattr(fleet, how)(name)
+        for _ in range(60):
+            fleet.run(1_000.0)
+            oldest = max(sums(fleet, guide, rest).age_ms for guide in fleet.directory())
+            assert oldest <= BOUND_MS, f"{oldest:.0f} ms, at {fleet.now():.0f} ms"
+        assert reporter(fleet, rest) != name
+        if how == "stop":
+            fleet.cont(name)
+        else:
+            fleet.start(name)
+        quiet(fleet)
+    right(fleet)
+    assert fleet.false_deaths == []
+
+
+# The directory
+
+
+def test_cells_go_on_without_a_directory_for_an_hour_and_newcomers_find_them_by_seeds() -> None:
+    fleet = settled({"web": 3}, 11, most=3, file=6)
+    watch = Watch(fleet)
+    for guide in fleet.guides:
+        fleet.kill(guide)
+    fleet.run(BOUND_MS + 15_000.0)
+    assert all(member.fallback() for member in fleet.members())
+    for _ in range(3):
+        fleet.start(fleet.add("web", "east"))
+        fleet.run(10_000.0)
+    quiet(fleet)
+    assert len(cells(fleet)) >= 2
+    fleet.kill("web-east-1")
+    fleet.run(30 * 60_000.0)
+    assert amiss(fleet) == ""
+    fleet.start("web-east-1")
+    fleet.run(HOUR_MS - fleet.now())
+    assert amiss(fleet) == ""
+    assert {member.census.place()[1] for member in fleet.members()} == {6}
+    for guide in fleet.guides:
+        fleet.start(guide)
+    right(fleet)
+    assert watch.most["web"] <= 1.0 + 1e-9
+    assert fleet.false_deaths == []
+
+
+def test_a_third_of_the_directory_lost_leaves_all_answers_within_their_bound() -> None:
+    fleet = settled({"web": 20, "db": 3}, 12, directory=6)
+    for guide in fleet.guides[::3]:
+        fleet.kill(guide)
+    for _ in range(60):
+        fleet.run(1_000.0)
+        assert not [m.name for m in fleet.members() if m.fallback()]
+        assert max(m.told_ms() for m in fleet.members()) <= BOUND_MS
+    right(fleet)
+    for guide in fleet.guides[::3]:
+        fleet.start(guide)
+    fleet.run(1_000.0)
+    assert not any(sums(fleet, guide, "web-east-0").sure for guide in fleet.directory()[::3])
+    right(fleet)
+    assert fleet.false_deaths == []
+
+
+# Cuts between regions and zones
+
+
+def test_regions_cut_for_an_hour_and_back_keep_their_parts() -> None:
+    fleet = settled({"web": 4}, 13, regions=("east", "west"), directory=2)
+    watch = Watch(fleet)
+    sides = [[name for name in fleet.groups if region in fleet.groups[name]] for region in ("east", "west")]
+    ill = fleet.split(*sides)
+    fleet.run(HOUR_MS)
+    assert {member.census.place()[1] for member in fleet.members()} == {4}
+    assert all(member.fallback() for member in fleet.members())
+    fleet.lines.recover(ill)
+    right(fleet, 60_000.0)
+    assert watch.most["web"] <= 1.0 + 1e-9
+    assert fleet.false_deaths == []
+
+
+def test_a_zone_lost_and_back_at_once_is_in_its_cells_again() -> None:
+    fleet = settled({"web": 30, "db": 6}, 14)
+    watch = Watch(fleet)
+    zone = [member.name for member in fleet.members() if fleet.groups[member.name].endswith("-a")]
+    for name in zone:
+        fleet.kill(name)
+    fleet.kill(fleet.guides[0])
+    fleet.run(40_000.0)
+    for name in [*zone, fleet.guides[0]]:
+        fleet.start(name)
+    right(fleet)
+    assert all(most < 1.5 for most in watch.most.values())
+    assert fleet.false_deaths == []
+
+
+def test_summaries_beyond_their_bound_use_the_fallback_and_say_so() -> None:
+    fleet = settled({"web": 6}, 15, regions=("east", "west"), directory=1, file=4)
+    assert {member.census.place()[1] for member in fleet.members()} == {6}
+    west = [name for name in fleet.names if "west" in name]
+    rest = [name for name in fleet.groups if name not in west]
+    ill = fleet.split(rest, west)
+    fleet.run(BOUND_MS - 12_000.0)
+    assert not any(fleet.at(name).fallback() for name in rest if name in fleet.names)
+    fleet.run(30_000.0)
+    assert all(member.fallback() for member in fleet.members())
+    fleet.kill("web-east-0")
+    fleet.run(3.0 * HOLD_MS)
+    assert {member.census.place()[1] for member in fleet.members()} == {6}  # nothing grows
+    fleet.lines.recover(ill)
+    until(fleet, lambda: not any(m.fallback() for m in fleet.members()), 60_000.0)
+    until(fleet, lambda: {m.census.place()[1] for m in fleet.members()} == {5}, 60_000.0)
+
+
+# Versions
+
+
+def test_flat_and_celled_members_side_by_side_refuse_each_other_and_harm_nobody() -> None:
+    fleet = CellFleet({"web": 12}, 16, most=8, file=12)
+    fleet.run(1_000.0)
+    flat = fleet.names[:6]
+    for name in flat:
+        fleet.kill(name)
+        fleet.start(name, core=Membership)
+    fleet.run(60_000.0)
+    assert fleet.refused["version"] > 0
+    assert set(fleet.refused) == {"version"}
+    assert fleet.false_deaths == []
+    celled = [fleet.at(name) for name in fleet.names[6:]]
+    for member in celled:
+        there = {m.name for m in fleet.there(member)}
+        assert there <= {other.name for other in celled}
+        assert member.census.place()[1] >= 12
+    flat_views = [{m.name for m in fleet.there(fleet.at(name))} | {name} for name in flat]
+    assert all(view == set(flat) for view in flat_views)
+    for name in flat:
+        fleet.kill(name)
+        fleet.start(name)
+        fleet.run(500.0)
+    right(fleet)
+    assert fleet.false_deaths == []
+
+
+# Loss
+
+
+def test_a_fifth_lost_and_a_fifth_starved_bury_nobody_and_cut_as_ever() -> None:
+    fleet = settled({"web": 20}, 17)
+    ill = fleet.lose(0.2)
+    for name in fleet.names[::5]:
+        fleet.processes[name].starved = True
+    for _ in range(8):
+        fleet.start(fleet.add("web", "east"))
+    fleet.run(60_000.0)
+    assert fleet.false_deaths == []
+    fleet.lines.recover(ill)
+    for name in fleet.names[::5]:
+        fleet.processes[name].starved = False
+    quiet(fleet)
