Check the checks of cells by planted faults, and the laws of cuts, sums and parts

27 faults planted in the cores, each of which a named test has to catch; convergence of cuts in whatever order they are heard, sums never less than the members in the cells, cover of a cell by its parts, parts that never grow by a cut, as properties.

--- a/lab/virtual/cells.py
+++ b/lab/virtual/cells.py
@@ -148,6 +148,10 @@
         elif change.what == "gone":
             process.keys.pop(change.name, None)
             self.watch(process, change)
+        elif change.name not in process.core.view.members:  # released in the same turn
+            victim = self.processes[change.name]
+            if change.what == "dead" and self.healthy(change.name, victim.core.life):
+                self.false_deaths.append((self._now, process.name, change.name))
         else:
             super().changed(process, change)
 
--- /dev/null
+++ b/tests/test_cell_faults.py
@@ -0,0 +1,289 @@
+"""Each check of cells is checked: faults planted in the cores, and the test that has to catch each."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import pytest
+
+from fleet.cells import core as core_module
+from fleet.cells import cut as cut_module
+from fleet.cells import index as index_module
+from fleet.cells import totals as totals_module
+from fleet.cells.core import CellMembership
+from fleet.cells.cut import Cut, path
+from fleet.cells.directory import Directory
+from fleet.cells.index import Cell, Index, Sums, tally
+from fleet.cells.messages import Find, Report
+from fleet.cells.pointers import Pointers
+from fleet.cells.totals import WHOLE, CellCensus, Totals
+from fleet.cells.wire import CellWire
+from fleet.membership.core import Membership
+from fleet.messages import DEAD, Record
+from tests import test_cell_laws as laws
+from tests import test_cells as hard
+
+Plant = pytest.MonkeyPatch
+cut_to, report, sums = CellMembership._cut_to, Directory._report, Index.sums
+
+
+def cuts_and_merges() -> None:
+    hard.test_a_cell_is_cut_and_merges_while_members_join_and_die(0)
+
+
+def other_speaks() -> None:
+    hard.test_another_speaks_for_the_cell_when_its_reporter_dies_or_is_stopped("kill")
+
+
+def different_cuts() -> None:
+    for seed in range(4):
+        hard.test_members_that_were_told_different_cuts_follow_one_in_the_end(seed)
+
+
+def settles() -> None:
+    hard.settled({"web": 9}, 10, regions=("east", "west"))
+
+
+def wrong_cell() -> None:
+    hard.test_a_member_in_the_wrong_cell_finds_its_own_with_the_directory_and_without()
+
+
+# Cuts
+
+
+def declares_strangers_dead(plant: Plant) -> None:
+    def planted(self: CellMembership, cut: Cut, now: float) -> None:
+        for member in [m for m in self.view.members.values() if not cut.holds(path(m.name))]:
+            if member.here():
+                dead = Record(member.name, member.life, member.revision, DEAD, member.uid, member.address)
+                dead.accusers = [self.name]
+                self._take(dead, now)
+        cut_to(self, cut, now)
+
+    plant.setattr(CellMembership, "_cut_to", planted)
+
+
+def follows_the_lesser_epoch(plant: Plant) -> None:
+    def planted(own: Cut, other: Cut, own_path: int) -> Cut | None:
+        return other if other.key() < own.key() and other.holds(own_path) else None
+
+    plant.setattr(core_module, "newer", planted)
+
+
+def follows_only_its_own_cell(plant: Plant) -> None:
+    def planted(own: Cut, other: Cut, own_path: int) -> Cut | None:
+        return other if other.key() > own.key() and other.holds(own_path) else None
+
+    plant.setattr(laws, "newer", planted)
+
+
+def stays_in_a_wrong_cell(plant: Plant) -> None:
+    newer = cut_module.newer
+    plant.setattr(
+        core_module, "newer",
+        lambda own, other, own_path: newer(own, other, own_path) if other.key() > own.key() else None,
+    )  # fmt: skip
+
+
+def merges_without_a_greater_epoch(plant: Plant) -> None:
+    plant.setattr(Cut, "whole", lambda self, epoch: Cut(self.epoch, self.depth - 1, self.bits >> 1))
+
+
+def merges_by_its_own_epoch_alone(plant: Plant) -> None:
+    plant.setattr(Cut, "whole", lambda self, epoch: Cut(self.epoch + 1, self.depth - 1, self.bits >> 1))
+
+
+def tells_no_cut(plant: Plant) -> None:
+    plant.setattr(CellWire, "_prefix", lambda self: self._members + bytes(9))
+
+
+def takes_strangers_in(plant: Plant) -> None:
+    plant.setattr(CellMembership, "_take", Membership._take)
+
+
+def tells_strangers_of_nobody(plant: Plant) -> None:
+    plant.setattr(Pointers, "toward", lambda self, path: [])
+
+
+# Reporters
+
+
+def counts_the_dead_when_it_asks_who_is_first(plant: Plant) -> None:
+    def planted(self: CellMembership) -> bool:
+        others = self.view.members.values()
+        return all((self._bits, self.name) < (m.bits, m.name) for m in others if m.bits)
+
+    plant.setattr(CellMembership, "reporter", planted)
+
+
+def nobody_reports_again(plant: Plant) -> None:
+    told = CellMembership._report
+    plant.setattr(
+        CellMembership, "_report",
+        lambda self, summary: None if self._version_told > 2 else told(self, summary),
+    )  # fmt: skip
+
+
+# The directory
+
+
+def is_sure_at_once(plant: Plant) -> None:
+    plant.setattr(Directory, "ready", lambda self, now: True)
+    plant.setattr(index_module, "SETTLE_MS", 0.0)
+
+
+def is_ready_at_once(plant: Plant) -> None:
+    plant.setattr(Directory, "ready", lambda self, now: True)
+
+
+def settles_at_once(plant: Plant) -> None:
+    plant.setattr(laws, "SETTLE_MS", 15_000.0)
+    plant.setattr(index_module, "SETTLE_MS", 0.0)
+
+
+def ignores_the_bound_in_the_directory(plant: Plant) -> None:
+    plant.setattr(index_module, "BOUND_MS", math.inf)
+
+
+def ignores_the_bound_at_members(plant: Plant) -> None:
+    plant.setattr(totals_module, "BOUND_MS", math.inf)
+
+
+def ignores_the_bound(plant: Plant) -> None:
+    ignores_the_bound_in_the_directory(plant)
+    ignores_the_bound_at_members(plant)
+
+
+def takes_a_report_for_new(plant: Plant) -> None:
+    def planted(self: Directory, message: Report, now: float) -> None:
+        message.stamp, message.life = int(now), self.life
+        report(self, message, now)
+
+    plant.setattr(Directory, "_report", planted)
+
+
+def forgets_a_silent_cell_soon(plant: Plant) -> None:
+    plant.setattr(index_module, "FORGET_MS", 60_000.0)
+
+
+def believes_the_youngest_word_alone(plant: Plant) -> None:
+    plant.setattr(Cell, "_told", lambda self, now: [self.youngest().summary])
+
+
+def adds_up_only_the_smallest_parts(plant: Plant) -> None:
+    def planted(cells: list[Cell], depth: int, bits: int, now: float) -> int:
+        deepest = [c for c in cells if not any(c.cut.contains(o.cut) and o is not c for o in cells)]
+        return sum(cell.counted(now) for cell in deepest)
+
+    plant.setattr(index_module, "tally", planted)
+    plant.setattr(laws, "tally", planted)
+
+
+def drops_a_cut_cell_once_one_half_is_known(plant: Plant) -> None:
+    plant.setattr(index_module, "covers", lambda cells, whole: bool(cells))
+    plant.setattr(laws, "covers", lambda cells, whole: bool(cells))
+
+
+def forgets_other_regions(plant: Plant) -> None:
+    def planted(self: Index, find: Find, now: float) -> Sums:
+        told = sums(self, find, now)
+        service = self.services.get(find.service)
+        cells = service.cells.values() if service is not None else []
+        told.total = tally([cell for cell in cells if cell.region == find.region], 0, 0, now)
+        return told
+
+    plant.setattr(Index, "sums", planted)
+
+
+# Parts
+
+
+def takes_its_cell_for_the_whole(plant: Plant) -> None:
+    def planted(
+        self: CellCensus, here: set[str], now: float, totals: Totals | None = None, cut: Cut = WHOLE
+    ) -> None:
+        self._inner.see(here, now)
+        self._base, self.fallback = self._inner.base(), False
+
+    plant.setattr(CellCensus, "see", planted)
+
+
+def shrinks_at_once(plant: Plant) -> None:
+    plant.setattr(CellCensus, "__init__", at_once)
+
+
+init = CellCensus.__init__
+
+
+def at_once(self: CellCensus, own: str, number: int, nodes: int, hold_ms: float = 0.0) -> None:
+    init(self, own, number, nodes, 0.0)
+
+
+def uses_totals_of_another_cell(plant: Plant) -> None:
+    plant.setattr(Totals, "good", lambda self, cut, now: self.found.sure and self.age_ms(now) <= 30_000.0)
+
+
+def believes_an_unsure_answer(plant: Plant) -> None:
+    plant.setattr(
+        Totals, "good",
+        lambda self, cut, now: self.cell == cut.cell() and self.age_ms(now) <= 30_000.0,
+    )  # fmt: skip
+
+
+CAUGHT: list[tuple[Callable[[Plant], None], Callable[[], None]]] = [
+    (declares_strangers_dead, cuts_and_merges),
+    (follows_the_lesser_epoch, cuts_and_merges),
+    (follows_only_its_own_cell, laws.test_members_with_any_cuts_that_hear_of_each_other_end_in_cells_apart),
+    (
+        stays_in_a_wrong_cell,
+        wrong_cell,
+    ),
+    (merges_without_a_greater_epoch, cuts_and_merges),
+    (merges_by_its_own_epoch_alone, laws.test_whoever_hears_of_cuts_in_whatever_order_ends_in_the_same_cell),
+    (tells_no_cut, cuts_and_merges),
+    (takes_strangers_in, cuts_and_merges),
+    (tells_strangers_of_nobody, hard.test_newcomers_find_cells_in_which_no_seed_is_without_a_directory),
+    (counts_the_dead_when_it_asks_who_is_first, other_speaks),
+    (nobody_reports_again, other_speaks),
+    (is_sure_at_once, hard.test_a_directory_that_starts_anew_is_believed_only_once_it_must_know_all),
+    (
+        is_ready_at_once,
+        hard.test_a_directory_that_starts_anew_is_believed_only_once_it_must_know_all,
+    ),
+    (settles_at_once, laws.test_while_a_cell_is_cut_the_sum_is_never_less_than_before_nor_sure_too_early),
+    (ignores_the_bound, hard.test_summaries_beyond_their_bound_use_the_fallback_and_say_so),
+    (
+        ignores_the_bound_in_the_directory,
+        laws.test_a_cell_that_nobody_speaks_for_counts_on_until_it_is_forgotten_and_no_sum_is_sure,
+    ),
+    (ignores_the_bound_at_members, laws.test_members_of_the_own_cell_are_counted_as_seen_and_not_as_told),
+    (
+        takes_a_report_for_new,
+        laws.test_a_reports_age_counts_from_the_answer_that_it_goes_with_and_an_older_ones_is_refused,
+    ),
+    (forgets_a_silent_cell_soon, hard.test_regions_cut_for_an_hour_and_back_keep_their_parts),
+    (
+        believes_the_youngest_word_alone,
+        laws.test_of_two_words_for_a_cell_the_greater_counts_and_the_last_ones_farewell_ends_it,
+    ),
+    (adds_up_only_the_smallest_parts, laws.test_a_sum_is_never_less_than_all_that_are_in_the_cells),
+    (
+        drops_a_cut_cell_once_one_half_is_known,
+        laws.test_parts_cover_a_cell_where_all_that_is_in_it_is_in_one_of_them,
+    ),
+    (forgets_other_regions, settles),
+    (takes_its_cell_for_the_whole, cuts_and_merges),
+    (shrinks_at_once, laws.test_fewer_count_only_once_that_is_sure_held_and_more_than_half),
+    (uses_totals_of_another_cell, laws.test_a_part_never_grows_by_a_cut_nor_while_the_directory_is_silent),
+    (believes_an_unsure_answer, laws.test_a_part_never_grows_by_a_cut_nor_while_the_directory_is_silent),
+]
+
+
+@pytest.mark.parametrize("fault, test", CAUGHT, ids=[fault.__name__ for fault, _ in CAUGHT])
+def test_a_planted_fault_is_caught(
+    fault: Callable[[Plant], None], test: Callable[[], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    fault(monkeypatch)
+    with pytest.raises(AssertionError):
+        test()
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -9,6 +9,7 @@
 
 from fleet.cells.core import CellMembership
 from fleet.cells.cut import Cut, path
+from fleet.cells.directory import LEARNING_MS
 from fleet.cells.totals import BOUND_MS
 from fleet.census import HOLD_MS
 from fleet.membership.core import Membership
@@ -180,6 +181,47 @@
     assert fleet.false_deaths == []
 
 
+def half(fleet: CellFleet, bit: int, count: int) -> list[str]:
+    """Names of so many more members whose paths begin with this bit."""
+    found: list[str] = []
+    while len(found) < count:
+        name = fleet.add("web", "east")
+        if path(name) >> 31 == bit:
+            found.append(name)
+    return found
+
+
+def test_one_that_comes_back_when_all_others_are_in_the_other_half_harms_nobody() -> None:
+    fleet = CellFleet({"web": 0}, 19, directory=0)
+    one, few = half(fleet, 0, 1), half(fleet, 1, 6)
+    for name in (*one, *few):
+        fleet.start(name)
+    quiet(fleet)
+    fleet.stop(one[0])
+    fleet.run(10_000.0)
+    for name in half(fleet, 1, 4):
+        fleet.start(name)
+    fleet.run(20_000.0)
+    assert fleet.cut_of(few[0]).depth >= 1
+    fleet.cont(one[0])
+    quiet(fleet)
+    assert fleet.cut_of(one[0]).depth >= 1
+    assert fleet.false_deaths == []
+
+
+def test_newcomers_find_cells_in_which_no_seed_is_without_a_directory() -> None:
+    fleet = CellFleet({"web": 24}, 20, most=4, directory=0)
+    quiet(fleet)
+    fleet.run(60_000.0)
+    seeded = {fleet.cut_of(name) for name in fleet.names[:3]}
+    news = [fleet.add("web", "east") for _ in range(8)]
+    for name in news:
+        fleet.start(name)
+    quiet(fleet, 150_000.0)
+    assert {fleet.cut_of(name) for name in news} - seeded
+    assert fleet.false_deaths == []
+
+
 def test_one_of_another_service_or_region_that_is_sent_to_a_cell_is_refused_there() -> None:
     fleet = settled({"web": 6, "db": 2}, 9, regions=("east", "west"))
     stray = fleet.at("db-west-0")
@@ -260,16 +302,30 @@
     assert fleet.false_deaths == []
 
 
+def test_a_directory_that_starts_anew_is_believed_only_once_it_must_know_all() -> None:
+    fleet = settled({"web": 8}, 18, regions=("east", "west", "south"), directory=1)
+    watch = Watch(fleet)
+    west = [name for name in fleet.names if "west" in name]
+    ill = fleet.split([name for name in fleet.groups if name not in west], west)
+    for guide in fleet.guides:
+        fleet.kill(guide)
+        fleet.start(guide)
+    fleet.run(LEARNING_MS - 11_000.0)
+    fleet.lines.recover(ill)
+    right(fleet)
+    assert watch.most["web"] <= 1.0 + 1e-9
+
+
 # Cuts between regions and zones
 
 
 def test_regions_cut_for_an_hour_and_back_keep_their_parts() -> None:
-    fleet = settled({"web": 4}, 13, regions=("east", "west"), directory=2)
+    fleet = settled({"web": 5}, 13, regions=("east", "west"), directory=2)
     watch = Watch(fleet)
     sides = [[name for name in fleet.groups if region in fleet.groups[name]] for region in ("east", "west")]
     ill = fleet.split(*sides)
     fleet.run(HOUR_MS)
-    assert {member.census.place()[1] for member in fleet.members()} == {4}
+    assert {member.census.place()[1] for member in fleet.members()} == {5}
     assert all(member.fallback() for member in fleet.members())
     fleet.lines.recover(ill)
     right(fleet, 60_000.0)
