--- a/lab/virtual/cell_processes.py
+++ b/lab/virtual/cell_processes.py
@@ -99,6 +99,16 @@
     return process.wire.write(message)
 
 
+def read(process: Process, data: bytes) -> tuple[api.Said, Cut | None]:
+    """What a datagram says to this process, and its sender's cut; `Refused` where it says nothing."""
+    if isinstance(process, Guide) and process.link.mine(data):
+        return process.link.read(data), None
+    assert isinstance(process, Member | Guide)
+    if isinstance(process.wire, CellWire):
+        return process.wire.read(data)
+    return process.wire.read(data), None
+
+
 def read_state(process: Process, data: bytes) -> tuple[State, Cut | None]:
     """A view as its bytes say it, and its sender's cut."""
     assert isinstance(process, Member | Guide)
--- a/lab/virtual/meeting.py
+++ b/lab/virtual/meeting.py
@@ -90,9 +90,12 @@
 
     def give(self, process: Process, event: api.Event) -> None:
         """Give a core an event and do what it says."""
-        if not process.alive:
-            return
-        for action in process.core.handle(event, process.now()):
+        if process.alive:
+            self.do(process, process.core.handle(event, process.now()))
+
+    def do(self, process: Process, actions: list[api.Action]) -> None:
+        """What a core says."""
+        for action in actions:
             match action:
                 case api.Post():
                     self.post(process, action.address, action.message)
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -222,6 +222,30 @@
     assert fleet.false_deaths == []
 
 
+def test_two_that_found_only_each_other_find_their_cell_without_a_directory() -> None:
+    fleet = CellFleet({"web": 24}, 22, most=4, directory=0)
+    quiet(fleet)
+    seeds, others = fleet.names[:3], fleet.names[3:]
+    seeded = [fleet.cut_of(name) for name in seeds]
+    far = next(cut for cut in map(fleet.cut_of, others) if cut not in seeded)
+    news: list[str] = []
+    while len(news) < 2:
+        name = fleet.add("web", "east")
+        if far.holds(path(name)):
+            news.append(name)
+    ill = fleet.split(news, others)
+    for name in news:
+        fleet.start(name)
+    fleet.run(3_000.0)
+    first, second = (fleet.at(name) for name in news)
+    fleet._exchange(first, second.core.address, first.core.state())
+    fleet.run(60_000.0)
+    assert [m.name for m in fleet.there(first)] == [second.name]
+    fleet.lines.recover(ill)
+    quiet(fleet, 200_000.0)
+    assert fleet.false_deaths == []
+
+
 def test_one_of_another_service_or_region_that_is_sent_to_a_cell_is_refused_there() -> None:
     fleet = settled({"web": 6, "db": 2}, 9, regions=("east", "west"))
     stray = fleet.at("db-west-0")
