--- a/fleet/cells/directory.py
+++ b/fleet/cells/directory.py
@@ -19,8 +19,8 @@
 from fleet.cells.messages import Find, Found, Report, Summary
 from fleet.cells.totals import BOUND_MS
 from fleet.shared import messages as shared
-from fleet.shared.messages import SUMMARY, Content, Entry
-from fleet.shared.spread import Spread
+from fleet.shared.messages import SUMMARY, Content, Entry, Pour
+from fleet.shared.spread import Partner, Spread
 from fleet.shared.store import Store
 
 MOST_CELLS = 200_000  # reports that are held
@@ -79,6 +79,24 @@
             del self._held[key]
 
 
+class Replica(Spread):
+    """Pulls among the directory's processes, whose answers are of many datagrams."""
+
+    def __init__(self, store: Store, rng: random.Random) -> None:
+        super().__init__(store, rng, MOST_POURS)
+
+    def _advance(self, partner: Partner, pour: Pour) -> None:
+        """Pieces that come out of order are not asked for again once those before them have come."""
+        ahead = partner.ahead
+        ahead[pour.since] = max(pour.cursor, ahead.get(pour.since, 0))
+        for since in sorted(ahead):
+            if since > partner.cursor:
+                break
+            partner.cursor = max(partner.cursor, ahead.pop(since))
+        while len(ahead) > MOST_POURS:
+            del ahead[max(ahead)]
+
+
 class Directory:
     """What one process knows of all cells."""
 
@@ -86,7 +104,7 @@
         self.name, self.life, self._rng, self._begun_ms = name, life, rng, now
         self.index = Index()
         self.table = Table(name, life, self.index)
-        self.spread = Spread(self.table, rng, MOST_POURS)
+        self.spread = Replica(self.table, rng)
         self.counts: Counter[str] = Counter()  # finds, reports, late, foreign
         self._timers: dict[int, str] = {}
         self._token = 0
--- a/fleet/shared/spread.py
+++ b/fleet/shared/spread.py
@@ -24,11 +24,12 @@
 class Partner:
     """One that is pulled from."""
 
-    __slots__ = ("cursor", "life", "sent")
+    __slots__ = ("ahead", "cursor", "life", "sent")
 
     def __init__(self, life: int) -> None:
         self.life, self.cursor = life, 0
         self.sent: dict[int, float] = {}  # when each question was asked
+        self.ahead: dict[int, int] = {}  # pieces of answers that overtook others: from where to where
 
 
 class Spread:
@@ -93,10 +94,14 @@
             return []
         for entry in message.entries:
             self._store.take(entry, now - asked, sender, now)
-        if message.since <= partner.cursor:
-            partner.cursor = max(partner.cursor, message.cursor)
+        self._advance(partner, message)
         return []
 
+    def _advance(self, partner: Partner, pour: Pour) -> None:
+        """Ask from there on next time; where a piece before this one is missing, for that again."""
+        if pour.since <= partner.cursor:
+            partner.cursor = max(partner.cursor, pour.cursor)
+
     def _answers(self, message: Pull, sender: str, now: float) -> list[Pour]:
         store = self._store
         cursor = message.cursor if message.life == store.life and message.cursor <= store.seq else 0
--- /dev/null
+++ b/tests/test_cell_directory.py
@@ -0,0 +1,89 @@
+"""The directory's processes among themselves: how reports get about, and at what cost."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from fleet.cells.cut import Cut
+from fleet.cells.directory import Directory, Replica, Said, Seen
+from fleet.cells.messages import Report, Summary
+from fleet.shared.messages import Heard, Pour, Pull
+from fleet.shared.spread import Spread
+from lab.virtual.askers import Askers
+
+
+def full(cells: int) -> Directory:
+    """One that has heard of so many cells."""
+    directory = Directory("d1", 3, random.Random(1), 0.0)
+    for n in range(cells):
+        cut = Cut(1, 8, n)
+        summary = Summary(cut.epoch, cut.depth, cut.bits, 5, 5, n, 1.0, "1", ["127.0.0.1:7400"] * 4)
+        directory.handle(Said(Report(3, 1000, f"n{n}", 17, 1, "web", "east", summary), "addr"), 1_000.0)
+    directory.handle(Seen(3, {"d2": 4}), 1_000.0)
+    return directory
+
+
+def asked(directory: Directory, now: float) -> Pull:
+    [tell], _ = directory.spread.pull(now)
+    assert isinstance(tell.message, Pull)
+    return tell.message
+
+
+def answers(giver: Directory, pull: Pull) -> list[Pour]:
+    found = []
+    for tell in giver.spread.hear(pull, "d2", 1_500.0):
+        assert isinstance(tell.message, Pour)
+        found.append(tell.message)
+    return found
+
+
+def test_pieces_of_an_answer_that_overtake_each_other_are_not_asked_for_again() -> None:
+    giver, taker = full(60), Directory("d2", 4, random.Random(2), 0.0)
+    taker.handle(Seen(4, {"d1": 3}), 1_000.0)
+    pours = answers(giver, asked(taker, 1_400.0))
+    assert len(pours) > 4
+    missing = pours.pop(2)
+    for pour in reversed(pours):
+        taker.handle(Heard(pour, "d1"), 1_600.0)
+    again = asked(taker, 1_700.0)
+    assert again.cursor == missing.since
+    assert answers(giver, again)[0].entries == missing.entries
+    taker.handle(Heard(missing, "d1"), 1_800.0)
+    assert asked(taker, 1_900.0).cursor == pours[-1].cursor
+    assert len(taker.index.services["web"].cells) == 60
+
+
+def test_another_life_of_a_partner_is_asked_from_the_start() -> None:
+    giver, taker = full(30), Directory("d2", 4, random.Random(2), 0.0)
+    taker.handle(Seen(4, {"d1": 3}), 1_000.0)
+    for pour in answers(giver, asked(taker, 1_400.0))[1:]:
+        taker.handle(Heard(pour, "d1"), 1_600.0)
+    taker.handle(Seen(4, {"d1": 5}), 1_700.0)
+    assert asked(taker, 1_800.0).cursor == 0
+
+
+def told_bytes() -> tuple[float, float]:
+    """Bytes of replication for each report and process that hears of it; and how many answers were sure."""
+    askers = Askers(80, 3.0, 1, 8)
+    askers.run(70_000.0)
+    askers.kinds.clear()
+    for mouth in askers.mouths:
+        mouth.answers = mouth.sure = 0
+    askers.run(20_000.0)
+    assert [askers.known(guide) for guide in askers.directory()] == [80] * 8
+    reports = 80 * 20_000.0 / 10_000.0
+    return askers.kinds["Pour"] / reports / 8, askers.sure_share()
+
+
+def test_what_replication_costs_is_a_few_times_what_is_new() -> None:
+    bytes_told, sure = told_bytes()
+    assert bytes_told < 700.0  # a report is 170 bytes, and comes from three partners
+    assert sure == 1.0
+
+
+def test_where_pieces_out_of_order_are_lost_replication_costs_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Replica, "_advance", Spread._advance)
+    with pytest.raises(AssertionError):
+        test_pieces_of_an_answer_that_overtake_each_other_are_not_asked_for_again()
