--- a/tests/test_cell_faults.py
+++ b/tests/test_cell_faults.py
@@ -15,7 +15,7 @@
 from fleet.cells.cut import Cut, path
 from fleet.cells.directory import Directory
 from fleet.cells.index import Cell, Index, Sums, tally
-from fleet.cells.messages import Find, Report
+from fleet.cells.messages import Find, Found, Report
 from fleet.cells.pointers import Pointers
 from fleet.cells.totals import WHOLE, CellCensus, Totals
 from fleet.cells.wire import CellWire
@@ -106,6 +106,16 @@
     plant.setattr(Pointers, "toward", lambda self, path: [])
 
 
+def follows_a_seeds_word_only_while_alone(plant: Plant) -> None:
+    found = CellMembership._found
+
+    def planted(self: CellMembership, message: Found, now: float) -> None:
+        if message.number or not len(self.view.here):
+            found(self, message, now)
+
+    plant.setattr(CellMembership, "_found", planted)
+
+
 # Reporters
 
 
@@ -244,6 +254,10 @@
     (tells_no_cut, cuts_and_merges),
     (takes_strangers_in, cuts_and_merges),
     (tells_strangers_of_nobody, hard.test_newcomers_find_cells_in_which_no_seed_is_without_a_directory),
+    (
+        follows_a_seeds_word_only_while_alone,
+        hard.test_two_that_found_only_each_other_find_their_cell_without_a_directory,
+    ),
     (counts_the_dead_when_it_asks_who_is_first, other_speaks),
     (nobody_reports_again, other_speaks),
     (is_sure_at_once, hard.test_a_directory_that_starts_anew_is_believed_only_once_it_must_know_all),
