Measure what a member costs at several sizes: lab scale, a first version

Change: lab/scale plays hollow members (the node's own fleet part, many to a process) beside real nodes under load, and the same cores in virtual time; lines by least squares; JSON; refusals. Peers counts bytes of streams and shows the digest of its view; a lab node's fleet object is made in a method of its own.

--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -352,6 +352,35 @@
     sys.exit(labcli.members(size, seeds, jobs, only, core, minutes))
 
 
+@lab.command("scale")
+@click.option("--sizes", default="50,100,200,400", show_default=True, help="On sockets; or none.")
+@click.option("--virtual-sizes", default="125,250,500,1000", show_default=True, help="Or none.")
+@click.option("--seeds", default="1", show_default=True)
+@click.option("--seconds", type=click.FloatRange(0.5), default=30.0, show_default=True, help="Measured.")
+@click.option("--settle", "settle_s", type=float, default=15.0, show_default=True, help="Seconds before.")
+@click.option("--virtual-seconds", type=click.FloatRange(0.5), default=30.0, show_default=True)
+@click.option("--virtual-settle", "virtual_settle_s", type=float, default=12.0, show_default=True)
+@click.option("--nodes", type=click.IntRange(1, 8), default=3, show_default=True, help="Real ones.")
+@click.option("--rate", "rate_per_s", type=click.FloatRange(1.0, 100.0), default=30.0, show_default=True,
+              help="Requests a second and node.")  # fmt: skip
+@click.option("--per-process", type=click.IntRange(1), default=25, show_default=True, help="Hollow members.")
+@click.option("--victims", type=click.IntRange(1), default=4, show_default=True, help="Members that crash.")
+@click.option("--target", type=float, default=26_000.0, show_default=True, help="Members to draw lines to.")
+@click.option("--minutes", type=float, default=30.0, show_default=True, help="The run may last.")
+@click.option("--fleet-key", "fleet_keys", multiple=True, metavar="KEY=JSON",
+              help="More of each member's fleet object; {name} and {place} are the member's.")  # fmt: skip
+@click.option("--parts", is_flag=True, help="Views may be of parts of the fleet.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Save all samples here.")
+def lab_scale(**options: Any) -> None:
+    """Measure what a member costs at several sizes, and draw lines through it.
+
+    Exit status: 0 where all sizes count, 1 where not, 2 for what the machine can't hold.
+    """
+    from dunlinloft import scalecli
+
+    sys.exit(scalecli.run(**options))
+
+
 @lab.command("list")
 def lab_list() -> None:
     """Name the scenarios that are shipped."""
--- a/lab/processes/block.py
+++ b/lab/processes/block.py
@@ -11,6 +11,7 @@
 FIRST, LAST = 16, 250
 CLAIM_PORT = 7399
 NODE_PORT, ADMIN_PORT, DISCOVERY_PORT, SERVER_PORT, PEER_PORT = 9000, 9100, 8500, 10_000, 7400
+HOLLOW_KIND, HOLLOW_EACH = 16, 250  # third bytes of addresses from there on, with so many members each
 Address = tuple[str, int]
 
 
@@ -66,6 +67,10 @@
         """Where a server is for one node: by the address its link is known."""
         return self._at(4, node, SERVER_PORT + server)
 
+    def hollow(self, place: int) -> Address:
+        """Where a member without a node binds for its peers, of a scale run."""
+        return self._at(HOLLOW_KIND + place // HOLLOW_EACH, place % HOLLOW_EACH, PEER_PORT)
+
 
 def text(address: Address) -> str:
     """host:port."""
--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -241,20 +241,28 @@
         }
         if admin is not None:
             config["management"] = text(admin)
-        if self._relay is not None:
-            config["fleet"] = {
-                "name": f"{self.scenario.name}-{self.plan.seed}",
-                "bind": text(self.block.peer(place)),
-                "advertise": text(self.block.alias(place)),
-                "voters": list(self.names.nodes)[:VOTERS] if len(self.names.nodes) >= VOTERS else [],
-                "share": list(nodes.share),
-                "groups": list(self.names.zones),
-                "seeds": [text(self.block.alias(n)) for n in range(min(SEEDS, len(self.places)))],
-            }
+        fleet = self._fleet_object(place)
+        if fleet is not None:
+            config["fleet"] = fleet
         path = self._folder / self._file(name, ".json")
         path.write_text(json.dumps(config))
         return path
 
+    def _fleet_object(self, place: int) -> dict[str, Any] | None:
+        """What a node's file says of its fleet; None where it is alone."""
+        if self._relay is None:
+            return None
+        nodes = list(self.names.nodes)
+        return {
+            "name": f"{self.scenario.name}-{self.plan.seed}",
+            "bind": text(self.block.peer(place)),
+            "advertise": text(self.block.alias(place)),
+            "voters": nodes[:VOTERS] if len(nodes) >= VOTERS else [],
+            "share": list(self.scenario.nodes.share),
+            "groups": list(self.names.zones),
+            "seeds": [text(self.block.alias(n)) for n in range(min(SEEDS, len(self.places)))],
+        }
+
     def start_node(self, name: str) -> None:
         if any(child.alive() for child in self._children[name]):
             return
--- /dev/null
+++ b/lab/scale/hollow.py
@@ -0,0 +1,105 @@
+"""A process of hollow members: the node's own fleet part on real sockets, many times, no request path."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import time
+from collections import Counter
+
+import uvloop
+
+from fleet import interface as api
+from lab.scale import talk
+from orchidferry.config import Config, parse_config
+from orchidferry.peers import Peers
+
+TURN_S = 0.05  # how often it is looked whether this process is late
+
+
+class HollowMember(Peers):
+    """A member that tells whoever watches of deaths in its view."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, deaths: list[talk.Death]) -> None:
+        assert config.fleet is not None
+        super().__init__(loop, config, config.fleet, lambda number, nodes: None, lambda: 0)
+        self._deaths = deaths
+
+    def _do(self, action: api.Action) -> None:
+        if isinstance(action, api.Changed) and action.what == "dead":
+            self._deaths.append(talk.Death(self.core.name, action.name, time.monotonic()))
+        super()._do(action)
+
+    def holds(self, name: str) -> bool:
+        """Whether it takes this member to be there."""
+        member = self.core.view.get(name)
+        return member is not None and member.here()
+
+
+class Hollow:
+    """All members of this process."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._members: dict[str, HollowMember] = {}
+        self._deaths: list[talk.Death] = []
+        self._gone: Counter[str] = Counter()  # what dropped members had counted
+        self._late_s = 0.0
+        self._watch(loop.time())
+
+    def _watch(self, due_s: float) -> None:
+        self._late_s = max(self._late_s, self._loop.time() - due_s)
+        due_s = self._loop.time() + TURN_S
+        self._loop.call_at(due_s, self._watch, due_s)
+
+    async def answer(self, command: talk.Command) -> talk.Answer:
+        """Do what is asked."""
+        match command:
+            case talk.Hold():
+                before = self._look()
+                self._hold(command)
+                return before
+            case talk.Go():
+                for member in self._members.values():
+                    member.start()
+            case talk.Drop():
+                member = self._members.pop(command.name)
+                self._gone.update(member.counts)
+                member.depart(handing_over=True)
+            case talk.Holders():
+                return talk.Holding(sum(member.holds(command.name) for member in self._members.values()))
+        return self._look()
+
+    def _hold(self, command: talk.Hold) -> None:
+        for obj in command.members:
+            config = parse_config(obj)
+            self._members[config.name] = HollowMember(self._loop, config, self._deaths)
+        gc.collect()
+        gc.freeze()  # as a node does once it has started
+
+    def _look(self) -> talk.Seen:
+        counts = Counter(self._gone)
+        for member in self._members.values():
+            counts.update(member.counts)
+        late_ms, self._late_s = 1000.0 * self._late_s, 0.0
+        seen = talk.Seen(
+            time.monotonic(),
+            len(self._members),
+            time.process_time(),
+            talk.memory_mb(),
+            late_ms,
+            [(f"{member.core.digest():x}", member.core.alive()) for member in self._members.values()],
+            dict(counts),
+            list(self._deaths),
+        )
+        self._deaths.clear()
+        return seen
+
+
+async def _main(descriptor: int) -> None:
+    await talk.answer_all(descriptor, Hollow(asyncio.get_running_loop()).answer)
+
+
+if __name__ == "__main__":
+    uvloop.run(_main(int(sys.argv[1])))
--- /dev/null
+++ b/lab/scale/limits.py
@@ -0,0 +1,130 @@
+"""What a machine can't hold is refused before anything is started, with one line that says why.
+
+The costs are those measured with this program; `docs/lab.md` has the runs. They are rounded up.
+"""
+
+from __future__ import annotations
+
+import socket
+
+from lab.scale.plan import Machine, Plan
+from orchidferry.peers import MOST_IN, MOST_OUT
+
+LOCK = ("127.15.0.1", 7398)  # whoever listens here is the one scale run of this machine
+MOST_PROCESSES = 300
+MEMORY_SHARE, CPU_SHARE = 0.5, 0.7  # of the machine's
+LEAST_SIZES = 4  # for a slope
+LAB_MB, HOST_MB, NODE_MB = 150.0, 32.0, 45.0  # this process, a hollow process, a node
+MEMBER_MB, ENTRY_KB = 0.3, 3.0  # a hollow member, and each that it has in view
+MEMBER_MS, ENTRY_US = 6.0, 10.0  # of a core a second: a member, and each that it has in view
+NODE_MS = 60.0  # a node under its load, a second
+VIRTUAL_ENTRY_KB = 3.0
+VIRTUAL_ENTRY_US, VIRTUAL_MEMBER_MS = 60.0, 2.0  # of a core: an entry at the start, a member and second
+JOIN_S, KNOWN_S, START_S = 30.0, 6.0, 10.0  # about what an agreement, a crash and a start take
+OWN_FILES = 64  # descriptors of a process beside its members' own
+MEMBER_FILES = 2 + MOST_IN + MOST_OUT
+
+
+class Refused(Exception):
+    """What this machine can't hold, in one line."""
+
+
+def check(plan: Plan, machine: Machine) -> None:
+    """Raise `Refused` for the first thing that can't be."""
+    for what, sizes in (("sizes", plan.sizes), ("virtual sizes", plan.virtual_sizes)):
+        if sizes and len(set(sizes)) < LEAST_SIZES:
+            raise Refused(f"{len(set(sizes))} {what}: a slope needs {LEAST_SIZES} different ones or more")
+    if not plan.sizes and not plan.virtual_sizes:
+        raise Refused("no sizes: nothing to play")
+    for size in sorted(plan.sizes):
+        _check_size(plan, size, machine)
+    for size in sorted(plan.virtual_sizes):
+        if size <= plan.victims + 2:
+            raise Refused(f"virtual size {size}: needs more than {plan.victims} victims and two that go on")
+        _check_memory(f"virtual size {size}", virtual_mb(size), machine)
+    minutes = duration_s(plan) / 60.0
+    if minutes > plan.minutes:
+        raise Refused(
+            f"it would take about {minutes:.0f} minutes, and {plan.minutes:g} are allowed: "
+            "fewer sizes, seeds or seconds, or more minutes"
+        )
+
+
+def _check_size(plan: Plan, size: int, machine: Machine) -> None:
+    if plan.hollow(size) < 3:
+        raise Refused(f"size {size}: needs three hollow members or more beside {plan.nodes} nodes")
+    processes = len(plan.hosts(size)) + plan.nodes
+    if processes > MOST_PROCESSES:
+        least = -(-plan.hollow(size) // (MOST_PROCESSES - plan.nodes))
+        raise Refused(
+            f"size {size}: needs {processes} processes, and {MOST_PROCESSES} are allowed: {least} members a "
+            "process or more"
+        )
+    files = max(plan.hosts(size)) * MEMBER_FILES + OWN_FILES
+    if files > machine.descriptors:
+        most = (machine.descriptors - OWN_FILES) // MEMBER_FILES
+        raise Refused(
+            f"size {size}: a process may need {files} descriptors, and has {machine.descriptors}: "
+            f"{most} members a process at most"
+        )
+    _check_memory(f"size {size}", sockets_mb(plan, size), machine)
+    need, have = cores(plan, size), CPU_SHARE * machine.cores
+    if need > have:
+        raise Refused(
+            f"size {size}: needs about {need:.1f} cores, and {have:.1f} of {machine.cores} are allowed"
+        )
+
+
+def _check_memory(what: str, need_mb: float, machine: Machine) -> None:
+    have_mb = MEMORY_SHARE * machine.memory_mb
+    if need_mb > have_mb:
+        raise Refused(
+            f"{what}: needs about {need_mb:.0f} MB, and {have_mb:.0f} MB, half of the machine's, are allowed"
+        )
+
+
+def sockets_mb(plan: Plan, size: int) -> float:
+    """What a size takes in memory, about."""
+    members = plan.hollow(size) * (MEMBER_MB + size * ENTRY_KB / 1024.0)
+    return LAB_MB + len(plan.hosts(size)) * HOST_MB + plan.nodes * NODE_MB + members
+
+
+def virtual_mb(size: int) -> float:
+    """What a size in virtual time takes in memory, about."""
+    return LAB_MB + size * (MEMBER_MB + size * VIRTUAL_ENTRY_KB / 1024.0)
+
+
+def cores(plan: Plan, size: int) -> float:
+    """What a size takes of cores in its quiet state, about."""
+    member_s = (MEMBER_MS + size * ENTRY_US / 1000.0) / 1000.0
+    return plan.hollow(size) * member_s + plan.nodes * NODE_MS / 1000.0
+
+
+def size_s(plan: Plan, size: int) -> float:
+    """How long a size takes, about."""
+    crashes = plan.chosen_victims(size) * KNOWN_S if size else 0.0
+    return START_S + max(plan.settle_s, JOIN_S if size else 0.0) + plan.seconds + crashes
+
+
+def virtual_s(plan: Plan, size: int) -> float:
+    """How long a size in virtual time takes, about."""
+    played_s = plan.virtual_settle_s + plan.virtual_seconds + plan.victims * KNOWN_S
+    return size * (size * VIRTUAL_ENTRY_US / 1e6 + played_s * VIRTUAL_MEMBER_MS / 1000.0) + 2.0
+
+
+def duration_s(plan: Plan) -> float:
+    """How long the whole run takes, about."""
+    real = sum(size_s(plan, size) for size in (0, *plan.sizes)) if plan.sizes else 0.0
+    return len(plan.seeds) * (real + sum(virtual_s(plan, size) for size in plan.virtual_sizes))
+
+
+def claim() -> socket.socket:
+    """The one lock of all scale runs on this machine: the kernel ends it however the run ends."""
+    lock = socket.socket()
+    try:
+        lock.bind(LOCK)
+        lock.listen(1)
+    except OSError:
+        lock.close()
+        raise Refused("another scale run is under way on this machine: one at a time") from None
+    return lock
--- /dev/null
+++ b/lab/scale/run.py
@@ -0,0 +1,125 @@
+"""Plays a scale run: all sizes one after another, then the slopes. Nothing outlives it, however it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+import uvloop
+
+from lab.day import rare_collections
+from lab.processes.block import NoBlock
+from lab.scale import talk
+from lab.scale.limits import Refused, check, claim, virtual_s
+from lab.scale.plan import Machine, Plan, Results, Sample
+from lab.scale.size import SizeRun, TooMuchMemory
+from lab.scale.worker import Worker
+from orchidferry import VERSION
+
+Say = Callable[[str], None]
+SLOWER = 5.0  # than estimated, and a size in virtual time is given up
+
+
+def play(plan: Plan, say: Say, keep: Callable[[Results], None]) -> Results:
+    """All of it; `keep` hears the results after each size. Raises `Refused`, `WorkerDied`."""
+    machine = Machine.here()
+    check(plan, machine)
+    with claim(), rare_collections():
+        return uvloop.run(_interruptible(plan, machine, say, keep))
+
+
+async def _interruptible(plan: Plan, machine: Machine, say: Say, keep: Callable[[Results], None]) -> Results:
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    assert task is not None
+    interrupted = False
+
+    def interrupt() -> None:
+        nonlocal interrupted
+        interrupted = True
+        task.cancel()
+
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, interrupt)
+    folder = Path(tempfile.mkdtemp(prefix="dunlinloft-scale-"))
+    try:
+        async with asyncio.timeout(60.0 * plan.minutes):
+            return await _sizes(plan, machine, folder, say, keep)
+    except TimeoutError:
+        raise Refused(f"{plan.minutes:g} minutes are over, and it was not done") from None
+    except TooMuchMemory as problem:
+        raise Refused(str(problem)) from None
+    except NoBlock as problem:
+        raise Refused(str(problem)) from None
+    except asyncio.CancelledError:
+        if interrupted:
+            raise KeyboardInterrupt from None
+        raise
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+async def _sizes(
+    plan: Plan, machine: Machine, folder: Path, say: Say, keep: Callable[[Results], None]
+) -> Results:
+    began = time.monotonic()
+    results = Results(VERSION, sys.argv, machine, plan)
+    for seed in plan.seeds:
+        sizes = [0, *plan.sizes] if plan.sizes else []  # first the nodes alone, to compare with
+        for size in sizes:
+            results.samples.append(await _on_sockets(plan, size, seed, folder, machine, say))
+            keep(results)
+        for size in plan.virtual_sizes:
+            results.samples.append(await _in_virtual_time(plan, size, seed, folder, say))
+            keep(results)
+    compare_with_alone(results.samples)
+    results.fit_all()
+    results.took_s = round(time.monotonic() - began, 1)
+    return results
+
+
+async def _on_sockets(plan: Plan, size: int, seed: int, folder: Path, machine: Machine, say: Say) -> Sample:
+    run = SizeRun(plan, size, seed, folder, machine)
+    title = f"{size} members" if size else "the nodes alone"
+    try:
+        return await run.play(lambda text: say(f"{title}, seed {seed}: {text}"))
+    finally:
+        run.close()
+        await asyncio.sleep(0)  # what was closed is told so
+
+
+async def _in_virtual_time(plan: Plan, size: int, seed: int, folder: Path, say: Say) -> Sample:
+    say(f"{size} members in virtual time, seed {seed}")
+    worker = Worker(asyncio.get_running_loop(), "lab.scale.virtual", f"virtual-{size}-{seed}", folder)
+    what = talk.Simulate(size, seed, plan.virtual_settle_s, plan.virtual_seconds, plan.victims)
+    try:
+        answer = await worker.ask(what, SLOWER * virtual_s(plan, size) + 60.0)
+    finally:
+        worker.close()
+    assert isinstance(answer, talk.Simulated)
+    sample = Sample("virtual", size, seed, answer.figures)
+    sample.false_deaths = [talk.Death(by, name, at_ms / 1000.0) for at_ms, by, name in answer.false_deaths]
+    if sample.figures.pop("disagree"):
+        sample.why.append("views did not agree before the quiet time")
+    return sample
+
+
+def compare_with_alone(samples: list[Sample]) -> None:
+    """What the fleet's part adds to a node: the same seed's nodes without it are taken off."""
+    alone = {sample.seed: sample.figures for sample in samples if sample.kind == "alone" and sample.counted()}
+    for sample in samples:
+        if sample.kind == "sockets" and sample.seed in alone and "node_cpu_ms_s" in sample.figures:
+            before = alone[sample.seed]
+            for what in ("cpu_ms_s", "memory_mb"):
+                sample.figures[f"node_added_{what}"] = sample.figures[f"node_{what}"] - before[f"node_{what}"]
+
+
+def write(results: Results, path: Path) -> None:
+    """Save them as JSON."""
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1) + b"\n")
--- /dev/null
+++ b/lab/scale/size.py
@@ -0,0 +1,301 @@
+"""Plays one size on sockets: joins, waits for quiet, measures, and ends a few members without a word."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+
+from lab.plan import Plan as DayPlan
+from lab.processes.block import text
+from lab.scale import talk
+from lab.scale.limits import MEMORY_SHARE
+from lab.scale.nodes import RealNodes, day
+from lab.scale.plan import Machine, Plan, Sample, member_keys
+from lab.scale.worker import Worker, WorkerDied
+from lab.settings import settings
+
+AGREE_S, CRASH_S, READY_S = 60.0, 30.0, 60.0  # limits: for views to agree, a crash to be known, a start
+LOOK_S = 0.2  # how often it is looked whether views agree
+APART_S = 1.0  # between crashes
+MOST_LATE_MS = 150.0  # figures of processes that were later than this don't count
+COUNTED = ("sent", "sent_bytes", "received", "received_bytes", "stream_bytes", "streams")
+
+
+class TooMuchMemory(Exception):
+    """The run's processes hold more than they may."""
+
+
+def agreed(views: Iterable[tuple[str, int]], parts: bool) -> bool:
+    """Whether views agree: as many members hold a view as that view has members, and all hold the same one.
+
+    With `parts` it may be several views, each agreed upon by those who are in it.
+    """
+    views = list(views)
+    holders = Counter(digest for digest, _ in views)
+    return all(holders[digest] == alive for digest, alive in views) and (parts or len(holders) == 1)
+
+
+def judge(
+    deaths: Iterable[talk.Death], ended: dict[str, float]
+) -> tuple[list[talk.Death], dict[str, list[float]]]:
+    """Deaths of members that lived, and, of those that had ended, how long until each observer knew."""
+    false: list[talk.Death] = []
+    known: dict[str, list[float]] = {name: [] for name in ended}
+    for death in deaths:
+        took_s = death.at_s - ended.get(death.name, float("inf"))
+        if took_s < 0.0:
+            false.append(death)
+        else:
+            known[death.name].append(took_s)
+    return false, known
+
+
+class SizeRun:
+    """One size with one seed; `close` ends all of it."""
+
+    def __init__(self, plan: Plan, size: int, seed: int, folder: Path, machine: Machine) -> None:
+        self._plan, self._size, self._seed, self._machine = plan, size, seed, machine
+        self._loop, self._folder = asyncio.get_running_loop(), folder
+        self._random = random.Random(f"{seed}scale{size}")
+        length_s = READY_S + AGREE_S + plan.settle_s + plan.seconds + CRASH_S * (1 + plan.victims)
+        scenario = day(plan.nodes, plan.rate_per_s, length_s, bool(size))
+        self._day = DayPlan(scenario, seed)
+        self.nodes = RealNodes(self._day, self._loop, folder, self._fleet if size else None)
+        self._playing: asyncio.Task[None] | None = None
+        self.workers: list[Worker] = []
+        self._where: dict[str, Worker] = {}
+        self._deaths: list[talk.Death] = []
+        self.sample = Sample("sockets" if size else "alone", size, seed, {})
+
+    # What members are told
+
+    def _fleet(self, name: str, bind: str, place: int) -> dict[str, Any]:
+        """A member's `fleet` object."""
+        seeds = [text(self.nodes.block.hollow(n)) for n in self._plan.seed_places(self._size)]
+        fleet = {"name": f"scale-{self._seed}-{self._size}", "bind": bind, "seeds": seeds}
+        return fleet | {key: member_keys(value, name, place) for key, value in self._plan.fleet_keys.items()}
+
+    def _config(self, place: int) -> dict[str, Any]:
+        """A hollow member's configuration: of a tier of its own, so that the nodes' budgets stay theirs."""
+        name, node = f"h{place + 1}", next(iter(self._day.names.nodes))
+        zones = self._day.names.zones
+        told = settings(self._day, node) | {
+            "tier": 1, "stages": ["slot-front", "hollow"], "locality": zones[place % len(zones)],
+            "siblings": self._plan.hollow(self._size), "my_number": place,
+        }  # fmt: skip
+        return {
+            "name": name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+            "seed": f"{self._seed:08x}{self._size:06x}{place:06x}", "settings": told,
+            "fleet": self._fleet(name, text(self.nodes.block.hollow(place)), place + self._plan.nodes),
+        }  # fmt: skip
+
+    # Processes
+
+    async def start(self) -> None:
+        """Start all processes and have them ready."""
+        self._playing = self._loop.create_task(self.nodes.run(lambda share: None))
+        if self._size:
+            self._start_hosts()
+            await asyncio.gather(*(self._hold(*args) for args in self._shares()))
+        started = self._loop.create_task(self.nodes.started.wait())
+        await asyncio.wait({started, self._playing}, timeout=READY_S, return_when=asyncio.FIRST_COMPLETED)
+        if not started.done():
+            started.cancel()
+            if self._playing.done():
+                self._playing.result()
+            raise WorkerDied(f"size {self._size}: the nodes were not ready within {READY_S:g} s")
+
+    def _start_hosts(self) -> None:
+        for n in range(len(self._plan.hosts(self._size))):
+            name = f"hollow-{self._size}-{self._seed}-{n}"
+            self.workers.append(Worker(self._loop, "lab.scale.hollow", name, self._folder))
+
+    def _shares(self) -> Iterable[tuple[Worker, range]]:
+        first = 0
+        for worker, count in zip(self.workers, self._plan.hosts(self._size), strict=True):
+            yield worker, range(first, first + count)
+            first += count
+
+    async def _hold(self, worker: Worker, places: range) -> None:
+        configs = [self._config(place) for place in places]
+        base = await worker.look(talk.Hold(configs), READY_S)
+        self.sample.raw.setdefault("base_mb", {})[worker.name] = base.memory_mb
+        for config in configs:
+            self._where[config["name"]] = worker
+
+    def close(self) -> None:
+        """End everything, whatever the state."""
+        if self._playing is not None:
+            self._playing.cancel()
+        for worker in self.workers:
+            worker.close()
+        self.nodes.close()
+
+    # Looking
+
+    async def _look(self, command: talk.Command | None = None) -> dict[str, talk.Seen]:
+        seen = await asyncio.gather(*(worker.look(command) for worker in self.workers))
+        for one in seen:
+            self._deaths += one.deaths
+        return {worker.name: one for worker, one in zip(self.workers, seen, strict=True)}
+
+    async def _agreed(self) -> bool:
+        seen, nodes = await asyncio.gather(self._look(), self.nodes.views())
+        views = [view for one in seen.values() for view in one.views]
+        views += [(node["self"]["digest"], node["members_alive"]) for node in nodes.values()]
+        self._keep_memory()
+        return len(views) == self._size and agreed(views, self._plan.parts)
+
+    def _keep_memory(self) -> None:
+        used = [worker.child.usage().get("memory_mb", 0.0) for worker in self.workers]
+        used += [usage.get("memory_mb", 0.0) for usage in self.nodes.usage().values()]
+        most = MEMORY_SHARE * self._machine.memory_mb
+        if sum(used) > most:
+            raise TooMuchMemory(
+                f"size {self._size}: {sum(used):.0f} MB are in use, and {most:.0f} are allowed"
+            )
+
+    async def _pause(self, seconds: float) -> None:
+        until = self._loop.time() + seconds
+        while (left := until - self._loop.time()) > 0.0:
+            await asyncio.sleep(min(1.0, left))
+            self._keep_memory()
+
+    async def _until(self, done: Callable[[], Any], limit_s: float) -> float | None:
+        """Wait until something holds; how long that took, or None."""
+        began = self._loop.time()
+        while not await done():
+            if self._loop.time() - began > limit_s:
+                return None
+            await asyncio.sleep(LOOK_S)
+        return self._loop.time() - began
+
+    # What is played
+
+    async def play(self, say: Callable[[str], None]) -> Sample:
+        """All of it; the figures."""
+        say("starting")
+        await self.start()
+        sample, began = self.sample, self._loop.time()
+        if self._size:
+            say("joining")
+            await self._look(talk.Go())
+            took = await self._until(self._agreed, AGREE_S)
+            if took is None:
+                sample.why.append(f"views did not agree within {AGREE_S:g} s")
+                return sample
+            sample.figures["agreed_s"] = took
+        say("settling")
+        await self._pause(self._plan.settle_s - (self._loop.time() - began))
+        say("quiet")
+        await self._quiet()
+        if self._size:
+            say("crashes")
+            await self._crashes()
+        return sample
+
+    async def _quiet(self) -> None:
+        """Measure the quiet state."""
+        before, nodes_before, from_ms = await self._look(), self.nodes.usage(), self.nodes.now()
+        began = time.monotonic()
+        await self._pause(self._plan.seconds)
+        after, nodes_after, to_ms = await self._look(), self.nodes.usage(), self.nodes.now()
+        passed = time.monotonic() - began
+        self._of_nodes(nodes_before, nodes_after, passed, from_ms, to_ms)
+        late_ms = [self.nodes.late_ms(from_ms, to_ms)]
+        if after:
+            self._of_hollow(before, after)
+            late_ms += [seen.late_ms for seen in after.values()]
+            if not await self._agreed():
+                self.sample.why.append("views did not agree after the quiet time")
+        self.sample.figures["late_ms"] = max(late_ms)
+        if max(late_ms) > MOST_LATE_MS:
+            self.sample.why.append(f"a process was late by {max(late_ms):.0f} ms, above {MOST_LATE_MS:g}")
+
+    def _of_nodes(
+        self, before: dict[str, dict[str, float]], after: dict[str, dict[str, float]], passed: float,
+        from_ms: float, to_ms: float,
+    ) -> None:  # fmt: skip
+        """What the nodes used, and how they served."""
+        cpu = [1000.0 * (after[name]["cpu_s"] - before[name]["cpu_s"]) / passed for name in after]
+        memory = [usage["memory_mb"] for usage in after.values()]
+        figures, outcomes = self.nodes.served(from_ms, to_ms)
+        figures |= {"node_cpu_ms_s": float(np.mean(cpu)), "node_memory_mb": float(np.mean(memory))}
+        self.sample.figures |= figures
+        self.sample.raw["nodes"] = {
+            "before": before, "after": after, "passed_s": passed, "outcomes": outcomes,
+        }  # fmt: skip
+
+    def _of_hollow(self, before: dict[str, talk.Seen], after: dict[str, talk.Seen]) -> None:
+        """What a hollow member used and sent."""
+        shares: dict[str, list[float]] = {name: [] for name in (*COUNTED, "cpu")}
+        for name, seen in after.items():
+            first, passed = before[name], seen.at_s - before[name].at_s
+            for what in COUNTED:
+                shares[what].append((seen.counts[what] - first.counts[what]) / passed)
+            shares["cpu"].append(1000.0 * (seen.cpu_s - first.cpu_s) / passed)
+        members = sum(seen.members for seen in after.values())
+        each = {what: sum(values) / members for what, values in shares.items()}
+        base_mb = sum(self.sample.raw["base_mb"].values())
+        memory_mb = (sum(seen.memory_mb for seen in after.values()) - base_mb) / members
+        self.sample.figures |= {
+            "messages_s": each["sent"], "bytes_s": each["sent_bytes"], "stream_bytes_s": each["stream_bytes"],
+            "streams_s": each["streams"], "cpu_ms_s": each["cpu"], "memory_mb": memory_mb,
+        }  # fmt: skip
+        lost = sum(seen.counts["errors"] + seen.counts["refused"] for seen in after.values())
+        self.sample.figures["refused"] = float(lost)
+        self.sample.raw["hollow"] = {
+            name: [_plain(before[name]), _plain(seen)] for name, seen in after.items()
+        }  # fmt: skip
+
+    async def _crashes(self) -> None:
+        """End a few members without a word, and see when the others know."""
+        buried = {name: view["buried"] for name, view in (await self.nodes.views()).items()}
+        ended: dict[str, float] = {}
+        observers, unknown = 0, 0
+        for name in self._victims():
+            worker = self._where[name]
+            ended[name] = time.monotonic()
+            await worker.look(talk.Drop(name))
+            observers += await self._holders(name)
+            if await self._until(partial(self._forgotten, name), CRASH_S) is None:
+                unknown += await self._holders(name)
+            await self._pause(APART_S)
+        await self._look()
+        false, known = judge(self._deaths, ended)
+        self.sample.false_deaths = false
+        took = [took_s for times in known.values() for took_s in times]
+        self.sample.raw |= {"known_s": known, "observers": observers, "nodes_buried": buried}
+        figures = self.sample.figures
+        figures |= {"false_deaths": float(len(false) + sum(buried.values())), "unknown": float(unknown)}
+        if took:
+            p50, p99 = (float(np.percentile(took, of, method="higher")) for of in (50.0, 99.0))
+            figures |= {"known_p50_s": p50, "known_p99_s": p99, "known_max_s": max(took)}
+
+    def _victims(self) -> list[str]:
+        seeds = self._plan.seed_places(self._size)
+        others = [f"h{place + 1}" for place in range(self._plan.hollow(self._size)) if place not in seeds]
+        return self._random.sample(others, self._plan.chosen_victims(self._size))
+
+    async def _holders(self, name: str) -> int:
+        answers = await asyncio.gather(*(worker.ask(talk.Holders(name)) for worker in self.workers))
+        return sum(answer.count for answer in answers if isinstance(answer, talk.Holding))
+
+    async def _forgotten(self, name: str) -> bool:
+        return await self._holders(name) == 0
+
+
+def _plain(seen: talk.Seen) -> dict[str, Any]:
+    """What is kept of it in the results."""
+    return {
+        "at_s": seen.at_s, "members": seen.members, "cpu_s": seen.cpu_s, "memory_mb": seen.memory_mb,
+        "late_ms": seen.late_ms, "counts": seen.counts,
+    }  # fmt: skip
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -151,8 +151,12 @@
         self._rates = (0.0, 0.0)
         self._seen = (0, 0, loop.time())
         self.counts = dict.fromkeys(
-            ("sent", "received", "sent_bytes", "received_bytes", "refused", "unsent", "errors", "streams"), 0
-        )
+            (
+                "sent", "received", "sent_bytes", "received_bytes", "refused", "unsent", "errors", "streams",
+                "stream_bytes",
+            ),
+            0,
+        )  # fmt: skip
         self.reasons: dict[str, int] = {}
 
     def start(self) -> None:
@@ -340,7 +344,7 @@
         try:
             async with asyncio.timeout(CALL_S):
                 reader, writer = await self._open(target)
-                writer.write(kind + len(data).to_bytes(4, "big") + data)
+                self._write(writer, kind + len(data).to_bytes(4, "big") + data)
                 size = int.from_bytes(await reader.readexactly(4), "big")
                 return await reader.readexactly(size) if size <= MOST_STATE else None
         except (OSError, TimeoutError, EOFError, ValueError):
@@ -350,6 +354,10 @@
             if writer is not None:
                 writer.close()
 
+    def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        self.counts["stream_bytes"] += len(data)
+        writer.write(data)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer a peer, or whoever connects: within `WHOLE_S` it has asked, or it is closed."""
         if self._in >= MOST_IN:
@@ -363,7 +371,7 @@
                 if kind not in (STATE, PROBE) or size > MOST_STATE:
                     raise Refused("foreign" if size <= MOST_STATE else "long")
                 answer = self._answer(kind, await reader.readexactly(size), writer)
-                writer.write(len(answer).to_bytes(4, "big") + answer)
+                self._write(writer, len(answer).to_bytes(4, "big") + answer)
                 await writer.drain()
         except Refused as reason:
             self.refuse(str(reason))
@@ -511,6 +519,7 @@
                 "life": core.life,
                 "revision": core.revision,
                 "address": core.address,
+                "digest": f"{core.digest():x}",
                 "rival": core.rival,
             },
             "members_alive": core.alive(),
