--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -374,7 +374,8 @@
 def lab_scale(**options: Any) -> None:
     """Measure what a member costs at several sizes, and draw lines through it.
 
-    Exit status: 0 where all sizes count, 1 where not, 2 for what the machine can't hold.
+    Exit status: 0 where all sizes count and no living member was called dead, 1 where not, 2 for what
+    the machine can't hold.
     """
     from dunlinloft import scalecli
 
--- a/dunlinloft/scalecli.py
+++ b/dunlinloft/scalecli.py
@@ -15,7 +15,7 @@
 from dunlinloft.tables import PLAIN
 from lab.runner import BadSeeds, read_seeds
 from lab.scale.fit import Line
-from lab.scale.limits import Refused, duration_s
+from lab.scale.limits import Refused
 from lab.scale.plan import Plan, Results, Sample
 from lab.scale.run import play, write
 from lab.scale.worker import WorkerDied
@@ -38,10 +38,11 @@
     "known_max_s": ("crash known max, s", ".2f"),
     "unknown": ("crashes not known", ".0f"),
     "false_deaths": ("false deaths", ".0f"),
+    "node_requests_s": ("requests/s a node", ".1f"),
     "node_cpu_ms_s": ("node CPU ms/s", ".1f"),
-    "node_added_cpu_ms_s": ("of it the fleet's", ".1f"),
+    "node_added_cpu_ms_s": ("the fleet's, of node CPU", ".1f"),
     "node_memory_mb": ("node memory MB", ".1f"),
-    "node_added_memory_mb": ("of it the fleet's", ".1f"),
+    "node_added_memory_mb": ("the fleet's, of node memory", ".1f"),
     "node_p50_ms": ("node p50, ms", ".1f"),
     "node_p99_ms": ("node p99, ms", ".1f"),
     "late_ms": ("most late, ms", ".0f"),
@@ -90,7 +91,6 @@
             write(results, Path(json_file))
 
     try:
-        err.print(f"about {duration_s(plan) / 60.0:.1f} minutes", highlight=False)
         results = play(plan, say, keep)
     except (Refused, WorkerDied) as problem:
         err.print(f"[red]{escape(str(problem))}[/]", highlight=False)
@@ -100,7 +100,13 @@
         return UNKEPT
     keep(results)
     show(results)
-    return SUCCESS if results.samples and all(sample.counted() for sample in results.samples) else UNKEPT
+    return SUCCESS if all(_kept(sample) for sample in results.samples) else UNKEPT
+
+
+def _kept(sample: Sample) -> bool:
+    """Whether it counts, nobody who lived was called dead, and every crash became known."""
+    figures = sample.figures
+    return sample.counted() and not figures.get("false_deaths") and not figures.get("unknown")
 
 
 def show(results: Results) -> None:
