Measure what a view, a quiet fleet and a service's list cost as they grow: lab capacity

The size to design for (26,000 servers) can't be played whole, so what each part costs has to be worked out from measured slopes. First experiments: view, join, gossip, churn, list. `lab.members.settled` lost its underscore, as a second module uses it.

--- /dev/null
+++ b/lab/capacity/lists.py
@@ -0,0 +1,107 @@
+"""The list of a service's servers: what a node that calls them pays for it, by how many they are."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+
+from lab.capacity import sizes
+from lab.capacity.model import TIMED, Experiment, Figure
+from lab.capacity.tools import best_ms, mean_us, rss_bytes
+from nickelbridge import interface as api
+from nickelbridge.interface import ListKind, Result
+from nickelbridge.logic import Balancer
+from nickelbridge.settings import read_settings
+from orchidferry.config import Listing, read_listing
+
+REQUESTS, OUT = 400, 8  # that are timed; that are out meanwhile, as 365 a second of 20 ms each are
+TAKES_MS = 20.0
+CALLERS = 100  # nodes that send to the same service
+
+
+def endpoint(n: int, since_ms: int = 0) -> dict[str, Any]:
+    """A server as discovery lists it."""
+    return {
+        "name": sizes.name(n), "address": sizes.address(n), "zone": f"zone-{n % sizes.ZONES:02}",
+        "type": "slot-front", "group": n // 8, "status": "active", "weight": 1.0, "since_ms": since_ms,
+    }  # fmt: skip
+
+
+def text(servers: range, snapshot: bool, index: int = 1) -> bytes:
+    """A list, or changes to it, as discovery writes them."""
+    told = {"index": index, "snapshot": snapshot, "endpoints": [endpoint(n) for n in servers]}
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def _read(data: bytes) -> Listing:
+    return read_listing(json.loads(data))
+
+
+def _event(listing: Listing) -> api.ServerList:
+    kind = ListKind.FULL if listing.whole else ListKind.CHANGES
+    return api.ServerList(kind, listing.index, listing.entries)
+
+
+class _Caller:
+    """Requests to the module as they come, each answered a while later."""
+
+    def __init__(self, balancer: Balancer) -> None:
+        self._balancer, self._out = balancer, list[tuple[str, int]]()
+        self.now, self.sent = 0.0, 0
+        self._class = next(iter(balancer.classes))
+
+    def ask(self, n: int) -> None:
+        """One request, and the end of the one that is out the longest."""
+        self.now += TAKES_MS / OUT
+        event = api.Request(f"r{n}", self._class, 2000.0)
+        for action in self._balancer.handle(event, self.now):
+            if isinstance(action, api.Send):
+                self._out.append((action.id, action.server))
+                self.sent += 1
+        if len(self._out) > OUT:
+            id, server = self._out.pop(0)
+            ended = api.AttemptEnded(id, 0, server, Result.SERVED, TAKES_MS, True)
+            self._balancer.handle(ended, self.now)
+
+
+def _list(servers: int, seed: int) -> dict[str, float]:
+    """A whole list read and taken in, one change of it, and a request, at a node that calls so many."""
+    settings = read_settings(sizes.node_settings(CALLERS))
+    whole, one = text(range(servers), True), text(range(1), False, 2)
+    found = {"bytes": float(len(whole)), "change": float(len(one))}
+    _read(one)  # whatever is made at the first time
+    before = rss_bytes()
+    balancer, listing = Balancer(settings, seed), _read(whole)
+    balancer.handle(_event(listing), 0.0)
+    kept = listing.addresses
+    del listing
+    found["memory"] = rss_bytes() - before
+    assert len(kept) == servers
+    found["parse"] = best_ms(lambda: _read(whole))
+    event, change = _event(_read(whole)), _event(_read(one))
+    found["apply"] = best_ms(lambda: balancer.handle(event, 0.0))
+    found["one"] = best_ms(lambda: (_read(one), balancer.handle(change, 0.0)))
+    caller = _Caller(balancer)
+    for n in range(REQUESTS):
+        caller.ask(n)
+    found["request"] = mean_us(lambda n: caller.ask(REQUESTS + n), REQUESTS)
+    found["slices"] = float(len(balancer.fleet.ready))
+    start = time.perf_counter()
+    balancer.avoided(caller.now)
+    found["figures"] = 1e6 * (time.perf_counter() - start)
+    return found
+
+
+EXPERIMENTS = (
+    Experiment(
+        "list", f"a service's list at a node, one of {CALLERS} that call it", "servers", 2_000.0,
+        (50, 200, 500, 1000, 2000), (20, 50, 100), (1, 2, 3),
+        (
+            Figure("bytes", "B"), Figure("change", "B"), Figure("memory", "B"), Figure("parse", "ms", TIMED),
+            Figure("apply", "ms", TIMED), Figure("one", "ms", TIMED), Figure("request", "us", TIMED),
+            Figure("slices", "servers"), Figure("figures", "us", TIMED),
+        ),
+        _list, 8000,
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/lab/capacity/membership.py
@@ -0,0 +1,240 @@
+"""Membership: what a view of n members costs a process, and what n members say to each other."""
+
+from __future__ import annotations
+
+import json
+import time
+from functools import partial
+from typing import Any, cast
+
+import msgspec
+
+from fleet import interface as fleet_api
+from fleet.membership.core import Membership
+from fleet.membership.gossip import News
+from fleet.messages import Head, Ping, State
+from fleet.wire import Wire
+from lab.capacity import sizes
+from lab.capacity.model import TIMED, Experiment, Figure
+from lab.capacity.tools import StillLoop, best_ms, held_bytes, mean_us, peak_bytes, rss_bytes
+from lab.members import settled
+from lab.virtual.fleet import Fleet
+from nickelbridge.logic import Balancer
+from orchidferry.config import FleetConfig, parse_config
+from orchidferry.duties import SEEN_S
+from orchidferry.peers import Peers
+from orchidferry.shared import seen
+
+FLEET = "capacity"
+PREFIX_BYTES = 5  # before every message: the version, and the fleet's name
+CHUNK = 256  # members told at a time, so that what carries them is not taken for what is kept
+QUIET_MS = 30_000.0
+PINGS = 200
+encode, decode = msgspec.msgpack.Encoder().encode, msgspec.msgpack.Decoder(State).decode
+
+
+class Host:
+    """The fleet's part of a node that is `n1`, without sockets, among n members that are there."""
+
+    def __init__(self, members: int) -> None:
+        self.loop = StillLoop()
+        known = {"index": 1, "snapshot": True, "endpoints": []}
+        config = parse_config(
+            {
+                "name": sizes.name(0), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "ab",
+                "known": known, "settings": sizes.node_settings(members, tenants=True),
+            }
+        )  # fmt: skip
+        voters = [sizes.name(n) for n in (1, 2, 3)]
+        share = frozenset(("verdicts", "limits"))
+        fleet = FleetConfig(FLEET, "127.0.0.1:7400", sizes.address(0), [sizes.address(1)], voters, share)
+        self.peers = Peers(
+            cast(Any, self.loop), config, fleet, lambda *place: None, lambda: 8,
+            Balancer(config.settings, 1),
+        )  # fmt: skip
+        self.peers.handle(fleet_api.Begin())
+        assert self.peers.work is not None and self.peers.shared is not None
+        self.peers.work.begin()
+        self.peers.shared.begin()
+
+    @property
+    def core(self) -> Membership:
+        """Its membership."""
+        return self.peers.core
+
+
+def state_of(numbers: range) -> bytes:
+    """These members as a state on the wire, without its prefix."""
+    return encode(State(_head(1), [sizes.record(n) for n in numbers]))
+
+
+def _head(n: int, digest: int = 0, members: int = 0) -> Head:
+    return Head(sizes.name(n), sizes.LIFE + n, 0, digest, members)
+
+
+def fill(core: Membership, members: int) -> None:
+    """Let a process know so many members, itself among them, as they come off the wire."""
+    for first in range(1, members, CHUNK):
+        state = decode(state_of(range(first, min(members, first + CHUNK))))
+        core.handle(fleet_api.Met(state, sizes.address(1), False), time.monotonic() * 1000.0)
+
+
+def _view(members: int, seed: int) -> dict[str, float]:
+    """A view's memory, its bytes on the wire, and what each thing done with the whole of it takes."""
+    host = Host(members)
+    core, peers = host.core, host.peers
+    before = rss_bytes()
+    fill(core, members)
+    found = {"rss": rss_bytes() - before}
+    found["traced"] = held_bytes(partial(_alone, members))[0]
+    wire = Wire(FLEET)
+    data = encode(core.state())
+    found["wire"] = float(PREFIX_BYTES + len(data))
+    found["told"] = float(len(wire.read_state(wire.write_state(core.state())).records))
+    found["write"] = best_ms(lambda: encode(core.state()))
+    found["read"] = best_ms(lambda: decode(data))
+    fresh = [_alone(1) for _ in range(3)]
+    found["merge"] = best_ms(lambda: fresh.pop().handle(_met(data), 1.0), 3)
+    found["again"] = best_ms(lambda: core.handle(_met(data), 2.0), 3)
+    found["peak"] = peak_bytes() - before
+    return found | _each_second(host) | _shown(peers)
+
+
+def _met(data: bytes) -> fleet_api.Met:
+    return fleet_api.Met(decode(data), sizes.address(1), False)
+
+
+def _alone(members: int) -> Membership:
+    core = Host(1).core
+    fill(core, members)
+    return core
+
+
+def _each_second(host: Host) -> dict[str, float]:
+    """What runs over all members on the loop that answers callers, and how long one message takes."""
+    peers, core = host.peers, host.core
+    assert peers.shared is not None
+    peers.census.see({sizes.name(0)}, 0.0)
+    count = len(core.view.members)
+    # As each second, and at each change of the view.
+    found = {"recount": best_ms(partial(peers.told, 0, count + 1))}
+    found["shared"] = best_ms(
+        lambda: peers.shared and peers.shared.core.handle(seen(core, peers.census), 0.0)
+    )
+    found["duties"] = best_ms(host.loop.due(SEEN_S))
+    wire, digest = Wire(FLEET), core.digest()
+    pings = [
+        wire.write(Ping(_head(1 + n % count, digest, count + 1), n, core.name, [])) for n in range(PINGS)
+    ]
+
+    def ping(n: int) -> None:
+        peers.received(pings[n], ("127.0.0.1", 7400))
+
+    found["storm"] = mean_us(ping, PINGS)  # all members are news still
+    core._news = News()  # as when it has all gone out, which would take hours of such pings
+    found["ping"] = mean_us(ping, PINGS)
+    return found
+
+
+def _shown(peers: Peers) -> dict[str, float]:
+    """What operators are told, which the loop makes too."""
+    found = {"show": best_ms(lambda: json.dumps(peers.show()[1]), 3)}
+    found["shown"] = float(len(json.dumps(peers.show()[1])))
+    return found
+
+
+def _join(members: int, seed: int) -> dict[str, float]:
+    """Until a newcomer's host has taken its first whole view in, with all that it does for each change."""
+    host = Host(members)
+    met = fleet_api.Met(decode(state_of(range(1, members))), sizes.address(1), True)
+    start = time.perf_counter()
+    host.peers.handle(met)
+    return {"join": 1000.0 * (time.perf_counter() - start)}
+
+
+class Timed(Membership):
+    """Adds up the time that all cores of a run take."""
+
+    took_ns = 0
+
+    def handle(self, event: fleet_api.Event, now: float) -> list[fleet_api.Action]:
+        """As `Membership.handle`."""
+        start = time.perf_counter_ns()
+        actions = super().handle(event, now)
+        Timed.took_ns += time.perf_counter_ns() - start
+        return actions
+
+
+def _clear(fleet: Fleet) -> None:
+    fleet.bytes.clear()
+    fleet.datagrams.clear()
+    fleet.stream_bytes.clear()
+    Timed.took_ns = 0
+
+
+def _gossip(members: int, seed: int) -> dict[str, float]:
+    """A quiet fleet in virtual time, per member and second."""
+    fleet = settled(members, seed, Timed)
+    _clear(fleet)
+    fleet.run(QUIET_MS)
+    whole = members * QUIET_MS / 1000.0
+    return {
+        "datagrams": sum(fleet.bytes.values()) / whole,
+        "messages": sum(fleet.datagrams.values()) / whole,
+        "streams": sum(fleet.stream_bytes.values()) / whole,
+        "core": Timed.took_ns / 1e6 / whole,
+    }
+
+
+CHURN, CHURN_MS = 10, 3_000.0  # members that are killed and started anew; how far apart
+
+
+def _churn(members: int, seed: int) -> dict[str, float]:
+    """Members that die and come back: what one such event costs each member, beyond the quiet."""
+    fleet = settled(members, seed, Timed)
+    _clear(fleet)
+    fleet.run(CHURN * 2.0 * CHURN_MS)
+    quiet = sum(fleet.bytes.values()), sum(fleet.stream_bytes.values())
+    _clear(fleet)
+    for name in fleet.rng.sample(fleet.names, CHURN):
+        fleet.kill(name)
+        fleet.run(CHURN_MS)
+        fleet.start(name)
+        fleet.run(CHURN_MS)
+    more = sum(fleet.bytes.values()) - quiet[0], sum(fleet.stream_bytes.values()) - quiet[1]
+    return {"datagrams": more[0] / CHURN / members, "streams": more[1] / CHURN / members}
+
+
+MEMBERS = (500, 1000, 2000, 4000, 8000)
+EXPERIMENTS = (
+    Experiment(
+        "view", "one process's view of all members", "members", sizes.SERVERS, MEMBERS, (50, 100, 200),
+        (1, 2, 3),
+        (
+            Figure("rss", "B"), Figure("traced", "B"), Figure("peak", "B"), Figure("wire", "B"),
+            Figure("told", "members"), Figure("write", "ms", TIMED), Figure("read", "ms", TIMED),
+            Figure("merge", "ms", TIMED), Figure("again", "ms", TIMED), Figure("recount", "ms", TIMED),
+            Figure("shared", "ms", TIMED), Figure("duties", "ms", TIMED), Figure("ping", "us", TIMED),
+            Figure("storm", "us", TIMED), Figure("show", "ms", TIMED), Figure("shown", "B"),
+        ),
+        _view, sizes.SERVERS,
+    ),
+    Experiment(
+        "join", "a newcomer takes in its first whole view", "members", sizes.SERVERS,
+        (250, 500, 1000, 2000), (50, 100, 200), (1, 2, 3), (Figure("join", "ms", TIMED, 2.0),), _join, 4000,
+    ),
+    Experiment(
+        "gossip", "a quiet fleet's messages, a member and second (virtual time)", "members", sizes.SERVERS,
+        (50, 100, 200, 400, 800), (10, 20, 30), (1, 2),
+        (
+            Figure("datagrams", "B/s"), Figure("messages", "1/s"), Figure("streams", "B/s"),
+            Figure("core", "ms/s", TIMED),
+        ),
+        _gossip,
+    ),
+    Experiment(
+        "churn", "a member dies and comes back: bytes to each member for it (virtual time)", "members",
+        sizes.SERVERS, (25, 50, 100, 200), (12, 18, 24), (1, 2),
+        (Figure("datagrams", "B"), Figure("streams", "B")), _churn,
+    ),
+)  # fmt: skip
--- a/lab/members.py
+++ b/lab/members.py
@@ -42,7 +42,8 @@
     bounds: list[Bound] = field(default_factory=list)
 
 
-def _settled(size: int, seed: int, core: type[Membership]) -> Fleet:
+def settled(size: int, seed: int, core: type[Membership]) -> Fleet:
+    """A fleet in which all have found each other, and the news of that has died away."""
     fleet = Fleet(size, seed, core, at_once=True)
     fleet.run(LIMIT_MS, fleet.agreed)
     fleet.run(12_000.0)  # until the news of the join has died away
@@ -51,7 +52,7 @@
 
 def _crash(loss: float) -> Callable[[int, int, type[Membership], float], dict[str, list[float]]]:
     def play(size: int, seed: int, core: type[Membership], minutes: float) -> dict[str, list[float]]:
-        fleet = _settled(size, seed, core)
+        fleet = settled(size, seed, core)
         if loss:
             fleet.lose(loss)
             fleet.run(5_000.0)
@@ -67,14 +68,14 @@
 
 
 def _loss(size: int, seed: int, core: type[Membership], minutes: float) -> dict[str, list[float]]:
-    fleet = _settled(size, seed, core)
+    fleet = settled(size, seed, core)
     fleet.lose(0.2)
     fleet.run(minutes * 60_000.0)
     return {"false": [float(len(fleet.false_deaths))]}
 
 
 def _starved(size: int, seed: int, core: type[Membership], minutes: float) -> dict[str, list[float]]:
-    fleet = _settled(size, seed, core)
+    fleet = settled(size, seed, core)
     for name in fleet.rng.sample(fleet.names, size // 5):
         fleet.processes[name].starved = True
     fleet.run(minutes * 60_000.0)
@@ -82,7 +83,7 @@
 
 
 def _heal(size: int, seed: int, core: type[Membership], minutes: float) -> dict[str, list[float]]:
-    fleet = _settled(size, seed, core)
+    fleet = settled(size, seed, core)
     names = list(fleet.names)
     fleet.rng.shuffle(names)
     ill = fleet.split(names[: size // 2], names[size // 2 :])
@@ -97,7 +98,7 @@
 
 
 def _return(size: int, seed: int, core: type[Membership], minutes: float) -> dict[str, list[float]]:
-    fleet = _settled(size, seed, core)
+    fleet = settled(size, seed, core)
     took = []
     for name in fleet.rng.sample(fleet.names, 2):
         life = fleet.processes[name].core.life
@@ -110,7 +111,7 @@
 
 
 def _quiet(size: int, seed: int, core: type[Membership], minutes: float) -> dict[str, list[float]]:
-    fleet = _settled(size, seed, core)
+    fleet = settled(size, seed, core)
     fleet.bytes.clear()
     fleet.datagrams.clear()
     fleet.stream_bytes.clear()
