--- a/dunlinloft/capacitycli.py
+++ b/dunlinloft/capacitycli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import math
 from pathlib import Path
 
@@ -10,10 +11,14 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
+from dunlinloft import fleetcli
 from dunlinloft.cli import BAD_FILE, SUCCESS, UNKEPT
 from dunlinloft.tables import PLAIN
-from lab.capacity.catalogue import EXPERIMENTS
-from lab.capacity.model import Plan, Report, Row, run
+from lab.capacity import sizes
+from lab.capacity.catalogue import EXPERIMENTS as OF_THE_LAB
+from lab.capacity.membership import Host, fill
+from lab.capacity.model import TIMED, Experiment, Figure, Plan, Report, Row, run
+from lab.capacity.tools import best_ms
 from lab.runner import BadSeeds, read_seeds
 
 WIDTH = 190  # of the table, where nobody looks on a terminal
@@ -21,6 +26,27 @@
 COLUMNS = ("experiment", "figure", "unit", "means", "slope", "±", "intercept", "r²", "at", "", "±", "checked")
 
 
+def _command(members: int, seed: int) -> dict[str, float]:
+    """What `fleet members` makes of what a node tells: its time, and the bytes that it prints."""
+    host = Host(members)
+    fill(host.core, members)
+    state = host.peers.show()[1]
+    printed = io.StringIO()
+
+    def write() -> None:
+        printed.seek(0)
+        Console(file=printed, width=WIDTH).print(fleetcli.table(state), highlight=False)
+
+    return {"print": best_ms(write, 2), "printed": float(len(printed.getvalue()))}
+
+
+COMMAND = Experiment(
+    "command", "an operator's `fleet members`", "members", sizes.SERVERS, (250, 500, 1000, 2000),
+    (20, 40, 80), (1, 2, 3), (Figure("print", "ms", TIMED), Figure("printed", "B")), _command,
+)  # fmt: skip
+EXPERIMENTS = OF_THE_LAB | {COMMAND.name: COMMAND}
+
+
 def capacity(only: str | None, seeds: str | None, quick: bool, checks: bool, json_file: str | None) -> int:
     """Measure; the exit status: 1 where a play came to no end, 2 for a name or seeds that are no good."""
     names = only.split(",") if only else list(EXPERIMENTS)
@@ -72,5 +98,6 @@
     return [
         row.experiment, row.figure, f"{row.unit} by {row.axis}{power}",
         " ".join(f"{size}:{mean:.4g}" for size, mean in means), f"{row.slope:.4g}",
-        f"{row.slope_error:.2g}", f"{row.intercept:.4g}", f"{row.r2:.4f}", f"{row.target:g}", f"{row.at_target:.4g}", f"{row.at_target_error:.2g}", checked,
+        f"{row.slope_error:.2g}", f"{row.intercept:.4g}", f"{row.r2:.4f}", f"{row.target:g}",
+        f"{row.at_target:.4g}", f"{row.at_target_error:.2g}", checked,
     ]  # fmt: skip
--- /dev/null
+++ b/lab/capacity/control.py
@@ -0,0 +1,148 @@
+"""What few do for all: the ledger's rows, leases, and the steward of releases with its members' tallies."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Any
+
+from fleet.duties.ledger import DUTY, Reading, page_after
+from fleet.duties.messages import LedgerPage, LedgerRow, Message
+from fleet.messages import About, Head
+from fleet.releases.member import MOST_COUNTS
+from fleet.releases.messages import Count, Order, Plan, Tally
+from fleet.releases.steward import LOOK_MS, Steward, Telling
+from fleet.shared.messages import encode
+from fleet.wire import Wire
+from lab.capacity import sizes
+from lab.capacity.model import TIMED, Experiment, Figure
+from lab.capacity.tools import best_ms, held_bytes
+from lab.virtual.duties import Process, World
+
+VALUE_BYTES = 60  # of a row, as a limit or a release has
+VOTERS, MEMBERS = 5, 20
+WARM_MS, MEASURED_MS = 10_000.0, 30_000.0
+CLASSES = 3
+
+
+def _rows(count: int) -> dict[str, LedgerRow]:
+    keys = [f"limit/tenant-{n:05}" for n in range(count)]
+    return {key: LedgerRow(key, 1_700_000_000_001, n, b"v" * VALUE_BYTES) for n, key in enumerate(keys)}
+
+
+def _pages(rows: dict[str, LedgerRow]) -> list[LedgerPage]:
+    """All pages that a voter answers a reading with."""
+    found, after, more = list[LedgerPage](), "", True
+    while more:
+        part, more = page_after(rows, after)
+        found.append(LedgerPage(DUTY, 2, 1, after, 1, 1, False, False, part, more, 7))
+        after = part[-1].key
+    return found
+
+
+def _read(pages: list[LedgerPage]) -> None:
+    reading = Reading(1)
+    for page in pages:
+        reading.hear(page, "n1")
+    assert reading.result()[3]
+
+
+def _ledger(rows: int, seed: int) -> dict[str, float]:
+    """A voter's rows: memory; and one voter's all read back by a new holder."""
+    traced, _ = held_bytes(partial(_rows, rows))
+    kept = _rows(rows)
+    pages = _pages(kept)
+    wire, head = Wire("capacity"), Head(sizes.name(1), sizes.LIFE, 0, 1 << 62, MEMBERS)
+    return {
+        "traced": traced,
+        "pages": float(len(pages)),
+        "bytes": float(sum(len(wire.write(About(head, page, []))) for page in pages)),
+        "told": best_ms(lambda: _pages(kept)),
+        "read": best_ms(lambda: _read(pages)),
+    }
+
+
+class Loud(World):
+    """Counts bytes as they go out."""
+
+    def __init__(self, seed: int, duties: int) -> None:
+        self.sent_bytes = 0
+        self._wire = Wire("capacity")
+        super().__init__(seed, MEMBERS, VOTERS, duties)
+
+    def naming(self, n: int) -> str:
+        return sizes.name(n)
+
+    def _send(self, process: Process, name: str, message: Message) -> None:
+        head = Head(process.name, sizes.LIFE, 0, 1 << 62, MEMBERS)
+        self.sent_bytes += len(self._wire.write(About(head, message, [])))
+        super()._send(process, name, message)
+
+
+def _leases(duties: int, seed: int) -> dict[str, float]:
+    """So many duties held and renewed by quiet members: messages and bytes a second, of all together."""
+    world = Loud(seed, duties)
+    world.run(WARM_MS)
+    world.messages = world.sent_bytes = 0
+    world.run(MEASURED_MS)
+    held = sum(len(world.holders(duty)) for duty in world.duties)
+    passed = MEASURED_MS / 1000.0
+    return {"messages": world.messages / passed, "bytes": world.sent_bytes / passed, "held": float(held)}
+
+
+def _tally(order: Order, calls: int) -> Tally:
+    """A member's counts of the most classes and zones that it tells, after so many calls of each."""
+    cells = [divmod(n, MOST_COUNTS // CLASSES + 1) for n in range(MOST_COUNTS)]
+    eighths = [calls // 8] * 8
+    counts = [Count(cls + 1, zone + 1, calls, calls // 50, eighths, calls, 1, eighths) for cls, zone in cells]
+    return Tally(order, 0, counts, 1.5, 22.25, 0)
+
+
+def _steward(members: int, seed: int) -> dict[str, float]:
+    """The steward's look at a tally of each member, in the midst of a stage."""
+    steward = Steward(lambda plan: "", lambda name: 0, lambda: 0)
+    steward.start(7, Plan(1, "baking", (0.01, 1.0), 30.0, 0, 0.01, 1e12), 0.0)
+    now, calls = 0.0, 100
+
+    def told() -> list[Telling]:
+        return [
+            Telling(sizes.name(n), 1, 10.0, _tally(steward.order, calls)) for n in range(members)
+        ]  # fmt: skip
+
+    for _ in range(3):  # obeyed, and seen once
+        now += LOOK_MS
+        steward.look(told(), members, now)
+    took = []
+    for _ in range(8):
+        now, calls = now + LOOK_MS, calls + 40
+        tellings = told()
+        took.append(best_ms(partial(steward.look, tellings, members, now), 1))
+    assert not steward.held, steward.held
+    size = float(len(encode(_tally(steward.order, 400))))
+    return {"look": min(took), "judged": max(took), "tally": size}
+
+
+def _figures(*all: tuple[Any, ...]) -> tuple[Figure, ...]:
+    return tuple(Figure(*one) for one in all)
+
+
+EXPERIMENTS = (
+    Experiment(
+        "ledger", "a voter's rows, and all of them read back", "rows", 1000.0, (100, 250, 500, 1000),
+        (10, 20, 40), (1, 2, 3),
+        _figures(
+            ("traced", "B"), ("pages", "messages"), ("bytes", "B"), ("told", "ms", TIMED),
+            ("read", "ms", TIMED),
+        ),
+        _ledger,
+    ),
+    Experiment(
+        "leases", f"duties of {MEMBERS} members with {VOTERS} voters, a second in all (virtual time)",
+        "duties", sizes.SERVICES, (2, 5, 10, 20), (1, 2, 3), (1, 2, 3),
+        _figures(("messages", "1/s"), ("bytes", "B/s"), ("held", "duties")), _leases, 40,
+    ),
+    Experiment(
+        "steward", "a steward that looks at a tally of each member", "members", sizes.SERVERS,
+        (50, 100, 200, 400), (5, 10, 20), (1, 2, 3),
+        _figures(("look", "ms", TIMED), ("judged", "ms", TIMED), ("tally", "B")), _steward, 2000,
+    ),
+)  # fmt: skip
--- a/lab/capacity/membership.py
+++ b/lab/capacity/membership.py
@@ -82,11 +82,11 @@
 def _view(members: int, seed: int) -> dict[str, float]:
     """A view's memory, its bytes on the wire, and what each thing done with the whole of it takes."""
     host = Host(members)
-    core, peers = host.core, host.peers
+    core = host.core
     before = rss_bytes()
     fill(core, members)
-    found = {"rss": rss_bytes() - before}
-    found["traced"] = held_bytes(partial(_alone, members))[0]
+    found = _each_second(host)
+    found["rss"] = rss_bytes() - before
     wire = Wire(FLEET)
     data = encode(core.state())
     found["wire"] = float(PREFIX_BYTES + len(data))
@@ -96,8 +96,10 @@
     fresh = [_alone(1) for _ in range(3)]
     found["merge"] = best_ms(lambda: fresh.pop().handle(_met(data), 1.0), 3)
     found["again"] = best_ms(lambda: core.handle(_met(data), 2.0), 3)
+    found |= _shown(host.peers)
     found["peak"] = peak_bytes() - before
-    return found | _each_second(host) | _shown(peers)
+    found["traced"] = held_bytes(partial(_alone, members))[0]
+    return found
 
 
 def _met(data: bytes) -> fleet_api.Met:
--- /dev/null
+++ b/lab/capacity/shared.py
@@ -0,0 +1,227 @@
+"""Shared state: what its records cost as members grow in number, and how many keep their bounds."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from fleet.messages import About, Head
+from fleet.shared import messages as shared
+from fleet.shared.core import LIMITS, Shared
+from fleet.shared.limits import BOUND_MS
+from fleet.wire import Wire
+from lab.capacity import sizes
+from lab.capacity.model import TIMED, Experiment, Figure
+from lab.capacity.tools import best_ms, held_bytes
+from lab.plan import Plan
+from lab.scenario import Scenario, load
+from lab.virtual import member
+from lab.virtual.host import VirtualHost
+from lab.virtual.shared import Process, World
+
+WARM_MS, MEASURED_MS = 8_000.0, 12_000.0  # until all have heard of all; and then
+ASKED_S = 20.0  # requests of the tenant a second at each member
+DAY = ("tiers=[{servers=60}]", "arrivals.load=0.4", "nodes.fleet=true")  # as docs/shared.md has it
+TENANT = 'tenants=[{name="spedition",share=0.6,quota_per_s=160},{name="reederei",share=0.4}]'
+EACH = {
+    "none": (), "verdicts": ("verdicts",), "limits": ("limits",), "affinity": ("affinity",),
+    "all": ("verdicts", "limits", "affinity"),
+}  # fmt: skip
+
+
+class Timed(Shared):
+    """Adds up the time that all cores of a run take."""
+
+    took_ns = 0
+
+    def handle(self, event: shared.Event, now: float) -> list[shared.Action]:
+        """As `Shared.handle`."""
+        start = time.perf_counter_ns()
+        actions = super().handle(event, now)
+        Timed.took_ns += time.perf_counter_ns() - start
+        return actions
+
+
+class Limited(Timed):
+    """Shares limits and nothing else."""
+
+    def __init__(self, *args: Any) -> None:
+        name, life, zone, tier, _, *rest = args
+        super().__init__(name, life, zone, tier, frozenset((LIMITS,)), *rest)
+
+
+class Loud(World):
+    """Counts bytes as they go out, and leaves the oracle's look at every record out: it grows with them."""
+
+    def __init__(self, seed: int, members: int) -> None:
+        self.sent_bytes = 0
+        self._wire = Wire("capacity")
+        super().__init__(seed, members, Limited)
+
+    def naming(self, n: int) -> str:
+        return sizes.name(n)
+
+    def _check_ages(self, process: Process) -> None:
+        """Not here."""
+
+    def _send(self, process: Process, name: str, message: shared.Message) -> None:
+        head = Head(process.name, sizes.LIFE, 0, 1 << 62, len(self.names))
+        self.sent_bytes += len(self._wire.write(About(head, message, [])))
+        super()._send(process, name, message)
+
+    def ask_all(self) -> None:
+        """Requests of the tenant, everywhere."""
+        for process in self.processes.values():
+            for _ in range(int(ASKED_S / 4.0)):
+                self.give(process, shared.Asked("t"))
+        self.after(250.0, self.ask_all)
+
+
+def _pulse(members: int, seed: int) -> dict[str, float]:
+    """The cores with limits alone: a pulse of each member to all, and nothing of requests."""
+    world = Loud(seed, members)
+    world.ask_all()
+    world.run(WARM_MS)
+    world.sent_bytes = world.counts["messages"] = Timed.took_ns = 0
+    world.run(MEASURED_MS)
+    whole = members * MEASURED_MS / 1000.0
+    return {
+        "bytes": world.sent_bytes / whole,
+        "messages": world.counts["messages"] / whole,
+        "core": Timed.took_ns / 1e6 / whole,
+    } | _known(world)
+
+
+def _known(world: Loud) -> dict[str, float]:
+    """Of the others' demands, the share that a member may act upon; and how old what it holds is."""
+    fresh, ages = 0, list[float]()
+    for process in world.processes.values():
+        now = process.clock()
+        fresh += sum(1 for _ in process.core.store.read(shared.PULSE, BOUND_MS, now))
+        ages += [held.age_ms(now) for _, held in process.core.store.others(shared.PULSE)]
+    members = len(world.processes)
+    ages.sort()
+    return {"fresh": fresh / (members * (members - 1)), "age": ages[len(ages) * 9 // 10]}
+
+
+def _scenario(members: int, parts: tuple[str, ...]) -> Scenario:
+    share = "[" + ",".join(f'"{part}"' for part in parts) + "]"
+    length = f"day.length_s={(WARM_MS + MEASURED_MS) / 1000.0 + 1.0}"
+    return load("calm", [*DAY, TENANT, length, f"nodes.count={members}", f"nodes.share={share}"])
+
+
+def _day(members: int, seed: int) -> dict[str, float]:
+    """A calm day of 60 servers with one part shared after another: bytes a member and second, and time."""
+    found: dict[str, float] = {}
+    for name, parts in EACH.items():
+        found |= _shared_day(name, members, seed, parts)
+    return found
+
+
+def _shared_day(name: str, members: int, seed: int, parts: tuple[str, ...]) -> dict[str, float]:
+    member.CORE = Timed
+    host = VirtualHost(Plan(_scenario(members, parts), seed), [])
+    assert host.meeting is not None
+    counts, whole = host.meeting.bytes, members * MEASURED_MS / 1000.0
+    found: dict[str, float] = {}
+
+    def clear() -> None:
+        counts.clear()
+        Timed.took_ns = 0
+
+    def take() -> None:
+        found[name] = sum(counts.values()) / whole
+        found[f"{name}-core"] = Timed.took_ns / 1e6 / whole
+
+    host.after(WARM_MS, clear)
+    host.after(WARM_MS + MEASURED_MS, take)
+    host.run()
+    return found
+
+
+def _store(members: int, seed: int) -> dict[str, float]:
+    """One process that holds a pulse of each member: memory, and what it does with all of them."""
+    found = {"traced": held_bytes(partial(_full, members))[0]}
+    core = _full(members)
+    here = {sizes.name(n): sizes.LIFE + n for n in range(1, members)}
+    event = shared.Seen(sizes.LIFE, here, frozenset((*here, sizes.name(0))), members)
+    found["seen"] = best_ms(lambda: core.handle(event, 10.0))
+    found["look"] = best_ms(_again(core, core.begin()[-1]))
+    found["held"] = float(sum(1 for _ in core.store.others(shared.PULSE)))
+    pull = shared.Heard(shared.Pull(1, sizes.LIFE, 0), sizes.name(1))
+    pours = core.handle(pull, 10.0)
+    found["answer"] = best_ms(lambda: core.handle(pull, 10.0))
+    found["told"] = float(
+        sum(
+            len(p.message.entries)
+            for p in pours
+            if isinstance(p, shared.Tell) and isinstance(p.message, shared.Pour)
+        )
+    )
+    return found
+
+
+def _full(members: int) -> Shared:
+    quotas = {"spedition": 160.0}
+    core = Shared(
+        sizes.name(0), sizes.LIFE, "zone-00", 0, frozenset((LIMITS,)), quotas, [], 0.0, random.Random(1), 0.0
+    )
+    core.handle(
+        shared.Seen(
+            sizes.LIFE, {sizes.name(n): sizes.LIFE + n for n in range(1, members)}, frozenset(), members
+        ),
+        0.0,
+    )
+    for n in range(1, members):
+        pulse = shared.Pulse(f"zone-{n % sizes.ZONES:02}", 0, {"spedition": 1.0 + n / 7.0}, 4.5, 20.0, [])
+        entry = shared.Entry(shared.PULSE, sizes.name(n), sizes.LIFE + n, 1, 10, shared.encode(pulse))
+        core.store.take(entry, 1.0, sizes.name(1), 1.0)
+    return core
+
+
+def _again(core: Shared, timer: shared.Action) -> Callable[[], None]:
+    """Let the same timer come due again and again."""
+    due = [timer]
+
+    def fire() -> None:
+        assert isinstance(due[0], shared.SetTimer)
+        due[0] = core.handle(shared.Fired(due[0].token), 20.0)[-1]
+
+    return fire
+
+
+PULSED = (
+    Figure("bytes", "B/s"), Figure("messages", "1/s"), Figure("core", "ms/s", TIMED),
+    Figure("fresh", "share"), Figure("age", "ms"),
+)  # fmt: skip
+EXPERIMENTS = (
+    Experiment(
+        "pulse", "limits alone, cores in virtual time, a member and second", "members", sizes.SERVERS,
+        (10, 20, 40, 60), (4, 6, 8), (1, 2, 3), PULSED, _pulse, 80,
+    ),
+    Experiment(
+        "reach", "the same with more members than datagrams have room for", "members", sizes.SERVERS,
+        (60, 80, 100, 120, 160, 240), (4, 6, 8), (1, 2), PULSED, _pulse,
+    ),
+    Experiment(
+        "day", "shared state on a calm day of 60 servers (virtual time), a member and second", "members",
+        sizes.SERVERS, (10, 20, 40, 80), (3, 4, 5), (1, 2, 3),
+        (
+            *(Figure(name, "B/s") for name in EACH),
+            *(Figure(f"{name}-core", "ms/s", TIMED) for name in EACH if name != "none"),
+        ),
+        _day, 100,
+    ),
+    Experiment(
+        "store", "one process that holds a pulse of each member", "members", sizes.SERVERS,
+        (250, 500, 1000, 2000), (20, 40, 80), (1, 2, 3),
+        (
+            Figure("traced", "B"), Figure("held", "records"), Figure("seen", "ms", TIMED),
+            Figure("look", "ms", TIMED), Figure("answer", "ms", TIMED), Figure("told", "records"),
+        ),
+        _store, 4000,
+    ),
+)  # fmt: skip
