--- a/lab/capacity/control.py
+++ b/lab/capacity/control.py
@@ -89,7 +89,7 @@
     return {"messages": world.messages / passed, "bytes": world.sent_bytes / passed, "held": float(held)}
 
 
-def _tally(order: Order, calls: int) -> Tally:
+def full_tally(order: Order, calls: int) -> Tally:
     """A member's counts of the most classes and zones that it tells, after so many calls of each."""
     cells = [divmod(n, MOST_COUNTS // CLASSES + 1) for n in range(MOST_COUNTS)]
     eighths = [calls // 8] * 8
@@ -105,7 +105,7 @@
 
     def told() -> list[Telling]:
         return [
-            Telling(sizes.name(n), 1, 10.0, _tally(steward.order, calls)) for n in range(members)
+            Telling(sizes.name(n), 1, 10.0, full_tally(steward.order, calls)) for n in range(members)
         ]  # fmt: skip
 
     for _ in range(3):  # obeyed, and seen once
@@ -117,7 +117,7 @@
         tellings = told()
         took.append(best_ms(partial(steward.look, tellings, members, now), 1))
     assert not steward.held, steward.held
-    size = float(len(encode(_tally(steward.order, 400))))
+    size = float(len(encode(full_tally(steward.order, 400))))
     return {"look": min(took), "judged": max(took), "tally": size}
 
 
--- a/lab/capacity/shared.py
+++ b/lab/capacity/shared.py
@@ -9,11 +9,15 @@
 from typing import Any
 
 from fleet.messages import About, Head
+from fleet.releases.member import Follower
+from fleet.releases.messages import Order, Tally
+from fleet.releases.steward import FRESH_MS, LOOK_MS
 from fleet.shared import messages as shared
-from fleet.shared.core import LIMITS, Shared
+from fleet.shared.core import LIMITS, RELEASES, Shared
 from fleet.shared.limits import BOUND_MS
 from fleet.wire import Wire
 from lab.capacity import sizes
+from lab.capacity.control import full_tally
 from lab.capacity.model import TIMED, Experiment, Figure
 from lab.capacity.tools import best_ms, held_bytes
 from lab.plan import Plan
@@ -53,13 +57,30 @@
         super().__init__(name, life, zone, tier, frozenset((LIMITS,)), *rest)
 
 
+class Counting(Follower):
+    """A member whose calls go to so many classes and zones that its tally is full."""
+
+    def tally(self) -> Tally:
+        """As `Follower.tally`."""
+        return full_tally(self.order, 400)
+
+
+class Judged(Timed):
+    """Takes part in releases and in nothing else."""
+
+    def __init__(self, *args: Any) -> None:
+        name, life, zone, tier, _, *rest = args
+        super().__init__(name, life, zone, tier, frozenset((RELEASES,)), *rest)
+        self.follower = Counting(tier)
+
+
 class Loud(World):
     """Counts bytes as they go out, and leaves the oracle's look at every record out: it grows with them."""
 
-    def __init__(self, seed: int, members: int) -> None:
+    def __init__(self, seed: int, members: int, core: type[Shared] = Limited) -> None:
         self.sent_bytes = 0
         self._wire = Wire("capacity")
-        super().__init__(seed, members, Limited)
+        super().__init__(seed, members, core)
 
     def naming(self, n: int) -> str:
         return sizes.name(n)
@@ -79,11 +100,30 @@
                 self.give(process, shared.Asked("t"))
         self.after(250.0, self.ask_all)
 
+    def steer(self) -> None:
+        """The first member is the steward of a release, and says so again and again."""
+        order = Order(7, 1, 1, 0.05, 1e12, (), True)
+        self.give(self.processes[self.names[0]], shared.Steer(order))
+        self.after(LOOK_MS, self.steer)
+
 
 def _pulse(members: int, seed: int) -> dict[str, float]:
     """The cores with limits alone: a pulse of each member to all, and nothing of requests."""
     world = Loud(seed, members)
     world.ask_all()
+    return _measured(world) | _known(world, shared.PULSE, BOUND_MS)
+
+
+def _tallies(members: int, seed: int) -> dict[str, float]:
+    """A release that goes on: an order to all, a full tally of each to the steward by way of all."""
+    world = Loud(seed, members, Judged)
+    world.steer()
+    return _measured(world) | _known(world, shared.TALLY, FRESH_MS)
+
+
+def _measured(world: Loud) -> dict[str, float]:
+    """Bytes, messages and the cores' time, a member and second."""
+    members = len(world.processes)
     world.run(WARM_MS)
     world.sent_bytes = world.counts["messages"] = Timed.took_ns = 0
     world.run(MEASURED_MS)
@@ -92,16 +132,16 @@
         "bytes": world.sent_bytes / whole,
         "messages": world.counts["messages"] / whole,
         "core": Timed.took_ns / 1e6 / whole,
-    } | _known(world)
+    }
 
 
-def _known(world: Loud) -> dict[str, float]:
-    """Of the others' demands, the share that a member may act upon; and how old what it holds is."""
+def _known(world: Loud, kind: int, bound_ms: float) -> dict[str, float]:
+    """Of the others' records the share that a member may act upon; and how old nine in ten are at most."""
     fresh, ages = 0, list[float]()
     for process in world.processes.values():
         now = process.clock()
-        fresh += sum(1 for _ in process.core.store.read(shared.PULSE, BOUND_MS, now))
-        ages += [held.age_ms(now) for _, held in process.core.store.others(shared.PULSE)]
+        fresh += sum(1 for _ in process.core.store.read(kind, bound_ms, now))
+        ages += [held.age_ms(now) for _, held in process.core.store.others(kind)]
     members = len(world.processes)
     ages.sort()
     return {"fresh": fresh / (members * (members - 1)), "age": ages[len(ages) * 9 // 10]}
@@ -206,6 +246,10 @@
         "reach", "the same with more members than datagrams have room for", "members", sizes.SERVERS,
         (60, 80, 100, 120, 160, 240), (4, 6, 8), (1, 2), PULSED, _pulse,
     ),
+    Experiment(
+        "tallies", "a release that goes on, cores in virtual time, a member and second", "members",
+        sizes.SERVERS, (5, 10, 20, 30, 40, 60), (4, 6, 8), (1, 2, 3), PULSED, _tallies,
+    ),
     Experiment(
         "day", "shared state on a calm day of 60 servers (virtual time), a member and second", "members",
         sizes.SERVERS, (10, 20, 40, 80), (3, 4, 5), (1, 2, 3),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -22,7 +22,7 @@
 TINY = {
     "view": (20, 40), "join": (20, 40), "gossip": (4, 6), "churn": (12, 14), "pulse": (3, 4), "reach": (3, 4),
     "day": (3, 4), "store": (10, 20), "list": (10, 20), "ledger": (10, 30), "leases": (1, 2),
-    "zone": (15, 20), "region": (10, 15), "restart": (5, 8), "third": (1, 2),
+    "zone": (15, 20), "region": (10, 15), "restart": (5, 8), "third": (1, 2), "tallies": (3, 4),
     "steward": (3, 6), "chain": (1, 2), "command": (10, 20),
 }  # fmt: skip
 ON_SOCKETS = {"added"}  # takes real time with real processes: looked at by a call of its own below
