Let lab capacity be asked for sizes of one's own

Where a figure passes its bound between two of an experiment's sizes, the place has to be looked for.

--- a/dunlinloft/capacitycli.py
+++ b/dunlinloft/capacitycli.py
@@ -47,19 +47,21 @@
 EXPERIMENTS = OF_THE_LAB | {COMMAND.name: COMMAND}
 
 
-def capacity(only: str | None, seeds: str | None, quick: bool, checks: bool, json_file: str | None) -> int:
-    """Measure; the exit status: 1 where a play came to no end, 2 for a name or seeds that are no good."""
+def capacity(
+    only: str | None, seeds: str | None, sizes: str | None, quick: bool, checks: bool, json_file: str | None
+) -> int:
+    """Measure; the exit status: 1 where a play came to no end, 2 for a name, seeds or sizes of no good."""
     names = only.split(",") if only else list(EXPERIMENTS)
     unknown = [name for name in names if name not in EXPERIMENTS]
     try:
-        wanted = read_seeds(seeds) if seeds else []
+        wanted, at = (read_seeds(text) if text else [] for text in (seeds, sizes))
     except BadSeeds as problem:
         err.print(f"[red]{escape(str(problem))}[/]")
         return BAD_FILE
     if unknown:
         err.print(f"[red]{escape(unknown[0])}: no such experiment; known are {', '.join(EXPERIMENTS)}[/]")
         return BAD_FILE
-    plan = Plan([EXPERIMENTS[name] for name in names], quick, checks, wanted)
+    plan = Plan([EXPERIMENTS[name] for name in names], quick, checks, wanted, at)
     report = _run(plan)
     if json_file:
         Path(json_file).write_bytes(report.write())
--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -385,11 +385,12 @@
 @lab.command("capacity")
 @click.option("--only", help="Some experiments, with commas between; all where it is not given.")
 @click.option("--seeds", help="Such as 1-3, instead of each experiment's own.")
+@click.option("--sizes", help="Such as 5,6,7, instead of each experiment's own; then nothing is checked.")
 @click.option("--quick", is_flag=True, help="Small sizes and one seed: to see that it works.")
 @click.option("--checks/--no-checks", default=True, show_default=True, help="Play the greater sizes too.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Write samples and lines here.")
 def lab_capacity(
-    only: str | None, seeds: str | None, quick: bool, checks: bool, json_file: str | None
+    only: str | None, seeds: str | None, sizes: str | None, quick: bool, checks: bool, json_file: str | None
 ) -> None:
     """Measure what one process costs as the fleet grows, and what that comes to at the size to design for.
 
@@ -397,7 +398,7 @@
     """
     from dunlinloft import capacitycli
 
-    sys.exit(capacitycli.capacity(only, seeds, quick, checks, json_file))
+    sys.exit(capacitycli.capacity(only, seeds, sizes, quick, checks, json_file))
 
 
 @lab.command("list")
--- a/lab/capacity/model.py
+++ b/lab/capacity/model.py
@@ -135,13 +135,14 @@
     quick: bool = False
     checks: bool = True
     seeds: list[int] = field(default_factory=list)  # instead of each experiment's own
+    sizes: list[int] = field(default_factory=list)  # as well
 
     def plays(self, experiment: Experiment) -> list[tuple[int, int]]:
         """Sizes and seeds of an experiment."""
-        sizes = experiment.quick if self.quick else experiment.sizes
+        sizes = self.sizes or (experiment.quick if self.quick else experiment.sizes)
         seeds = self.seeds or (experiment.seeds[:1] if self.quick else experiment.seeds)
         plays = [(size, seed) for size in sizes for seed in seeds]
-        last = experiment.check and self.checks and not self.quick
+        last = experiment.check and self.checks and not self.quick and not self.sizes
         return [*plays, (experiment.check, seeds[0])] if last else plays
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -164,12 +164,13 @@
 def test_the_command_measures_prints_and_writes(tmp_path: Path) -> None:
     file = tmp_path / "found.json"
     done = CliRunner().invoke(
-        main, ["lab", "capacity", "--quick", "--only", "store,ledger", "--json", str(file)]
+        main, ["lab", "capacity", "--quick", "--sizes", "8,12", "--only", "store,ledger", "--json", str(file)]
     )
     assert done.exit_code == 0, done.output
     assert "traced" in done.output
     found = json.loads(file.read_text())
-    assert found["quick"] and {row["experiment"] for row in found["rows"]} == {"store", "ledger"}
+    assert found["quick"] and {sample["size"] for sample in found["samples"]} == {8, 12}
+    assert {row["experiment"] for row in found["rows"]} == {"store", "ledger"}
     assert CliRunner().invoke(main, ["lab", "capacity", "--only", "nothing"]).exit_code == 2
 
 
