Let lab scale and lab capacity host members as the program does now

Need: both were written against a Peers that took a node's whole configuration; it takes who it is now, and its name for bytes on a stream was taken.

--- a/lab/capacity/membership.py
+++ b/lab/capacity/membership.py
@@ -22,7 +22,7 @@
 from nickelbridge.logic import Balancer
 from orchidferry.config import FleetConfig, parse_config
 from orchidferry.duties import SEEN_S
-from orchidferry.peers import Peers
+from orchidferry.peers import Own, Peers
 from orchidferry.shared import seen
 
 FLEET = "capacity"
@@ -49,8 +49,8 @@
         share = frozenset(("verdicts", "limits"))
         fleet = FleetConfig(FLEET, "127.0.0.1:7400", sizes.address(0), [sizes.address(1)], voters, share)
         self.peers = Peers(
-            cast(Any, self.loop), config, fleet, lambda *place: None, lambda: 8,
-            Balancer(config.settings, 1),
+            cast(Any, self.loop), Own.of(config), fleet, lambda *place: None, lambda: 8,
+            Balancer(config.settings, 1), settings=config.settings,
         )  # fmt: skip
         self.peers.handle(fleet_api.Begin())
         assert self.peers.work is not None and self.peers.shared is not None
--- a/lab/scale/hollow.py
+++ b/lab/scale/hollow.py
@@ -13,7 +13,7 @@
 from fleet import interface as api
 from lab.scale import talk
 from orchidferry.config import Config, parse_config
-from orchidferry.peers import Peers
+from orchidferry.peers import Own, Peers
 
 TURN_S = 0.05  # how often it is looked whether this process is late
 
@@ -23,7 +23,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, deaths: list[talk.Death]) -> None:
         assert config.fleet is not None
-        super().__init__(loop, config, config.fleet, lambda number, nodes: None, lambda: 0)
+        super().__init__(loop, Own.of(config), config.fleet, lambda number, nodes: None, lambda: 0)
         self._deaths = deaths
 
     def _do(self, action: api.Action) -> None:
--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -344,7 +344,7 @@
         try:
             async with asyncio.timeout(CALL_S):
                 reader, writer = await self._open(target)
-                self._write(writer, kind + len(data).to_bytes(4, "big") + data)
+                self._pour(writer, kind + len(data).to_bytes(4, "big") + data)
                 size = int.from_bytes(await reader.readexactly(4), "big")
                 return await reader.readexactly(size) if size <= MOST_STATE else None
         except (OSError, TimeoutError, EOFError, ValueError):
@@ -354,7 +354,7 @@
             if writer is not None:
                 writer.close()
 
-    def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+    def _pour(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         self.counts["stream_bytes"] += len(data)
         writer.write(data)
 
@@ -371,7 +371,7 @@
                 if kind not in (STATE, PROBE) or size > MOST_STATE:
                     raise Refused("foreign" if size <= MOST_STATE else "long")
                 answer = self._answer(kind, await reader.readexactly(size), writer)
-                self._write(writer, len(answer).to_bytes(4, "big") + answer)
+                self._pour(writer, len(answer).to_bytes(4, "big") + answer)
                 await writer.drain()
         except Refused as reason:
             self.refuse(str(reason))
