--- a/dunlinloft/capacitycli.py
+++ b/dunlinloft/capacitycli.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import io
-import math
 from pathlib import Path
 
 from rich.console import Console
@@ -95,7 +94,7 @@
 
 def _cells(row: Row) -> list[str]:
     power = "" if row.power == 1.0 else f"^{row.power:g}"
-    checked = "" if math.isnan(row.check) else f"{row.check_size}: {row.check:.4g} ({row.check_fit:.4g})"
+    checked = f"{row.check_size}: {row.check:.4g} ({row.check_fit:.4g})" if row.check_size else ""
     means = zip(row.sizes, row.means, strict=True)
     return [
         row.experiment, row.figure, f"{row.unit} by {row.axis}{power}",
--- a/lab/capacity/model.py
+++ b/lab/capacity/model.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, field
@@ -76,8 +75,8 @@
     at_target: float
     at_target_error: float
     check_size: int = 0
-    check: float = math.nan  # measured there,
-    check_fit: float = math.nan  # and what the line says
+    check: float | None = None  # measured there, if anything was,
+    check_fit: float | None = None  # and what the line says
 
 
 class Report(Struct):
@@ -116,10 +115,10 @@
 
 def _checked(
     experiment: Experiment, figure: Figure, samples: list[Sample], found: Fit
-) -> tuple[int, float, float]:
+) -> tuple[int, float | None, float | None]:
     seen = [s.values[figure.name] for s in samples if experiment.check and s.size == experiment.check]
     if not seen:
-        return 0, math.nan, math.nan
+        return 0, None, None
     return experiment.check, _mean(seen), found.at(float(experiment.check) ** figure.power)[0]
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -154,6 +154,8 @@
     assert row.means == pytest.approx([16.0, 22.0])
     assert (row.check_size, row.check) == (16, 59.0) and row.check_fit == pytest.approx(58.0)
     assert read_report(report.write()) == report
+    unchecked = run(Plan([_made(_grows)], checks=False))
+    assert unchecked.rows[0].check is None and read_report(unchecked.write()) == unchecked
 
 
 def test_a_play_that_fails_is_said_and_gives_no_line() -> None:
