Bound the cells and voices that a process of the directory holds

Cause: the table of reports was bounded, the index made of them was not: reports of made-up services or speakers would have filled it for two hours. Beyond 200,000 cells no other is taken in, and no sum is sure; of more than 16 speakers for one cell the oldest word goes.

--- a/fleet/cells/directory.py
+++ b/fleet/cells/directory.py
@@ -15,7 +15,7 @@
 
 from fleet import interface as api
 from fleet.cells.cut import Cut
-from fleet.cells.index import Index, sound
+from fleet.cells.index import MOST_CELLS, Index, sound
 from fleet.cells.messages import Find, Found, Report, Summary
 from fleet.cells.totals import BOUND_MS
 from fleet.shared import messages as shared
@@ -23,7 +23,6 @@
 from fleet.shared.spread import Partner, Spread
 from fleet.shared.store import Store
 
-MOST_CELLS = 200_000  # reports that are held
 MOST_POURS = 32  # datagrams that answer one question of another process
 LEARNING_MS = BOUND_MS + 5_000.0  # a new process may not know of all cells for so long
 PRUNE_MS = 1_000.0
--- a/fleet/cells/index.py
+++ b/fleet/cells/index.py
@@ -17,6 +17,8 @@
 SETTLE_MS = 15_000.0  # since cells last changed, before a service's sum counts as whole
 FORGET_MS = 2 * 3_600_000.0  # a cell that nobody reported for so long has ended; regions come back sooner
 
+MOST_CELLS = 200_000  # that are known; beyond that no other is taken in, and no sum is sure
+MOST_VOICES = 16  # members that speak for one cell; beyond that the oldest word goes
 MOST_COUNTED = 100_000  # members of a cell: whoever says more is broken
 MOST_ADDRESS = 64  # characters of an address
 
@@ -133,6 +135,7 @@
 
     def __init__(self) -> None:
         self.services: dict[str, Service] = {}
+        self.count = 0  # of cells
 
     def take(
         self, service: str, region: str, name: str, summary: Summary, born_ms: float, now: float
@@ -141,15 +144,27 @@
         if not sound(summary):
             return
         cut = Cut(summary.epoch, summary.depth, summary.bits)
-        known = self.services.setdefault(service, Service())
-        key = region, cut.depth, cut.bits
-        cell = known.cells.get(key)
+        cell = self._cell(service, region, cut, now)
         if cell is None:
-            cell = known.cells[key] = Cell(region, cut, now)
-            known.changed_ms = now
+            return
         if cut.epoch > cell.cut.epoch:
             cell.cut = cut
         cell.voices[name] = Voice(summary, born_ms)
+        if len(cell.voices) > MOST_VOICES:
+            del cell.voices[min(cell.voices, key=lambda who: cell.voices[who].born_ms)]
+
+    def _cell(self, service: str, region: str, cut: Cut, now: float) -> Cell | None:
+        key = region, cut.depth, cut.bits
+        known = self.services.get(service)
+        if known is not None and key in known.cells:
+            return known.cells[key]
+        if self.count >= MOST_CELLS:
+            return None
+        known = self.services.setdefault(service, Service())
+        cell = known.cells[key] = Cell(region, cut, now)
+        self.count += 1
+        known.changed_ms = now
+        return cell
 
     def prune(self, now: float) -> None:
         """Let go of what is over: gone, replaced, or unheard of for too long."""
@@ -160,6 +175,7 @@
                         del cell.voices[who]
                 if self._over(service, cell, now):
                     del service.cells[key]
+                    self.count -= 1
                     service.changed_ms = now
             if not service.cells:
                 del self.services[name]
@@ -197,7 +213,8 @@
         sums.before += sum(c.counted(now) for c in here if c.cut.bits << (32 - c.cut.depth) < start)
         needed = [cell for cell in service.cells.values() if not self._replaced(service, cell, now)]
         sums.age_ms = max((cell.age_ms(now) for cell in needed), default=0.0)
-        sums.sure = sums.age_ms <= BOUND_MS and now - service.changed_ms >= SETTLE_MS
+        whole = self.count < MOST_CELLS and sums.age_ms <= BOUND_MS
+        sums.sure = whole and now - service.changed_ms >= SETTLE_MS
         self._point(sums, here, mine, path(find.name))
         self._siblings(sums, here, mine, now)
         exact = service.cells.get((find.region, mine.depth, mine.bits))
--- a/tests/test_cell_laws.py
+++ b/tests/test_cell_laws.py
@@ -5,12 +5,14 @@
 import random
 from collections.abc import Callable
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fleet.cells import index as index_module
 from fleet.cells.cut import MOST_DEPTH, PATH_BITS, Cut, newer, path, shared_bits
 from fleet.cells.directory import Directory, Said
-from fleet.cells.index import FORGET_MS, SETTLE_MS, Cell, Index, Voice, covers, tally
+from fleet.cells.index import FORGET_MS, MOST_VOICES, SETTLE_MS, Cell, Index, Voice, covers, tally
 from fleet.cells.messages import Find, Found, Report, Summary
 from fleet.cells.pointers import MOST_POINTERS, Pointers
 from fleet.cells.totals import BOUND_MS, CellCensus, Totals
@@ -213,6 +215,24 @@
     assert asked(index, Cut(), FORGET_MS) == (7, 3, False)
 
 
+def test_cells_and_voices_are_bounded_and_no_sum_is_sure_of_too_many(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(index_module, "MOST_CELLS", 4)
+    index = Index()
+    for n in range(5):
+        index.take(f"web{n}", "east", "a", summary(Cut(), 4), 0.0, 0.0)
+    assert len(index.services) == index.count == 4
+    told = index.sums(Find(1, "n1", "web1", "east", 0, 0, 0), SETTLE_MS)
+    assert (told.total, told.sure) == (4, False)
+    for n in range(40):
+        index.take("web0", "east", f"n{n}", summary(Cut(), 4), float(n), 40.0)
+    index.take("web3", "east", "a", summary(Cut(), 0), 50.0, 50.0)
+    index.prune(50.0)
+    [cell] = index.services["web0"].cells.values()
+    assert len(cell.voices) == MOST_VOICES and "n39" in cell.voices
+    assert index.count == 3
+    assert index.sums(Find(1, "n1", "web1", "east", 0, 0, 0), SETTLE_MS).sure
+
+
 def test_a_reports_age_counts_from_the_answer_that_it_goes_with_and_an_older_ones_is_refused() -> None:
     directory = Directory("d1", 3, random.Random(1), 0.0)
     find = Find(1, "n1", "web", "east", 0, 0, 0)
