Say what newcomers add to the parts until other cells hear of them

Those that were there before must not take more than one together, as ever; all together stay under one and a half, and all count the newcomers within 16 s (a test).

--- a/lab/virtual/cell_oracle.py
+++ b/lab/virtual/cell_oracle.py
@@ -20,11 +20,15 @@
     def __init__(self, fleet: CellFleet) -> None:
         self._fleet = fleet
         self.most: dict[str, float] = defaultdict(float)
+        self.old: dict[str, float] = defaultdict(float)  # of those alone that were there when this began
+        self._first = dict(fleet.processes)
         self._look()
 
     def _look(self) -> None:
         for service, members in by_service(self._fleet).items():
             self.most[service] = max(self.most[service], sum(member.part() for member in members))
+            old = sum(member.part() for member in members if self._first.get(member.name) is member)
+            self.old[service] = max(self.old[service], old)
         self._fleet.after(SAMPLE_MS, self._look)
 
     def anew(self) -> None:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -117,6 +117,15 @@
     assert fleet.false_deaths == []
 
 
+def test_newcomers_count_in_all_cells_after_a_dozen_seconds() -> None:
+    fleet = settled({"web": 24}, 21, most=8)
+    for _ in range(3):
+        fleet.start(fleet.add("web", "east"))
+    until(fleet, lambda: all(m.census.place()[1] == 27 for m in fleet.members()), 16_000.0)
+    fleet.run(20_000.0)
+    assert sorted(m.census.place()[0] for m in fleet.members()) == list(range(27))
+
+
 # Small cells, and strays
 
 
