Count a whole view once, and not once for each member in it

Cause: Peers._do recounted on each Changed (orchidferry/peers.py), and a whole view that comes in is one Changed for each member in it: of_tier and the census look at all members each time, so a newcomer's loop, which answers callers, stood still for a time that grows with the square. Ruled out: the merge itself (0.23 s for 26,000).

Change: once for each event, after all that it changed.

The test fails without it (200 counts for one view).

--- a/orchidferry/peers.py
+++ b/orchidferry/peers.py
@@ -218,8 +218,12 @@
         if self._over:
             return
         try:
-            for action in self.core.handle(event, now_ms()):
+            actions = self.core.handle(event, now_ms())
+            for action in actions:
                 self._do(action)
+            # Once for all that one event has changed: a whole view that comes in changes every member.
+            if any(isinstance(action, api.Changed) for action in actions):
+                self._recount()
         except Exception:
             self.counts["errors"] += 1
             logs.exception("fleet error", "the fleet's part, handling %(what)s", what=type(event).__name__)
@@ -237,7 +241,6 @@
             case api.Changed():
                 if self.cells is not None and action.what == "cut":
                     self.cells.was_cut()
-                self._recount()
             case api.Note():
                 text = "fleet: " + ", ".join(f"{name} %({name})s" for name in action.fields)
                 logs.info(f"fleet {action.event}", text, **action.fields)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -18,9 +18,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from fleet import interface as api
 from fleet import wire
 from fleet.census import HOLD_MS, Census
-from fleet.messages import Head, Ping
+from fleet.messages import Head, Ping, Record, State
 from lab.processes.block import Block, text
 from lab.processes.day import play_processes
 from lab.scenario import parse
@@ -416,3 +417,29 @@
             scene.close()
 
     run(test())
+
+
+def test_a_whole_view_is_counted_once_and_not_once_for_each_member_in_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    counted: list[int] = []
+
+    class Noting(Census):
+        def see(self, here: set[str], now: float) -> None:
+            counted.append(len(here))
+            super().see(here, now)
+
+    async def play() -> None:
+        scene = Scene(tmp_path, ["n1"])
+        try:
+            peers = scene.members["n1"]
+            monkeypatch.setattr(peers, "census", Noting("n1", 0, 3))
+            facts: dict[str, Any] = {"tier": 0.0}
+            records = [Record(f"m{n}", 1, 0, 0, 7, f"127.0.0.9:{n + 1}", 0, facts) for n in range(200)]
+            peers.handle(api.Met(State(Head("m0", 1, 0, 0), records), "127.0.0.9:1", True))
+            assert peers.core.alive() == 201
+            assert counted == [201]
+        finally:
+            scene.close()
+
+    run(play())
