--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -209,6 +209,7 @@
                 self._pointers.met(path(member.name), member.address)
             self.view.release(member.name)
             self.actions.append(api.Changed(member.name, "gone"))
+        self.view.compact()
         self.actions.append(api.Changed(self.name, "cut"))
         for address in told:
             self.post(address, Gossip(self.head(), [self.own_record(facts=False)]))
--- a/fleet/membership/core.py
+++ b/fleet/membership/core.py
@@ -227,6 +227,8 @@
     def _spread(self) -> None:
         if not len(self._news) or self.quiet:
             self._spreading = False
+            if not len(self._news):
+                self._news = News()  # an emptied one keeps the room of its longest queue
             return
         count = SPREAD_FULL if len(self._news) > FULL else SPREAD_TO
         for name in self.view.here.draw(count):
--- a/fleet/membership/view.py
+++ b/fleet/membership/view.py
@@ -111,6 +111,10 @@
             self._names[place] = last
             self._places[last] = place
 
+    def compact(self) -> None:
+        """Take no more room than these need."""
+        self._places = dict(self._places)
+
     def draw(self, count: int, without: str = "") -> list[str]:
         """So many, all different, if there are so many."""
         if count + 2 >= len(self._names):
@@ -198,6 +202,12 @@
         self.here.remove(name)
         self.buried.remove(name)
 
+    def compact(self) -> None:
+        """Give back the room of those that were released: dicts keep it for as many as there ever were."""
+        self.members = dict(self.members)
+        self.here.compact()
+        self.buried.compact()
+
     def forget(self, now: float) -> None:
         """Let go of the buried whom no old news can be about any more, and of the oldest of too many."""
         gone = [m for m in self.members.values() if not m.here()]
--- a/tests/test_cell_laws.py
+++ b/tests/test_cell_laws.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import sys
 from collections.abc import Callable
 
 import pytest
@@ -18,6 +19,8 @@
 from fleet.cells.totals import BOUND_MS, CellCensus, Totals
 from fleet.census import HOLD_MS
 from fleet.interface import Post
+from fleet.membership.view import View
+from fleet.messages import Record
 
 LEAVES = 6  # bits that these tests look at
 PATHS = st.integers(0, (1 << LEAVES) - 1).map(lambda leaf: leaf << (PATH_BITS - LEAVES))
@@ -307,6 +310,20 @@
     assert not told.good(Cut(2, 2, 0), 0.0)
 
 
+def test_a_view_gives_back_the_room_of_those_that_were_released() -> None:
+    view, few = View(random.Random(1)), View(random.Random(1))
+    for n in range(1000):
+        view.merge(Record(f"n{n}", 1, 0, n % 2, 1), 0.0)
+    for n in range(990):
+        view.release(f"n{n}")
+    view.compact()
+    for n in range(990, 1000):
+        few.merge(Record(f"n{n}", 1, 0, n % 2, 1), 0.0)
+    assert sys.getsizeof(view.members) <= 2 * sys.getsizeof(few.members)
+    assert view.digest == few.digest
+    assert sorted(view.here.names()) == sorted(few.here.names())
+
+
 def test_pointers_lead_closer_and_are_few() -> None:
     own = path("n0")
     pointers, others = Pointers(own), [f"n{n}" for n in range(1, 60)]
