--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -376,6 +376,11 @@
 @click.option("--minutes", type=float, default=30.0, show_default=True, help="The run may last.")
 @click.option("--fleet-key", "fleet_keys", multiple=True, metavar="KEY=JSON",
               help="More of each member's fleet object; {name} and {place} are the member's.")  # fmt: skip
+@click.option("--cells", type=click.IntRange(0, 1000), default=0, show_default=True,
+              help="Members of a cell at most, with a directory; 0 is one flat fleet.")  # fmt: skip
+@click.option(
+    "--directory", type=click.IntRange(1, 60), default=3, show_default=True, help="Processes of it."
+)
 @click.option("--parts", is_flag=True, help="Views may be of parts of the fleet.")
 @click.option("--json", "json_file", type=click.Path(dir_okay=False), help="Save all samples here.")
 def lab_scale(**options: Any) -> None:
--- a/lab/processes/block.py
+++ b/lab/processes/block.py
@@ -11,6 +11,7 @@
 FIRST, LAST = 16, 250
 CLAIM_PORT = 7399
 NODE_PORT, ADMIN_PORT, DISCOVERY_PORT, SERVER_PORT, PEER_PORT = 9000, 9100, 8500, 10_000, 7400
+DIRECTORY_KIND = 5
 HOLLOW_KIND, HOLLOW_EACH = 16, 250  # third bytes of addresses from there on, with so many members each
 Address = tuple[str, int]
 
@@ -67,6 +68,10 @@
         """Where a server is for one node: by the address its link is known."""
         return self._at(4, node, SERVER_PORT + server)
 
+    def directory(self, place: int) -> Address:
+        """Where a process of the directory binds, for its peers and for members."""
+        return self._at(DIRECTORY_KIND, place, PEER_PORT)
+
     def hollow(self, place: int) -> Address:
         """Where a member without a node binds for its peers, of a scale run."""
         return self._at(HOLLOW_KIND + place // HOLLOW_EACH, place % HOLLOW_EACH, PEER_PORT)
--- a/lab/scale/limits.py
+++ b/lab/scale/limits.py
@@ -7,7 +7,8 @@
 
 import socket
 
-from lab.scale.plan import Machine, Plan
+from lab.scale.plan import CELLS_APART_S, Machine, Plan
+from orchidferry.config import LEAST_CELL
 from orchidferry.peers import MOST_IN, MOST_OUT
 
 LOCK = ("127.15.0.1", 7398)  # whoever listens here is the one scale run of this machine
@@ -53,7 +54,11 @@
 def _check_size(plan: Plan, size: int, machine: Machine) -> None:
     if plan.hollow(size) < 3:
         raise Refused(f"size {size}: needs three hollow members or more beside {plan.nodes} nodes")
-    processes = len(plan.hosts(size)) + plan.nodes
+    if 0 < plan.cells < LEAST_CELL:
+        raise Refused(
+            f"cells of {plan.cells}: a cell takes {LEAST_CELL} members or more; 0 is one flat fleet"
+        )
+    processes = len(plan.hosts(size)) + plan.nodes + (plan.directory if plan.cells else 0)
     if processes > MOST_PROCESSES:
         least = -(-plan.hollow(size) // (MOST_PROCESSES - plan.nodes))
         raise Refused(
@@ -85,8 +90,9 @@
 
 def sockets_mb(plan: Plan, size: int) -> float:
     """What a size takes in memory, about."""
-    members = plan.hollow(size) * (MEMBER_MB + size * ENTRY_KB / 1024.0)
-    return LAB_MB + len(plan.hosts(size)) * HOST_MB + plan.nodes * NODE_MB + members
+    members = plan.hollow(size) * (MEMBER_MB + plan.seen(size) * ENTRY_KB / 1024.0)
+    processes = plan.nodes + (plan.directory if plan.cells else 0)
+    return LAB_MB + len(plan.hosts(size)) * HOST_MB + processes * NODE_MB + members
 
 
 def virtual_mb(size: int) -> float:
@@ -96,14 +102,15 @@
 
 def cores(plan: Plan, size: int) -> float:
     """What a size takes of cores in its quiet state, about."""
-    member_s = (MEMBER_MS + size * ENTRY_US / 1000.0) / 1000.0
+    member_s = (MEMBER_MS + plan.seen(size) * ENTRY_US / 1000.0) / 1000.0
     return plan.hollow(size) * member_s + plan.nodes * (NODE_MS + plan.rate_per_s * REQUEST_MS) / 1000.0
 
 
 def size_s(plan: Plan, size: int) -> float:
     """How long a size takes, about."""
     crashes = plan.chosen_victims(size) * KNOWN_S if size else 0.0
-    return START_S + (JOIN_S if size else 0.0) + plan.settle_s + plan.seconds + crashes
+    joins = len(plan.hosts(size)) * CELLS_APART_S if size and plan.cells else 0.0
+    return START_S + (JOIN_S if size else 0.0) + joins + plan.settle_s + plan.seconds + crashes
 
 
 def virtual_s(plan: Plan, size: int) -> float:
--- a/lab/scale/plan.py
+++ b/lab/scale/plan.py
@@ -16,6 +16,7 @@
 SEEDS = (
     3  # members whose addresses the others are given, each in a process of its own where there are so many
 )
+CELLS_APART_S = 2.0  # between processes whose members join cells: a large one is cut after 3 s
 
 
 class Plan(Struct):
@@ -36,11 +37,17 @@
     minutes: float = 30.0  # the run may last at most
     fleet_keys: dict[str, Any] = {}  # more of each member's `fleet` object; see `member_keys`
     parts: bool = False  # views may be of parts of the fleet, each of which has to agree
+    cells: int = 0  # members of a cell at most; 0: one flat fleet
+    directory: int = 3  # its processes, where there are cells
 
     def hollow(self, size: int) -> int:
         """How many of a fleet are hollow."""
         return size - self.nodes
 
+    def seen(self, size: int) -> int:
+        """How many members one sees at most."""
+        return min(size, self.cells) if self.cells else size
+
     def hosts(self, size: int) -> list[int]:
         """How many members each hollow process has: as even as can be."""
         hollow = self.hollow(size)
