--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -24,7 +24,8 @@
 TICK_MS = 1_000.0  # how often it is looked at what the cell needs
 FIND_MS = 10_000.0  # how often the directory is asked, with jitter
 ANSWER_MS = 1_000.0  # a question that is not answered by then goes to another, after a wait that doubles
-CUT_MS = 3_000.0  # so long a cell has to be too large before it is cut
+CUT_MS = 3_000.0  # so long a cell has to be too large before it is cut,
+HUGE = 2.0  # unless it is so many times too large: a service starts all at once
 MERGE_MS = 20_000.0  # so long two halves have to be small enough before they merge
 MERGE_SHARE = 0.5  # of the bound, that they may make up together
 LONELY_MS = 5_000.0  # who is alone speaks for a cell only after having looked for it so long
@@ -219,9 +220,10 @@
     def _perhaps_cut(self, now: float) -> None:
         if self.alive() <= self.place.most or self.cut.depth >= MOST_DEPTH:
             self._large_ms = -1.0
-        elif self._large_ms < 0.0:
+            return
+        if self._large_ms < 0.0:
             self._large_ms = now
-        elif now - self._large_ms >= CUT_MS:
+        if now - self._large_ms >= CUT_MS or self.alive() > HUGE * self.place.most:
             self._cut_to(self.cut.half(self._path), now)
 
     def _perhaps_merge(self, now: float) -> None:
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -83,6 +83,13 @@
     assert fleet.false_deaths == []
 
 
+def test_a_service_that_starts_all_at_once_is_cut_without_waiting() -> None:
+    fleet = CellFleet({"web": 64}, 23)
+    assert fleet.run(6_000.0, lambda: len(cells(fleet)) >= 8, every_ms=250.0) < 6_000.0
+    quiet(fleet, 20_000.0)
+    assert fleet.false_deaths == []
+
+
 def test_two_sides_of_a_split_cell_disagree_on_the_cut_and_agree_again() -> None:
     fleet = CellFleet({"web": 8}, 5, directory=0)
     quiet(fleet)
