--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -353,5 +353,5 @@
 
 
 def test_cells_that_can_t_be_are_refused() -> None:
-    with pytest.raises(limits.Refused, match="cells of 3: 4 members or more"):
+    with pytest.raises(limits.Refused, match="cells of 3: a cell takes 4 members or more"):
         limits.check(Plan([8, 9, 10, 11], [], [1], cells=3), Machine(8, 24_000.0, 1024))
