--- a/tests/test_cell_laws.py
+++ b/tests/test_cell_laws.py
@@ -334,6 +334,11 @@
         assert 0 < len(told) <= MOST_POINTERS
         for address in told:
             assert shared_bits(path(address[5:]), path(name)) > shared_bits(own, path(name))
+    far = next(name for name in others if shared_bits(own, path(name)) == 0)
+    told = pointers.toward(path(far))
+    for n in range(5):
+        pointers.met(path(far), f"addr:new{n}", alone=True)
+    assert pointers.toward(path(far)) == [*told, "addr:new3", "addr:new4"]
     pointers.keep(1)
     assert not any(pointers.toward(path(name)) for name in others if shared_bits(own, path(name)) >= 1)
 
