Tell newcomers how many there are where the directory can't

Cause: with the directory gone a newcomer counted its own cell and the file's number alone, and took a greater part than those that knew all: 1/8 beside 1/24, which a flat fleet would not have done. Members' facts carry the number now, of the reporter, or of whoever knows more; only those whom the directory has told nothing use it, as an unsure word. Also: one member with an overlong version, or address, made its cell's summary too long to be taken.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -17,6 +17,7 @@
 from fleet.cells.messages import MOST_ADDRESSES, Find, Found, Report, Summary
 from fleet.cells.pointers import Pointers
 from fleet.cells.totals import Totals
+from fleet.cells.words import MOST_TEXT, SERVICE, greatest_word, hearsay, load_and_program
 from fleet.membership.core import SPREAD_FULL, Membership
 from fleet.membership.view import Member
 from fleet.messages import ALIVE, Fact, Gossip, Head, Message, Record, State
@@ -86,14 +87,12 @@
     def summary(self) -> Summary:
         """The cell as others are to know it."""
         there = list(self._there())
-        loads = [self._facts.get("load"), *(m.facts.get("load") for m in there)]
-        programs = [str(facts.get("program", "")) for facts in (self._facts, *(m.facts for m in there))]
-        well = [m for m in there if m.status == ALIVE]
+        well = [m.address for m in there if m.status == ALIVE and len(m.address) <= MOST_TEXT]
         some = self.rng.sample(well, min(MOST_ADDRESSES - 1, len(well)))
+        load, program = load_and_program([self._facts, *(m.facts for m in there)])
         return Summary(
             self.cut.epoch, self.cut.depth, self.cut.bits, self.alive(), max(self.alive(), self.counted()),
-            self.digest(), sum(load for load in loads if isinstance(load, float)), min(programs),
-            [self.address, *(m.address for m in some)],
+            self.digest(), load, program, [self.address, *some],
         )  # fmt: skip
 
     def counted(self) -> int:
@@ -131,8 +130,27 @@
                 self._find_ms = min(self._find_ms, now)
         else:
             self._large_ms = self._small_ms = -1.0
+        self._tell_service(now)
         self._look_for_answer(now)
 
+    def _tell_service(self, now: float) -> None:
+        """Say how many the service has, for those whom the directory tells nothing: they count these too."""
+        most = greatest_word(m.facts for m in self._there())
+        totals, told = self.totals, self._facts.get(SERVICE, 0.0)
+        if totals is not None:
+            known = float(totals.members(self.counted(), self.cut))
+            if self.reporter():
+                told = known
+            elif totals.good(self.cut, now):
+                told = 0.0
+            elif known > most and self.rng.random() * self.alive() < 1.0:  # the reporter may be a newcomer
+                told = known
+        if told != self._facts.get(SERVICE, 0.0):
+            self._learn({SERVICE: told})
+        if most and (totals is None or (not totals.found.number and most > totals.found.total)):
+            self.totals = Totals(self.cut.cell(), now, hearsay(int(most)))
+            self.actions.append(api.Changed(self.name, "totals"))
+
     def _hear(self, message: api.Said, source: str, now: float) -> None:
         if isinstance(message, Found):
             if self.status == ALIVE:
@@ -162,9 +180,7 @@
         if self._mine(state.head.name):
             return super()._met(state, source, asked, now)
         self.strays += 1
-        if state.head.members > 1 or not self._pointers.toward(path(state.head.name)):
-            # Not newcomers: they know nobody there, and would crowd out those who do.
-            self._pointers.met(path(state.head.name), source)
+        self._pointers.met(path(state.head.name), source, state.head.members == 1)
         if asked:
             self._elsewhere[source] = now
         else:
--- a/tests/test_cell_faults.py
+++ b/tests/test_cell_faults.py
@@ -219,6 +219,10 @@
     plant.setattr(CellCensus, "see", planted)
 
 
+def tells_newcomers_nothing(plant: Plant) -> None:
+    plant.setattr(CellMembership, "_tell_service", lambda self, now: None)
+
+
 def shrinks_at_once(plant: Plant) -> None:
     plant.setattr(CellCensus, "__init__", at_once)
 
@@ -288,6 +292,10 @@
     ),
     (forgets_other_regions, settles),
     (takes_its_cell_for_the_whole, cuts_and_merges),
+    (
+        tells_newcomers_nothing,
+        hard.test_a_newcomer_takes_no_greater_part_than_the_others_where_the_directory_is_gone,
+    ),
     (shrinks_at_once, laws.test_fewer_count_only_once_that_is_sure_held_and_more_than_half),
     (uses_totals_of_another_cell, laws.test_a_part_never_grows_by_a_cut_nor_while_the_directory_is_silent),
     (believes_an_unsure_answer, laws.test_a_part_never_grows_by_a_cut_nor_while_the_directory_is_silent),
--- a/tests/test_cell_wire.py
+++ b/tests/test_cell_wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import zlib
 from typing import Any
@@ -14,9 +15,11 @@
 from fleet.cells.core import CellMembership, Place
 from fleet.cells.cut import MOST_DEPTH, MOST_EPOCH, Cut
 from fleet.cells.directory import Directory, Said
+from fleet.cells.index import sound
 from fleet.cells.messages import Find, Found, Report, Summary
 from fleet.cells.wire import CellWire, DirectoryWire
-from fleet.messages import ALIVE, Ack, Head, Ping, Record, State
+from fleet.cells.words import SERVICE
+from fleet.messages import ALIVE, Ack, Gossip, Head, Ping, Record, State
 from fleet.wire import MOST_DATAGRAM, Refused, Wire
 
 LONG = "x" * 64
@@ -178,6 +181,23 @@
     assert directory.counts["foreign"]
 
 
+def test_what_a_broken_member_says_of_itself_spoils_neither_its_cells_summary_nor_its_parts() -> None:
+    core, wrong = member(), ["y" * 900, "z" * 900]
+    for n, word in enumerate((math.inf, math.nan, -5.0, 1e18, "9", True)):
+        facts: dict[str, Any] = {"program": wrong[0], "load": math.nan, SERVICE: word}
+        told = Record(f"n{n + 5}", 17, 0, ALIVE, n + 1, wrong[1], 1, facts)
+        core.handle(api.Heard(Gossip(ping().head, [told]), "addr:n1", Cut()), 10.0)
+    core._facts["program"] = wrong[0]
+    core._tell_service(20.0)
+    assert core.totals is None
+    assert sound(core.summary())
+    report = Report(3, 5000, "n2", 17, 4, "web", "east", core.summary())
+    assert len(members().write(report)) <= MOST_DATAGRAM
+    directory = Directory("d1", 3, random.Random(1), 0.0)
+    directory.handle(Said(report, "addr:n2"), 5_500.0)
+    assert "web" in directory.index.services
+
+
 @pytest.mark.parametrize(
     "summary",
     [
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -356,6 +356,23 @@
     assert watch.most["web"] <= 1.0 + 1e-9
 
 
+def test_a_newcomer_takes_no_greater_part_than_the_others_where_the_directory_is_gone() -> None:
+    fleet = settled({"web": 24}, 24, file=8)
+    for guide in fleet.guides:
+        fleet.kill(guide)
+    spoke = {reporter(fleet, name) for name in fleet.names}
+    fleet.run(5_000.0)
+    for name in spoke:
+        fleet.kill(name)  # the word outlives who spoke it
+    fleet.run(20_000.0)
+    news = [fleet.add("web", "east") for _ in range(4)]
+    for name in news:
+        fleet.start(name)
+    quiet(fleet)
+    fleet.run(5_000.0)
+    assert all(fleet.at(name).census.place()[1] >= 24 and fleet.at(name).fallback() for name in news)
+
+
 # Cuts between regions and zones
 
 
