Tell newcomers how many there are only where the directory is silent

Nothing is told now unless two questions in a row had no answer; a test holds that quiet has no news.

pytest tests/test_cell*.py: passed.

--- a/fleet/cells/core.py
+++ b/fleet/cells/core.py
@@ -29,6 +29,7 @@
 HUGE = 2.0  # unless it is so many times too large: a service starts all at once
 MERGE_MS = 20_000.0  # so long two halves have to be small enough before they merge
 MERGE_SHARE = 0.5  # of the bound, that they may make up together
+SILENT = 2  # questions without an answer, after which the directory counts as silent
 LONELY_MS = 5_000.0  # who is alone speaks for a cell only after having looked for it so long
 ELSEWHERE_MS = 120_000.0  # a seed that belongs to another cell is not asked again for so long
 
@@ -65,6 +66,7 @@
         self._find_ms = 0.0  # when the directory is asked next
         self._begun_ms = 0.0
         self._version_told = 0  # of reports
+        self._service_told = 0.0  # members of the service, while the directory is silent
         self._reported: tuple[int, tuple[int, int]] | None = None  # members and cut of the last report
         self._stamp = (0, 0)  # the life and clock of the directory's process that answered last
         self._large_ms = self._small_ms = -1.0  # since when the cell is to be cut, or merged
@@ -134,18 +136,15 @@
         self._look_for_answer(now)
 
     def _tell_service(self, now: float) -> None:
-        """Say how many the service has, for those whom the directory tells nothing: they count these too."""
-        most = greatest_word(m.facts for m in self._there())
-        totals, told = self.totals, self._facts.get(SERVICE, 0.0)
-        if totals is not None:
-            known = float(totals.members(self.counted(), self.cut))
-            if self.reporter():
-                told = known
-            elif totals.good(self.cut, now):
-                told = 0.0
-            elif known > most and self.rng.random() * self.alive() < 1.0:  # the reporter may be a newcomer
-                told = known
-        if told != self._facts.get(SERVICE, 0.0):
+        """Where the directory is silent, say how many the service has: newcomers count these too."""
+        most, totals, told = greatest_word(m.facts for m in self._there()), self.totals, 0.0
+        if totals is not None and self._silent >= SILENT:
+            known, told = totals.members(self.counted(), self.cut), self._service_told
+            # The reporter may be a newcomer; of the others one says it, and not all at once.
+            if self.reporter() or (known > most and self.rng.random() * self.alive() < 1.0):
+                told = float(known)
+        if told != self._service_told:
+            self._service_told = told
             self._learn({SERVICE: told})
         if most and (totals is None or (not totals.found.number and most > totals.found.total)):
             self.totals = Totals(self.cut.cell(), now, hearsay(int(most)))
--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -133,6 +133,14 @@
     assert sorted(m.census.place()[0] for m in fleet.members()) == list(range(27))
 
 
+def test_in_quiet_a_cell_costs_pings_views_and_questions_and_no_news() -> None:
+    fleet = settled({"web": 24}, 25)
+    fleet.run(30_000.0)
+    fleet.kinds.clear()
+    fleet.run(20_000.0)
+    assert set(fleet.kinds) == {"Ping", "Ack", "State", "Find", "Found", "Report", "Pull", "Pour"}
+
+
 # Small cells, and strays
 
 
