--- /dev/null
+++ b/dunlinloft/coordination/liveness.py
@@ -0,0 +1,91 @@
+"""Failure detection between replicas by heartbeats, and who is connected with whom both ways."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from dunlinloft.coordination.messages import Member, Ping
+
+SUSPECT_MS = 600.0  # without a heartbeat, a replica counts as down
+STEADY_MS = 300.0  # so long must one be heard before it is let into the chain
+FORGET_MS = 60_000.0  # a replica that was not heard for so long is forgotten
+
+
+@dataclass(slots=True)
+class Peer:
+    """What is known of another replica."""
+
+    ping: Ping
+    heard_ms: float
+    since_ms: float  # heard without a gap since then
+
+
+class Liveness:
+    """The replicas heard of late, by member id."""
+
+    def __init__(self, me: Member) -> None:
+        self._me = me
+        self.peers: dict[str, Peer] = {}
+
+    def heard(self, ping: Ping, now_ms: float) -> None:
+        """Take a heartbeat."""
+        peer = self.peers.get(ping.sender.id)
+        if peer is None:
+            self.peers[ping.sender.id] = Peer(ping, now_ms, now_ms)
+            return
+        if now_ms - peer.heard_ms > SUSPECT_MS:
+            peer.since_ms = now_ms
+        peer.ping = ping
+        peer.heard_ms = now_ms
+
+    def hears(self, member_id: str, now_ms: float) -> bool:
+        """Whether this replica hears another one."""
+        if member_id == self._me.id:
+            return True
+        peer = self.peers.get(member_id)
+        return peer is not None and now_ms - peer.heard_ms <= SUSPECT_MS
+
+    def heard_ids(self, now_ms: float) -> tuple[str, ...]:
+        """All that are heard."""
+        return tuple(sorted(member_id for member_id in self.peers if self.hears(member_id, now_ms)))
+
+    def steady(self, member_id: str, now_ms: float) -> bool:
+        """Whether one has been heard for long enough to be let in."""
+        if member_id == self._me.id:
+            return True
+        peer = self.peers.get(member_id)
+        return peer is not None and self.hears(member_id, now_ms) and now_ms - peer.since_ms >= STEADY_MS
+
+    def silent_ms(self, member_id: str, now_ms: float, since_ms: float) -> float:
+        """How long one has been silent, counted from `since_ms` where it was never heard."""
+        if member_id == self._me.id:
+            return 0.0
+        peer = self.peers.get(member_id)
+        return now_ms - (since_ms if peer is None else max(peer.heard_ms, since_ms))
+
+    def linked(self, first: str, second: str, now_ms: float) -> bool:
+        """Whether two hear each other, as far as is known here."""
+        if first == second:
+            return True
+        return self._one_hears(first, second, now_ms) and self._one_hears(second, first, now_ms)
+
+    def _one_hears(self, listener: str, speaker: str, now_ms: float) -> bool:
+        if listener == self._me.id:
+            return self.hears(speaker, now_ms)
+        peer = self.peers.get(listener)
+        return peer is not None and self.hears(listener, now_ms) and speaker in peer.ping.hears
+
+    def reachable(self, member_id: str, now_ms: float) -> bool:
+        """Whether one is heard here, or by somebody who is heard here."""
+        if self.hears(member_id, now_ms):
+            return True
+        return any(
+            member_id in peer.ping.hears
+            for peer_id, peer in self.peers.items()
+            if self.hears(peer_id, now_ms)
+        )
+
+    def forget(self, now_ms: float) -> None:
+        """Drop those not heard for long."""
+        for member_id in [i for i, p in self.peers.items() if now_ms - p.heard_ms > FORGET_MS]:
+            del self.peers[member_id]
--- /dev/null
+++ b/dunlinloft/coordination/quotas.py
@@ -0,0 +1,94 @@
+"""Tenants' quotas over all nodes: each tenant's is owned by one control plane, found by rendezvous hashing.
+
+The owner grants only while a majority is known to be in its epoch, and a new owner waits until the old one
+can't grant any more: the epoch is the fencing token.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from fleet.rendezvous import rank
+
+HANDOVER_MS = 1_200.0  # a new owner waits so long; the old one stops LEASE_MS after it was last confirmed
+LEASE_MS = 700.0
+EXTRA_SECONDS = 0.5  # of the rate that may be saved up beside the burst: under what windows leave open
+FIRST_SECONDS = 0.5  # of the rate that a new owner begins with
+
+
+def owner_of(tenant: str, addresses: Sequence[str]) -> str | None:
+    """The control plane that owns a tenant's quota."""
+    return max(addresses, key=lambda address: rank(f"quota/{tenant}", address), default=None)
+
+
+@dataclass(slots=True)
+class QuotaBucket:
+    """What is left of a tenant's quota; it may go under 0 by one request."""
+
+    rate_per_ms: float
+    most: float
+    level: float
+    at_ms: float
+
+    def take(self, amount: float, now_ms: float) -> float:
+        """Take an amount; the wait in ms until something is there again, 0 where it was taken."""
+        self.level = min(self.most, self.level + self.rate_per_ms * max(0.0, now_ms - self.at_ms))
+        self.at_ms = max(self.at_ms, now_ms)
+        if self.level > 0.0:
+            self.level -= amount
+            return 0.0
+        return 1.0 - self.level / self.rate_per_ms if self.rate_per_ms else 1_000.0
+
+
+class QuotaOwner:
+    """The quotas that one control plane owns."""
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._limits: dict[str, tuple[float, float]] = {}
+        self._chain: tuple[str, ...] = ()
+        self._buckets: dict[str, QuotaBucket] = {}
+        self._may_from_ms: dict[str, float] = {}
+
+    def set_limits(self, limits: dict[str, tuple[float, float]]) -> None:
+        """Rate a second and burst by tenant; 0 is no limit."""
+        self._limits = limits
+        for tenant in [name for name in self._buckets if name not in limits]:
+            del self._buckets[tenant]
+        for tenant, bucket in self._buckets.items():
+            bucket.rate_per_ms, bucket.most = self._sizes(tenant)
+            bucket.level = min(bucket.level, bucket.most)
+
+    def _sizes(self, tenant: str) -> tuple[float, float]:
+        rate, burst = self._limits[tenant]
+        return rate / 1_000.0, burst + EXTRA_SECONDS * rate
+
+    def set_chain(self, chain: tuple[str, ...], now_ms: float) -> None:
+        """The control planes among which quotas are sharded now; what comes over is waited for."""
+        old, self._chain = self._chain, chain
+        if not old:
+            self._may_from_ms[""] = now_ms + HANDOVER_MS
+            return
+        for tenant in self._limits:
+            mine = owner_of(tenant, chain) == self._address
+            was_mine = owner_of(tenant, old) == self._address
+            if mine and not was_mine:
+                self._may_from_ms[tenant] = now_ms + HANDOVER_MS
+            if not mine:
+                self._buckets.pop(tenant, None)
+
+    def take(self, tenant: str, amount: float, leased: bool, now_ms: float) -> float | None:
+        """Take from a quota: the wait in ms, 0 where taken; None where this isn't its owner now."""
+        if tenant not in self._limits:
+            return None
+        if not leased or owner_of(tenant, self._chain) != self._address:
+            return None
+        if now_ms < max(self._may_from_ms.get(tenant, 0.0), self._may_from_ms.get("", 0.0)):
+            return None
+        bucket = self._buckets.get(tenant)
+        if bucket is None:
+            rate, most = self._sizes(tenant)
+            level = min(most, FIRST_SECONDS * 1_000.0 * rate)
+            bucket = self._buckets[tenant] = QuotaBucket(rate, most, level, now_ms)
+        return bucket.take(amount, now_ms)
--- /dev/null
+++ b/dunlinloft/coordination/registry.py
@@ -0,0 +1,90 @@
+"""The servers that there are, from their heartbeats: soft state, merged between control planes."""
+
+from __future__ import annotations
+
+import msgspec
+
+from dunlinloft.coordination.stream import ServerRecord
+
+EXPIRE_BEATS = 3.5  # heartbeat intervals without a word, after which a server counts as gone
+GONE_KEPT_MS = 120_000.0  # so long a server that left isn't taken up again by a late word
+
+
+class Registry:
+    """Servers by id. Changes are collected until they are taken for distribution."""
+
+    def __init__(self, heartbeat_ms: float, now_ms: float) -> None:
+        self._expire_ms = EXPIRE_BEATS * heartbeat_ms
+        self._complete_ms = now_ms + 1.5 * heartbeat_ms
+        self.records: dict[str, ServerRecord] = {}
+        self._heard_ms: dict[str, float] = {}
+        self._gone_ms: dict[str, float] = {}
+        self._changed: dict[str, None] = {}
+        self._left: dict[str, None] = {}
+        self._beats: dict[str, None] = {}
+        self._told_gone: dict[str, None] = {}
+
+    def complete(self, now_ms: float) -> bool:
+        """Whether every server that lives has had the time to be heard."""
+        return now_ms >= self._complete_ms
+
+    def beat(self, record: ServerRecord, now_ms: float, relayed: bool = False) -> None:
+        """Take a heartbeat; `relayed` by another control plane."""
+        if record.id in self._gone_ms:
+            return
+        known = self.records.get(record.id)
+        if known is not None and record.sequence <= known.sequence:
+            if record.sequence == known.sequence and not relayed:
+                self._heard_ms[record.id] = now_ms
+            return
+        if known is not None and known.draining and not record.draining:
+            record = msgspec.structs.replace(record, state=known.state)
+        self.records[record.id] = record
+        self._heard_ms[record.id] = now_ms
+        if not relayed:
+            self._beats[record.id] = None
+        if known is None or _differs(known, record):
+            self._changed[record.id] = None
+
+    def leave(self, server_id: str, now_ms: float, relayed: bool = False) -> None:
+        """A server said that it ends."""
+        self._gone_ms[server_id] = now_ms
+        if not relayed:
+            self._told_gone[server_id] = None
+        self._drop(server_id)
+
+    def _drop(self, server_id: str) -> None:
+        if self.records.pop(server_id, None) is not None:
+            self._heard_ms.pop(server_id, None)
+            self._changed.pop(server_id, None)
+            self._beats.pop(server_id, None)
+            self._left[server_id] = None
+
+    def expire(self, now_ms: float) -> None:
+        """Drop what has been silent for too long, and forget those long gone."""
+        for server_id in [i for i, heard in self._heard_ms.items() if now_ms - heard > self._expire_ms]:
+            self._drop(server_id)
+        for server_id in [i for i, gone in self._gone_ms.items() if now_ms - gone > GONE_KEPT_MS]:
+            del self._gone_ms[server_id]
+
+    def take_news(self) -> tuple[tuple[ServerRecord, ...], tuple[str, ...]]:
+        """What changed since the last call: for data-plane nodes."""
+        changed = tuple(self.records[i] for i in self._changed if i in self.records)
+        left = tuple(self._left)
+        self._changed.clear()
+        self._left.clear()
+        return changed, left
+
+    def take_beats(self) -> tuple[tuple[ServerRecord, ...], tuple[str, ...]]:
+        """What was heard here since the last call: for other control planes."""
+        beats = tuple(self.records[i] for i in self._beats if i in self.records)
+        gone = tuple(self._told_gone)
+        self._beats.clear()
+        self._told_gone.clear()
+        return beats, gone
+
+
+def _differs(old: ServerRecord, new: ServerRecord) -> bool:
+    return msgspec.structs.replace(old, sequence=new.sequence, warmup_remaining_ms=0.0) != (
+        msgspec.structs.replace(new, warmup_remaining_ms=0.0)
+    )
--- /dev/null
+++ b/dunlinloft/dataplane/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane: takes clients' requests, forwards them to servers, and answers."""
--- /dev/null
+++ b/dunlinloft/dataplane/control.py
@@ -0,0 +1,114 @@
+"""Subscriptions to the control plane: one long-lived stream to each replica that this node should hear."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from absl import logging
+
+from dunlinloft.coordination.stream import (
+    Alive,
+    Held,
+    Replicas,
+    Subscribe,
+    ToNode,
+)
+from dunlinloft.transport import lines
+from fleet.rendezvous import rank
+
+STREAMS_MOST = 5  # replicas subscribed to, chosen by rendezvous hashing where there are more
+REDIAL_S, REDIAL_MOST_S = 0.15, 0.6
+ALIVE_S = 0.3
+SILENT_S = 1.5
+
+_decoder = msgspec.json.Decoder(ToNode)
+
+
+class Subscriptions:
+    """Keeps streams to the replicas that are wanted: the seeds at first, then those that replicas name."""
+
+    def __init__(
+        self,
+        node: str,
+        zone: str,
+        seeds: Callable[[], tuple[str, ...]],
+        take: Callable[[str, Any], None],
+        lost: Callable[[str], None],
+        held: Callable[[], int],
+    ) -> None:
+        self._node = node
+        self._zone = zone
+        self._seeds = seeds
+        self._take = take
+        self._lost = lost
+        self._held = held
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._writers: dict[str, lines.LineWriter] = {}
+        self._named: tuple[str, ...] = ()
+        self.replicas: Replicas | None = None
+
+    async def run(self) -> None:
+        """The loop that turns the wanted streams into those that are."""
+        while True:
+            wanted = self._wanted()
+            for address in wanted - self._tasks.keys():
+                self._tasks[address] = asyncio.create_task(self._keep(address))
+            for address in self._tasks.keys() - wanted:
+                self._tasks.pop(address).cancel()
+            for writer in self._writers.values():
+                writer.send(Alive())
+            await asyncio.sleep(ALIVE_S)
+
+    def _wanted(self) -> set[str]:
+        named = self._named
+        if len(named) > STREAMS_MOST:
+            named = tuple(sorted(named, key=lambda address: rank(self._node, address))[:STREAMS_MOST])
+        up = any(address in self._writers for address in named)
+        return set(named) if up else set(named) | set(self._seeds())
+
+    def held(self, version: int) -> None:
+        """Acknowledge a version to all."""
+        for writer in self._writers.values():
+            writer.send(Held(version))
+
+    def send(self, address: str, message: msgspec.Struct) -> bool:
+        """Send to one replica; whether there is a stream to it."""
+        writer = self._writers.get(address)
+        if writer is None:
+            return False
+        writer.send(message)
+        return True
+
+    async def _keep(self, address: str) -> None:
+        wait_s = REDIAL_S
+        while True:
+            try:
+                reader, raw = await lines.connect(address)
+            except (OSError, TimeoutError):
+                await asyncio.sleep(wait_s * (0.5 + random.random()))
+                wait_s = min(REDIAL_MOST_S, wait_s * 1.5)
+                continue
+            wait_s = REDIAL_S
+            writer = lines.LineWriter(raw)
+            writer.send(Subscribe(self._node, self._zone, self._held()))
+            self._writers[address] = writer
+            try:
+                reason = await lines.read_messages(reader, _decoder, lambda m: self._on(address, m), SILENT_S)
+            finally:
+                writer.abort()
+                del self._writers[address]
+                self._lost(address)
+            logging.info("event=stream_ended replica=%s reason=%s", address, reason)
+            await asyncio.sleep(wait_s * (0.5 + random.random()))
+
+    def _on(self, address: str, message: Any) -> None:
+        if isinstance(message, Replicas):
+            if self.replicas is None or message.epoch >= self.replicas.epoch:
+                self.replicas = message
+                self._named = message.addresses
+        else:
+            self._take(address, message)
--- /dev/null
+++ b/dunlinloft/dataplane/door.py
@@ -0,0 +1,117 @@
+"""Where clients' requests come in: read, matched with the configuration in force, paid for, and sent on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+
+from dunlinloft.configuration import Tenant
+from dunlinloft.dataplane.exchange import DEADLINE_HEADER, Asked, Exchange, refusal
+from dunlinloft.dataplane.quota import NodeQuotas, OverQuota
+from dunlinloft.dataplane.routing import RoutingTable, Way, cost_of
+
+BODY_S = 20.0  # for a whole body
+STARTING_RETRY_S = 0.5
+CHUNK = 65_536
+
+MakeExchange = Callable[[Asked], Exchange]
+
+
+class Refused(Exception):
+    """A request that gets an answer of our own."""
+
+    def __init__(self, answer: web.Response) -> None:
+        super().__init__(answer.status)
+        self.answer = answer
+
+
+class Door:
+    """Takes clients' requests."""
+
+    def __init__(
+        self,
+        table: Callable[[], RoutingTable | None],
+        quotas: NodeQuotas,
+        make_exchange: MakeExchange,
+        closing: Callable[[], bool],
+    ) -> None:
+        self._table = table
+        self._quotas = quotas
+        self._make_exchange = make_exchange
+        self._closing = closing
+        self.inflight = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.inflight += 1
+        try:
+            answer = await self._serve(request)
+        except Refused as refused:
+            answer = refused.answer
+        finally:
+            self.inflight -= 1
+        if self._closing() and not answer.prepared:
+            answer.force_close()
+        return answer
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived_ms = _now_ms()
+        table = self._table()
+        if table is None:
+            await self._body(request, CHUNK * CHUNK)
+            return refusal(503, "no configuration yet", STARTING_RETRY_S)
+        body = await self._body(request, table.limits.max_body_bytes)
+        # What was put in force while the body came counts: it may name a route or key that is new.
+        table = self._table() or table
+        way, tenant = self._match(table, request)
+        ends_ms = arrived_ms + min(_deadline_ms(request), way.route.timeout_ms)
+        if tenant is not None and tenant.rate_per_s > 0.0:
+            amount = cost_of(tenant, request.headers.get("X-Token-Usage"))
+            paid = await self._quotas.pay(tenant.name, amount, tenant.rate_per_s, arrived_ms)
+            if isinstance(paid, OverQuota):
+                return refusal(429, "over the tenant's quota", paid.wait_ms / 1_000.0)
+        asked = Asked(request, request.method, request.raw_path, body, way, tenant, arrived_ms, ends_ms)
+        return await self._make_exchange(asked).run()
+
+    def _match(self, table: RoutingTable, request: web.BaseRequest) -> tuple[Way, Tenant | None]:
+        host = request.headers.get("Host", "").partition(":")[0]
+        way = table.find(host, request.raw_path.partition("?")[0])
+        if way is None:
+            raise Refused(refusal(404, "no such route"))
+        if not table.has_tenants or way.route.public:
+            return way, None
+        tenant = table.holder(request.headers.get("Api-Key", ""))
+        if tenant is None:
+            raise Refused(refusal(401, "unknown key"))
+        return way, tenant
+
+    async def _body(self, request: web.BaseRequest, most: int) -> bytes:
+        parts: list[bytes] = []
+        length = 0
+        try:
+            async with asyncio.timeout(BODY_S):
+                async for part in request.content.iter_chunked(CHUNK):
+                    length += len(part)
+                    if length > most:
+                        answer = refusal(413, "the body is too large")
+                        answer.force_close()
+                        raise Refused(answer)
+                    parts.append(part)
+        except TimeoutError:
+            answer = refusal(408, "the body did not come")
+            answer.force_close()
+            raise Refused(answer) from None
+        return b"".join(parts)
+
+
+def _deadline_ms(request: web.BaseRequest) -> float:
+    try:
+        return float(request.headers.get(DEADLINE_HEADER, "inf"))
+    except ValueError:
+        return float("inf")
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1_000.0
--- /dev/null
+++ b/dunlinloft/dataplane/process.py
@@ -0,0 +1,190 @@
+"""The data-plane process: the door, the readiness answer, and what the control plane tells."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import signal
+from typing import Any
+
+from absl import logging
+from aiohttp import web
+
+from dunlinloft import configuration
+from dunlinloft.coordination.calls import Invalid
+from dunlinloft.coordination.durable import changed
+from dunlinloft.coordination.messages import Document, Order
+from dunlinloft.coordination.stream import Alive, Delta, QuotaGranted, ServerNews, Servers, TakeQuota, Whole
+from dunlinloft.dataplane.budget import RetryBudget
+from dunlinloft.dataplane.control import Subscriptions
+from dunlinloft.dataplane.door import Door
+from dunlinloft.dataplane.exchange import Asked, Exchange
+from dunlinloft.dataplane.quota import NodeQuotas
+from dunlinloft.dataplane.routing import RoutingTable
+from dunlinloft.dataplane.servers import ServerTable
+from dunlinloft.dataplane.upstream import Upstream
+from dunlinloft.settings import Settings, SettingsError, host_port, read_settings
+
+IDLE_S = 75.0  # clients' connections that rest longer are closed
+MOST_HEADER = 65_536
+BACKLOG = 1_024
+TICK_S = 0.2
+NOTICE_S = 2.6  # after SIGTERM, for the platform to send no more connections: it asks each second, twice
+END_S = 0.6  # before the end of the grace period, what still runs is given up
+KEPT_INTERVALS = 4.0  # heartbeat intervals that a lost stream's servers are kept
+
+
+class DataPlane:
+    """One data-plane node."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._rng = random.Random(secrets.randbits(64))
+        self._table: RoutingTable | None = None
+        self._document: Document = {}
+        self._servers = ServerTable(self._rng)
+        self._upstreams: dict[str, Upstream] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._closing = False
+        self._subscriptions = Subscriptions(
+            settings.node_name,
+            settings.zone,
+            self._seeds,
+            self._take,
+            lambda source: self._servers.lost(source, _now_ms()),
+            lambda: 0 if self._table is None else self._table.version,
+        )
+        self._quotas = NodeQuotas(lambda: self._subscriptions.replicas, self._send_quota)
+        self._door = Door(lambda: self._table, self._quotas, self._exchange, lambda: self._closing)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, and then until what was taken is answered."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        listeners = self._settings.listeners_config
+        assert listeners.frontend is not None
+        front = web.Server(
+            self._door.handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=IDLE_S,
+            max_line_size=MOST_HEADER,
+            max_field_size=MOST_HEADER,
+        )
+        runner = web.ServerRunner(front)
+        await runner.setup()
+        host, port = host_port(listeners.frontend)
+        front_site = web.TCPSite(runner, host, port, backlog=BACKLOG)
+        await front_site.start()
+        if listeners.readiness is not None:
+            readiness = web.ServerRunner(web.Server(self._on_readiness, access_log=None))
+            await readiness.setup()
+            host, port = host_port(listeners.readiness)
+            await web.TCPSite(readiness, host, port).start()
+        logging.info("event=started node=%s", self._settings.node_name)
+        tasks = [asyncio.create_task(self._subscriptions.run()), asyncio.create_task(self._ticks())]
+        await stop.wait()
+        self._closing = True
+        logging.info("event=closing node=%s", self._settings.node_name)
+        grace_s = self._settings.timing_bounds.grace_period_s - END_S
+        ends_s = loop.time() + grace_s
+        await asyncio.sleep(min(NOTICE_S, grace_s / 2.0))
+        await front_site.stop()
+        while self._door.inflight and loop.time() < ends_s:
+            await asyncio.sleep(0.05)
+        for task in tasks:
+            task.cancel()
+
+    # What the control plane tells.
+
+    def _seeds(self) -> tuple[str, ...]:
+        return self._settings.seeds()
+
+    def _on_hangup(self) -> None:
+        self._reread()
+
+    def _reread(self) -> None:
+        """Take new seeds; settings that can't be read change nothing."""
+        path = self._settings.path
+        if path is None:
+            return
+        try:
+            self._settings = read_settings(path)
+        except SettingsError as error:
+            logging.error("event=settings_refused error=%s", error)
+
+    def _take(self, source: str, message: Any) -> None:
+        match message:
+            case Whole():
+                self._put_in_force(message.document)
+            case Delta():
+                if self._table is not None and self._table.version == message.base:
+                    order = Order("update", message.base, "", message.body)
+                    self._put_in_force(changed(self._document, order))
+            case Servers():
+                self._servers.whole(source, message.complete, message.records)
+            case ServerNews():
+                self._servers.news(source, message.changed, message.gone)
+            case QuotaGranted():
+                self._quotas.on_granted(message)
+            case Alive():
+                pass
+
+    def _put_in_force(self, document: Document) -> None:
+        """Build the table of a configuration aside, and swap it in; never back within a life."""
+        version = document.get("version", 0)
+        if self._table is None or version > self._table.version:
+            parsed = configuration.parsed(document)
+            if isinstance(parsed, Invalid):
+                logging.error("event=configuration_refused version=%s error=%s", version, parsed.reason)
+                return
+            self._table = RoutingTable(parsed, self._rng)
+            self._document = document
+            logging.info("event=in_force version=%d", version)
+        self._subscriptions.held(self._table.version)
+
+    def _send_quota(self, address: str, message: TakeQuota) -> bool:
+        return self._subscriptions.send(address, message)
+
+    async def _ticks(self) -> None:
+        kept_ms = KEPT_INTERVALS * self._settings.heartbeat_interval_ms
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._servers.forget_lost(kept_ms, _now_ms())
+
+    # Serving.
+
+    def ready(self) -> bool:
+        """Whether it should get connections."""
+        return not self._closing and self._table is not None and self._servers.complete
+
+    async def _on_readiness(self, _: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if self.ready() else 503)
+
+    def _nodes(self) -> int:
+        replicas = self._subscriptions.replicas
+        return 1 if replicas is None else replicas.nodes
+
+    def _exchange(self, asked: Asked) -> Exchange:
+        service = asked.way.service()
+        upstream = self._upstreams.get(service)
+        if upstream is None:
+            assert self._table is not None
+            known = self._table.services.get(service)
+            most = 64 if known is None else known.max_connections
+            upstream = self._upstreams[service] = Upstream(max(2, most // max(1, self._nodes())))
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._settings.timing_bounds
+            budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_window_s, bounds.retry_allowance)
+            self._budgets[service] = budget
+        pool = self._servers.pool(service)
+        return Exchange(asked, pool, upstream, budget, self._nodes(), self._rng, self._closing)
+
+
+def _now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1_000.0
--- /dev/null
+++ b/dunlinloft/dataplane/servers.py
@@ -0,0 +1,197 @@
+"""The servers as this node sees them: what is out at each, which are kept away from, and whose turn it is."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from dunlinloft.coordination.stream import ServerRecord
+from fleet.rendezvous import rank
+from nickelbridge.logic import DelayController, Rotation
+
+AVOID_MS = 400.0  # a server that failed is kept away from so long, doubling with each failure in a row
+AVOID_DOUBLINGS = 4
+FULL_MS = 100.0  # a server that was full is kept away from so long
+SILENT_AIMS, SILENT_LEAST_MS = 3.0, 500.0  # a request out for so long without a word from its server
+AFFINE_TOKENS = 256  # a shared part of so many tokens is worth going to where it was read
+AFFINE_OVER = 1.5  # times the mean of what is out, and
+AFFINE_MORE = 4.0  # so many requests more, that a part's home may hold before others share it
+ORDERS_MOST = 8_192  # remembered orders of servers by shared part
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """One start of a server."""
+
+    record: ServerRecord
+    turn: float | None = None
+    inflight: int = 0
+    failures: int = 0  # in a row
+    avoid_until_ms: float = 0.0
+    heard_ms: float = 0.0
+    unanswered: dict[str, float] = field(default_factory=dict)  # when each request without a word was sent
+
+    def sent(self, request: str, now_ms: float) -> None:
+        """A request goes out to it."""
+        self.inflight += 1
+        self.unanswered[request] = now_ms
+
+    def heard(self, request: str, now_ms: float) -> None:
+        """It answered something."""
+        self.unanswered.pop(request, None)
+        self.heard_ms = now_ms
+        self.failures = 0
+
+    def ended(self, request: str) -> None:
+        """A request is no longer out."""
+        self.inflight -= 1
+        self.unanswered.pop(request, None)
+
+    def failed(self, now_ms: float) -> None:
+        """It couldn't be reached, or broke off."""
+        wait_ms = AVOID_MS * 2.0 ** min(self.failures, AVOID_DOUBLINGS)
+        if now_ms >= self.avoid_until_ms:
+            self.failures += 1
+            self.avoid_until_ms = now_ms + wait_ms
+
+    def refused(self, now_ms: float) -> None:
+        """It was full."""
+        self.avoid_until_ms = max(self.avoid_until_ms, now_ms + FULL_MS)
+
+    def silent(self, aim_ms: float, now_ms: float) -> bool:
+        """Whether it leaves a request without a word for longer than any that is well."""
+        limit_ms = max(SILENT_LEAST_MS, SILENT_AIMS * aim_ms)
+        for sent_ms in self.unanswered.values():
+            return now_ms - max(sent_ms, self.heard_ms) > limit_ms
+        return False
+
+
+class ServicePool:
+    """The servers of one service, its retry gate and its rotation."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.servers: dict[str, Server] = {}
+        self.controller = DelayController()
+        self._rotation = Rotation(rng)
+        self._orders: dict[str, list[Server]] = {}
+
+    def put(self, record: ServerRecord) -> None:
+        """A server came or changed."""
+        server = self.servers.get(record.id)
+        if server is None:
+            self.servers[record.id] = Server(record)
+            self._orders.clear()
+        else:
+            server.record = record
+
+    def remove(self, server_id: str) -> None:
+        """A server is gone."""
+        if self.servers.pop(server_id, None) is not None:
+            self._orders.clear()
+
+    def pick(
+        self, shared: tuple[str, int] | None, aim_ms: float, limit: int, tried: Iterable[str], now_ms: float
+    ) -> Server | None:
+        """The server for a send: by rotation, among the homes of a shared part where that is worth it."""
+        excluded = set(tried)
+        able = [
+            server
+            for server in self.servers.values()
+            if not server.record.draining and server.record.id not in excluded and server.inflight < limit
+        ]
+        well = [s for s in able if now_ms >= s.avoid_until_ms and not s.silent(aim_ms, now_ms)]
+        candidates = well or able
+        if not candidates:
+            return None
+        if shared is not None and shared[1] >= AFFINE_TOKENS:
+            candidates = self._homes(shared[0], candidates)
+        return self._rotation.pick((server, _weight(server)) for server in candidates)
+
+    def _homes(self, part: str, candidates: list[Server]) -> list[Server]:
+        """The home of a shared part, and those after it while the ones before hold too much."""
+        order = self._orders.get(part)
+        if order is None:
+            if len(self._orders) >= ORDERS_MOST:
+                self._orders.clear()
+            order = sorted(self.servers.values(), key=lambda s: rank(part, s.record.id), reverse=True)
+            self._orders[part] = order
+        able = set(candidates)
+        mean = sum(server.inflight for server in candidates) / len(candidates)
+        bound = AFFINE_OVER * mean + AFFINE_MORE
+        homes: list[Server] = []
+        for server in order:
+            if server in able:
+                homes.append(server)
+                if server.inflight < bound:
+                    return homes[-1:]
+        return homes or candidates
+
+
+def _weight(server: Server) -> float:
+    """Its free places as far as this node knows; never nothing, so that it keeps its turn."""
+    return max(1.0, server.record.capacity - server.inflight)
+
+
+class ServerTable:
+    """All servers by service, merged from what each subscribed control plane lists."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self.pools: dict[str, ServicePool] = {}
+        self._listed: dict[str, dict[str, ServerRecord]] = {}  # by control plane
+        self._lost_ms: dict[str, float] = {}  # streams that ended, and when
+        self.complete = False
+
+    def pool(self, service: str) -> ServicePool:
+        """The pool of a service."""
+        pool = self.pools.get(service)
+        if pool is None:
+            pool = self.pools[service] = ServicePool(self._rng)
+        return pool
+
+    def whole(self, source: str, complete: bool, records: tuple[ServerRecord, ...]) -> None:
+        """All that one control plane lists; until it has had time to hear of all, nothing is dropped."""
+        self._lost_ms.pop(source, None)
+        old = self._listed.get(source, {})
+        new = {record.id: record for record in records}
+        self._listed[source] = new if complete else {**old, **new}
+        self.complete = self.complete or complete
+        for record in records:
+            self._put(record)
+        if complete:
+            for server_id in old.keys() - new.keys():
+                self._drop(server_id, old[server_id].service)
+
+    def news(self, source: str, changed: tuple[ServerRecord, ...], gone: tuple[str, ...]) -> None:
+        """What changed at one control plane."""
+        listed = self._listed.setdefault(source, {})
+        for record in changed:
+            listed[record.id] = record
+            self._put(record)
+        for server_id in gone:
+            record_gone = listed.pop(server_id, None)
+            if record_gone is not None:
+                self._drop(server_id, record_gone.service)
+
+    def lost(self, source: str, now_ms: float) -> None:
+        """A control plane's stream ended: what it listed stands until others have been heard for long."""
+        self._lost_ms.setdefault(source, now_ms)
+
+    def forget_lost(self, kept_ms: float, now_ms: float) -> None:
+        """Drop what only lost streams list, once another has been up all the while."""
+        if len(self._lost_ms) >= len(self._listed):
+            return
+        for source in [s for s, lost in self._lost_ms.items() if now_ms - lost > kept_ms]:
+            del self._lost_ms[source]
+            for record in self._listed.pop(source, {}).values():
+                self._drop(record.id, record.service)
+
+    def _put(self, record: ServerRecord) -> None:
+        known = self.pool(record.service).servers.get(record.id)
+        if known is None or record.sequence > known.record.sequence:
+            self.pool(record.service).put(record)
+
+    def _drop(self, server_id: str, service: str) -> None:
+        if not any(server_id in listed for listed in self._listed.values()):
+            self.pool(service).remove(server_id)
--- /dev/null
+++ b/dunlinloft/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Input and output that both programs share."""
--- a/nickelbridge/logic.py
+++ b/nickelbridge/logic.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import Protocol, TypeVar
 
 from nickelbridge import affine, subset
 from nickelbridge import interface as api
@@ -223,6 +224,15 @@
         return self.zone if group is Group.ZONE else self.cell if group is Group.CELL else None
 
 
+class Turning(Protocol):
+    """What takes part in a rotation."""
+
+    turn: float | None  # its place; None: new to it
+
+
+Turner = TypeVar("Turner", bound=Turning)
+
+
 class Rotation:
     """Smooth weighted rotation: all gain their weight, the one furthest ahead is picked and pays."""
 
@@ -230,9 +240,9 @@
         self._rng = rng
         self._total = 0.0
 
-    def pick(self, servers: Iterable[tuple[Server, float]]) -> Server | None:
+    def pick(self, servers: Iterable[tuple[Turner, float]]) -> Turner | None:
         """The next server among those that are ready, each with its weight."""
-        best: Server | None = None
+        best: Turner | None = None
         total = furthest = 0.0
         for server, weight in servers:
             total += weight
