--- a/dunlinloft/coordination/chain.py
+++ b/dunlinloft/coordination/chain.py
@@ -130,8 +130,12 @@
             self.committed = state
             self._emit(Commit(state))
         self._uncommitted = {n: s for n, s in self._uncommitted.items() if n > sequence}
+        self._tell_committed()
+
+    def _tell_committed(self) -> None:
         if self._predecessor is not None:
-            self._emit(Send(self._predecessor.address, Committed(self._me, self.epoch, sequence)))
+            told = Committed(self._me, self.epoch, self.committed.sequence)
+            self._emit(Send(self._predecessor.address, told))
 
     def on_tick(self, now_ms: float) -> None:
         """Offer again what the successor may not have got."""
@@ -155,6 +159,7 @@
             self._tell_have()
         elif self.synced:
             self._on_progress()
+            self._tell_committed()
         else:
             self._storing = True
             epoch = self.epoch
--- /dev/null
+++ b/lab/control/cluster.py
@@ -0,0 +1,278 @@
+"""Replicas in virtual time: links that delay, lose and cut, disks that are slow, stall and are lost.
+
+All chance comes from one seed, so that a run repeats. Times are in milliseconds.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from dunlinloft.configuration import judge
+from dunlinloft.coordination import durable as durables
+from dunlinloft.coordination.actions import Action, Commit, Persist, Reply, Send
+from dunlinloft.coordination.messages import Durable, Member, Order, Record, ReplicaMessage
+from dunlinloft.coordination.replica import FIRST_INCARNATION, Replica, first_view
+from lab.control.rules import Rules
+
+TICK_MS = 50.0
+DELAY_MS = (0.5, 3.0)
+SYNC_MS = (0.8, 1.5)
+
+
+@dataclass(slots=True)
+class Machine:
+    """One machine: its disk outlives its process."""
+
+    address: str
+    durable: Durable | None = None  # what is on its disk; None: nothing
+    replica: Replica | None = None  # None: its process is down
+    life: int = 0  # of its process
+    frozen: bool = False
+    gone: bool = False  # for good
+    sync_x: float = 1.0  # how many times slower its disk is
+    stalled: bool = False
+    queue: list[tuple[int, Record]] = field(default_factory=list)  # not on disk yet
+    writing: bool = False
+    held: list[Callable[[], None]] = field(default_factory=list)  # what came while it was frozen
+
+
+@dataclass(slots=True)
+class Client:
+    """An operator's order, sent again until something clear comes back."""
+
+    order: Order
+    done: Callable[[int], None]
+    attempts: int = 0
+
+
+class Cluster:
+    """Machines, the network between them, and operators."""
+
+    def __init__(self, seed: int, size: int = 3, tolerance: int = 1, loss: float = 0.0) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.loss = loss
+        self.tolerance = tolerance
+        self.rules = Rules(tolerance)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count()
+        self.machines: dict[str, Machine] = {}
+        self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, size + 1))
+        self.cuts: set[tuple[str, str]] = set()  # from, to
+        self._replies: dict[str, Callable[[Reply], None]] = {}
+        self._tokens = itertools.count(1)
+        for address in self.seeds:
+            self.machines[address] = Machine(address)
+            self.start(address, bootstrap=True)
+
+    # Time.
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Do something later."""
+        heapq.heappush(self._events, (self.now + delay_ms, next(self._count), action))
+
+    def run(self, for_ms: float) -> None:
+        """Let time pass; the rules are checked after each step."""
+        until = self.now + for_ms
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+            self.rules.check(self.machines)
+        self.now = until
+
+    # Machines.
+
+    def start(self, address: str, bootstrap: bool = False) -> None:
+        """Start the process of a machine with what is on its disk."""
+        machine = self.machines[address]
+        machine.life += 1
+        machine.queue, machine.held = [], []
+        machine.writing = machine.frozen = False
+        if machine.durable is None:
+            incarnation = FIRST_INCARNATION if bootstrap else f"{self.rng.getrandbits(64):016x}"
+            machine.durable = Durable(incarnation)
+        durable = _copied(machine.durable)
+        if durable.view is None and durable.incarnation == FIRST_INCARNATION and address in self.seeds:
+            durable.view = first_view(self.seeds)
+        me = Member(address, durable.incarnation)
+        rng = random.Random(self.rng.getrandbits(64))
+        machine.replica = Replica(me, True, durable, self.seeds, self.tolerance, judge, rng, self.now)
+        life = machine.life
+        self.after(self.rng.uniform(0.0, TICK_MS), lambda: self._tick(machine, life))
+
+    def add(self, address: str) -> None:
+        """A new machine with an empty disk."""
+        self.machines[address] = Machine(address)
+        self.start(address)
+
+    def kill(self, address: str) -> None:
+        """End a process; what its disk has not taken yet is lost."""
+        machine = self.machines[address]
+        machine.replica = None
+        machine.life += 1
+
+    def wipe(self, address: str) -> None:
+        """End a process and lose its disk."""
+        self.kill(address)
+        self.machines[address].durable = None
+
+    def remove(self, address: str) -> None:
+        """A machine is gone for good."""
+        self.wipe(address)
+        self.machines[address].gone = True
+
+    def freeze(self, address: str) -> None:
+        """A process stands still; what comes waits."""
+        self.machines[address].frozen = True
+
+    def thaw(self, address: str) -> None:
+        """And goes on."""
+        machine = self.machines[address]
+        machine.frozen = False
+        held, machine.held = machine.held, []
+        for action in held:
+            action()
+
+    def cut(self, one: str, other: str, both: bool = True) -> None:
+        """No messages from one to the other."""
+        self.cuts.add((one, other))
+        if both:
+            self.cuts.add((other, one))
+
+    def heal(self) -> None:
+        """All links work again."""
+        self.cuts.clear()
+
+    def stall(self, address: str, stalled: bool) -> None:
+        """A disk answers nothing, or goes on."""
+        machine = self.machines[address]
+        machine.stalled = stalled
+        self._write(machine)
+
+    def _guarded(self, machine: Machine, life: int, action: Callable[[], None]) -> None:
+        """Do something at a process, unless it has ended; later where it is frozen."""
+        if machine.replica is None or machine.life != life:
+            return
+        if machine.frozen:
+            machine.held.append(lambda: self._guarded(machine, life, action))
+        else:
+            action()
+
+    def _tick(self, machine: Machine, life: int) -> None:
+        if machine.replica is None or machine.life != life:
+            return
+        if not machine.frozen:
+            self._perform(machine, machine.replica.tick(self.now))
+        self.after(TICK_MS, lambda: self._tick(machine, life))
+
+    def _perform(self, machine: Machine, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(machine.address, action.address, action.message)
+                case Persist():
+                    machine.queue.append((action.token, action.record))
+                    self._write(machine)
+                case Reply():
+                    self.rules.replied(action, machine)
+                    taker = self._replies.pop(action.token, None)
+                    if taker is not None:
+                        taker(action)
+                case Commit():
+                    self.rules.committed(action.state, machine)
+
+    def _send(self, source: str, target: str, message: ReplicaMessage) -> None:
+        if target not in self.machines or (source, target) in self.cuts or self.rng.random() < self.loss:
+            return
+        self.after(self.rng.uniform(*DELAY_MS), lambda: self._arrive(source, target, message))
+
+    def _arrive(self, source: str, target: str, message: ReplicaMessage) -> None:
+        machine = self.machines[target]
+        if (source, target) in self.cuts:
+            return
+
+        def handle() -> None:
+            assert machine.replica is not None
+            self._perform(machine, machine.replica.handle(message, self.now))
+
+        self._guarded(machine, machine.life, handle)
+
+    # Disks.
+
+    def _write(self, machine: Machine) -> None:
+        if machine.writing or machine.stalled or not machine.queue:
+            return
+        machine.writing = True
+        life = machine.life
+        wait = self.rng.uniform(*SYNC_MS) * machine.sync_x
+        self.after(wait, lambda: self._written(machine, life))
+
+    def _written(self, machine: Machine, life: int) -> None:
+        if machine.life != life or machine.durable is None:
+            return
+        machine.writing = False
+        if machine.stalled:
+            return
+        batch, machine.queue = machine.queue, []
+        for _, record in batch:
+            durables.apply(machine.durable, record)
+        for token, _ in batch:
+            self._guarded(machine, life, lambda token=token: self._persisted(machine, token))  # type: ignore[misc]
+        self._write(machine)
+
+    def _persisted(self, machine: Machine, token: int) -> None:
+        assert machine.replica is not None
+        self._perform(machine, machine.replica.persisted(token, self.now))
+
+    # Operators.
+
+    def call(self, address: str, order: Order | None, taker: Callable[[Reply | None], None]) -> None:
+        """An operator's call to one machine; no answer within a second is None."""
+        machine = self.machines[address]
+        token = f"call-{next(self._tokens)}"
+        ended = False
+
+        def end(reply: Reply | None) -> None:
+            nonlocal ended
+            if not ended:
+                ended = True
+                taker(reply)
+
+        self._replies[token] = end
+        self.after(1_000.0, lambda: end(None))
+
+        def begin() -> None:
+            assert machine.replica is not None
+            self._perform(machine, machine.replica.call(token, order, self.now))
+
+        self._guarded(machine, machine.life, begin)
+
+    def order(self, order: Order, ended: Callable[[int], None], tries: int = 40) -> None:
+        """Send an order until the answer is clear, each time to another machine; 0 where it never was."""
+        if not tries:
+            ended(0)
+            return
+        up = [m.address for m in self.machines.values() if not m.gone]
+        address = up[self.rng.randrange(len(up))]
+        self.rules.sent(order)
+
+        def taker(reply: Reply | None) -> None:
+            if reply is None or reply.status == 503:
+                self.after(50.0 + 100.0 * self.rng.random(), lambda: self.order(order, ended, tries - 1))
+                return
+            self.rules.answered(order, reply.status)
+            ended(reply.status)
+
+        self.call(address, order, taker)
+
+
+def _copied(durable: Durable) -> Durable:
+    """What a process reads from a disk: not the same objects."""
+    return msgspec.convert(msgspec.to_builtins(copy.copy(durable)), Durable)
--- /dev/null
+++ b/lab/control/rules.py
@@ -0,0 +1,99 @@
+"""What must hold for the control plane's replicas, whatever fails; a broken rule raises."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from dunlinloft.coordination.actions import Reply
+from dunlinloft.coordination.messages import ChainState, Order, View
+
+if TYPE_CHECKING:
+    from lab.control.cluster import Machine
+
+
+class Broken(AssertionError):
+    """A rule was broken; the text says which and how."""
+
+
+class Rules:
+    """Everything that was seen so far."""
+
+    def __init__(self, tolerance: int) -> None:
+        self._tolerance = tolerance
+        self._views: dict[int, View] = {}
+        self._history: dict[int, str] = {}  # the digest of each committed sequence
+        self._taken: dict[str, int] = {}  # committed orders, and their version
+        self._refused: set[str] = set()
+        self._acked: dict[str, Order] = {}
+        self._acked_bases: dict[int, str] = {}
+        self.newest_acked = 0
+        self._committed_at: dict[tuple[str, int], int] = {}  # by machine and life: no way back
+        self._reads: dict[str, int] = {}
+
+    def sent(self, order: Order) -> None:
+        """An order is on its way."""
+
+    def check(self, machines: Mapping[str, Machine]) -> None:
+        """One epoch names one view."""
+        for machine in machines.values():
+            if machine.replica is None or machine.replica.view is None:
+                continue
+            view = machine.replica.view
+            known = self._views.setdefault(view.epoch, view)
+            if known is not view and known != view:
+                raise Broken(f"two views in epoch {view.epoch}: {known} and {view}")
+
+    def committed(self, state: ChainState, machine: Machine) -> None:
+        """A replica holds a state for committed."""
+        known = self._history.setdefault(state.sequence, state.chain_digest)
+        if known != state.chain_digest:
+            raise Broken(f"two histories at sequence {state.sequence}")
+        place = (machine.address, machine.life)
+        if state.sequence < self._committed_at.get(place, 0):
+            raise Broken(f"{place} went back to {state.sequence}")
+        self._committed_at[place] = state.sequence
+        for taken in state.taken:
+            self._taken[taken.digest] = taken.version
+            if taken.digest in self._refused:
+                raise Broken(f"the refused order {taken.digest} is in force")
+
+    def replied(self, reply: Reply, machine: Machine) -> None:
+        """An answer leaves a machine."""
+
+    def answered(self, order: Order, status: int) -> None:
+        """An operator got a clear answer to an order."""
+        if status == 200:
+            self._on_acked(order)
+            return
+        self._refused.add(order.digest)
+        if order.digest in self._acked:
+            raise Broken(f"the acknowledged order {order.digest} was refused with {status}")
+        if order.digest in self._taken:
+            raise Broken(f"the order {order.digest} was refused with {status} and is in force")
+
+    def _on_acked(self, order: Order) -> None:
+        version: int = order.body["version"]
+        other = self._acked_bases.setdefault(order.base, order.digest)
+        if other != order.digest:
+            raise Broken(f"two orders on version {order.base} were acknowledged")
+        self._acked[order.digest] = order
+        self.newest_acked = max(self.newest_acked, version)
+
+    def holders(self, machines: Mapping[str, Machine], order: Order) -> int:
+        """On how many disks an order is."""
+        disks = (machine.durable for machine in machines.values())
+        return sum(
+            disk is not None and any(t.digest == order.digest for t in disk.state.taken) for disk in disks
+        )
+
+    def durable(self, machines: Mapping[str, Machine], order: Order) -> None:
+        """What was just acknowledged is on more disks than may be lost."""
+        held = self.holders(machines, order)
+        if held <= self._tolerance:
+            raise Broken(f"order {order.digest} was acknowledged with {held} copies")
+
+    def read(self, version: int, acked_before: int) -> None:
+        """A read is no older than what was acknowledged before it began."""
+        if version < acked_before:
+            raise Broken(f"version {version} was read, {acked_before} had been acknowledged")
--- /dev/null
+++ b/tests/test_control_replicas.py
@@ -0,0 +1,236 @@
+"""The control plane's replicas under seeded faults: the rules are checked after each step."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from dunlinloft.coordination.actions import Reply
+from dunlinloft.coordination.messages import Order
+from lab.control.cluster import Cluster
+
+
+def _order(version: int, base: int, text: str = "", kind: str = "replace") -> Order:
+    body = {"version": version, "routes": [], "services": [], "note": text}
+    return Order(kind, base, f"{kind}/{base}/{version}/{text}", body)
+
+
+class Operator:
+    """Sends changes one after the other, each on the newest acknowledged version."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.version = 0
+        self.acked = self.refused = self.unclear = 0
+        self.worst_ms = 0.0
+
+    def change(self) -> None:
+        """One change, and the next one some time after it has ended."""
+        cluster = self.cluster
+        order = _order(self.version + cluster.rng.randint(1, 3), self.version, f"{cluster.rng.random()}")
+        began = cluster.now
+
+        def ended(status: int) -> None:
+            if status == 200:
+                self.acked += 1
+                self.version = order.body["version"]
+                cluster.rules.durable(cluster.machines, order)
+                self.worst_ms = max(self.worst_ms, cluster.now - began)
+            elif status:
+                self.refused += 1
+            else:
+                self.unclear += 1
+            go_on = self.change if status == 200 else self.look
+            cluster.after(50.0 + 300.0 * cluster.rng.random(), go_on)
+
+        cluster.order(order, ended)
+
+    def look(self) -> None:
+        """Read which version is current: somebody else changed it, or nothing clear came back."""
+        cluster = self.cluster
+
+        def taker(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 200:
+                self.version = reply.version
+                self.change()
+            else:
+                cluster.after(100.0, self.look)
+
+        up = [m.address for m in cluster.machines.values() if not m.gone]
+        cluster.call(up[cluster.rng.randrange(len(up))], None, taker)
+
+    def read(self) -> None:
+        """Reads now and then; none may be older than what was acknowledged before it began."""
+        cluster = self.cluster
+        up = [m.address for m in cluster.machines.values() if m.replica is not None]
+        acked = cluster.rules.newest_acked
+
+        def taker(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 200:
+                cluster.rules.read(reply.version, acked)
+
+        if up:
+            cluster.call(up[cluster.rng.randrange(len(up))], None, taker)
+        cluster.after(200.0, self.read)
+
+
+def _settled(cluster: Cluster, operator: Operator) -> None:
+    """With all faults over, changes are acknowledged again, and what was acknowledged is there."""
+    acked = operator.acked
+    cluster.run(6_000.0)
+    assert operator.acked > acked, "no change is acknowledged although nothing fails any more"
+    versions: list[int] = []
+
+    def taker(reply: Reply | None) -> None:
+        if reply is not None and reply.status == 200:
+            versions.append(reply.version)
+
+    for machine in cluster.machines.values():
+        if not machine.gone:
+            cluster.call(machine.address, None, taker)
+    newest = cluster.rules.newest_acked
+    cluster.run(1_500.0)
+    assert versions, "nobody answers a read"
+    assert min(versions) >= newest
+
+
+def test_a_quiet_cluster_acknowledges_within_milliseconds() -> None:
+    cluster = Cluster(1)
+    operator = Operator(cluster)
+    cluster.after(300.0, operator.change)
+    operator.read()
+    cluster.run(10_000.0)
+    assert operator.acked > 20
+    assert operator.refused == 0
+    assert operator.worst_ms < 50.0
+    _settled(cluster, operator)
+
+
+@pytest.mark.parametrize("place", [0, 1, 2])
+@pytest.mark.parametrize("how", ["kill", "freeze", "cut", "one_way", "stall", "slow", "wipe"])
+def test_changes_go_on_while_one_machine_is_in_trouble(place: int, how: str) -> None:
+    cluster = Cluster(100 * place + len(how))
+    operator = Operator(cluster)
+    operator.read()
+    cluster.after(300.0, operator.change)
+    cluster.run(2_000.0)
+    address = cluster.seeds[place]
+    _strike(cluster, address, how)
+    acked = operator.acked
+    cluster.run(4_000.0)
+    assert operator.acked > acked, f"no change acknowledged while {how} lasts"
+    _mend(cluster, address, how)
+    _settled(cluster, operator)
+    view = next(m.replica.view for m in cluster.machines.values() if m.replica is not None)
+    assert view is not None
+    assert len(view.chain) == 3
+
+
+def _strike(cluster: Cluster, address: str, how: str) -> None:
+    match how:
+        case "kill":
+            cluster.kill(address)
+        case "freeze":
+            cluster.freeze(address)
+        case "cut" | "one_way":
+            for other in cluster.machines:
+                if other != address:
+                    cluster.cut(address, other, both=how == "cut")
+        case "stall":
+            cluster.stall(address, True)
+        case "slow":
+            cluster.machines[address].sync_x = 400.0
+        case "wipe":
+            cluster.wipe(address)
+
+
+def _mend(cluster: Cluster, address: str, how: str) -> None:
+    match how:
+        case "kill" | "wipe":
+            cluster.start(address)
+        case "freeze":
+            cluster.thaw(address)
+        case "cut" | "one_way":
+            cluster.heal()
+        case "stall":
+            cluster.stall(address, False)
+        case "slow":
+            cluster.machines[address].sync_x = 1.0
+
+
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("wiped", [None, 0, 1, 2])
+def test_what_was_acknowledged_survives_the_loss_of_all_processes(seed: int, wiped: int | None) -> None:
+    cluster = Cluster(seed)
+    operator = Operator(cluster)
+    cluster.after(300.0, operator.change)
+    cluster.run(2_000.0 + 37.0 * seed)
+    for place, address in enumerate(cluster.seeds):
+        if place == wiped:
+            cluster.wipe(address)
+        else:
+            cluster.kill(address)
+    cluster.run(500.0)
+    for address in cluster.seeds:
+        cluster.start(address)
+    _settled(cluster, operator)
+
+
+@pytest.mark.parametrize("planned", [True, False])
+def test_machines_are_replaced_one_after_the_other(planned: bool) -> None:
+    cluster = Cluster(7)
+    operator = Operator(cluster)
+    operator.read()
+    cluster.after(300.0, operator.change)
+    cluster.run(1_000.0)
+    for number, address in enumerate(cluster.seeds):
+        newcomer = f"10.0.1.{number}:7000"
+        if planned:
+            cluster.add(newcomer)
+            cluster.run(2_400.0)
+            cluster.remove(address)
+        else:
+            cluster.remove(address)
+            cluster.run(1_500.0)
+            cluster.add(newcomer)
+        cluster.run(6_000.0)
+    _settled(cluster, operator)
+
+
+def _random_fault(cluster: Cluster, rng: random.Random, down: list[tuple[str, str]]) -> None:
+    """Strike or mend one machine; no more than one is in trouble at a time."""
+    if down:
+        address, how = down.pop()
+        _mend(cluster, address, how)
+        return
+    address = rng.choice(cluster.seeds)
+    how = rng.choice(["kill", "freeze", "cut", "one_way", "stall", "slow", "wipe"])
+    _strike(cluster, address, how)
+    down.append((address, how))
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_random_troubles_break_no_rule(seed: int) -> None:
+    cluster = Cluster(seed, loss=0.01 if seed % 2 else 0.0)
+    rng = random.Random(seed)
+    operators = [Operator(cluster), Operator(cluster)]
+    for operator in operators:
+        cluster.after(300.0 * rng.random(), operator.change)
+        operator.read()
+    cluster.run(1_500.0)
+    down: list[tuple[str, str]] = []
+    for _ in range(8):
+        _random_fault(cluster, rng, down)
+        # A machine counts as lost until it has had time to catch up.
+        cluster.run(rng.uniform(200.0, 3_000.0) if down else 4_000.0)
+    while down:
+        _random_fault(cluster, rng, down)
+    cluster.run(4_000.0)
+    _settled_any(cluster, operators)
+
+
+def _settled_any(cluster: Cluster, operators: list[Operator]) -> None:
+    acked = sum(operator.acked for operator in operators)
+    cluster.run(6_000.0)
+    assert sum(operator.acked for operator in operators) > acked
