--- a/dunlinloft/dataplane/exchange.py
+++ b/dunlinloft/dataplane/exchange.py
@@ -107,6 +107,7 @@
         self._arrivals = 0  # at servers, so far
         self._unreached = 0
         self._ran = False  # at a server, for all that is known
+        self._answer: web.StreamResponse | None = None  # once its head went out
         self._base = self._base_headers()
 
     def _base_headers(self) -> CIMultiDict[str]:
@@ -234,6 +235,8 @@
                     return await self._pass_stream(server, response)
                 return await self._pass_body(server, response)
         except TimeoutError:
+            if self._answer is not None:
+                return self._broken_off(self._answer)
             return Failure(Verdict.MAY_HAVE_EXECUTED, "no whole answer in time")
         finally:
             server.ended(request_id)
@@ -267,11 +270,17 @@
             held += part
         return await self._pass_long(response, held)
 
-    async def _pass_long(self, response: aiohttp.ClientResponse, held: bytes) -> web.StreamResponse | Failure:
+    async def _begin_answer(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+        """Send the head; from here on there is no other answer."""
         answer = web.StreamResponse(
             status=response.status, reason=response.reason, headers=self._head(response)
         )
+        self._answer = answer
         await answer.prepare(self._asked.request)
+        return answer
+
+    async def _pass_long(self, response: aiohttp.ClientResponse, held: bytes) -> web.StreamResponse | Failure:
+        answer = await self._begin_answer(response)
         await answer.write(held)
         while True:
             part = await next_bytes(response)
@@ -306,10 +315,7 @@
             events = cutter.feed(part) if part else cutter.rest()
             if answer is None and (events or not part):
                 self._answered()
-                answer = web.StreamResponse(
-                    status=response.status, reason=response.reason, headers=self._head(response)
-                )
-                await answer.prepare(self._asked.request)
+                answer = await self._begin_answer(response)
             if events and answer is not None:
                 await answer.write(events)
             if not part and answer is not None:
