--- /dev/null
+++ b/lab/router/model_server.py
@@ -0,0 +1,143 @@
+"""A stand-in for a model server: it speaks what servers speak, and fails as it is told."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+BEAT_S = 0.3
+EVENT_S = 0.01
+
+
+@dataclass
+class Behaviour:
+    """What the next requests meet."""
+
+    status: int = 200
+    refuse: int = 0  # so many requests are turned away as if it were full
+    cut_after: int | None = None  # events of a stream, after which the connection is reset
+    cut_times: int = 1_000_000  # so many streams are cut
+    silent: bool = False  # requests are taken and never answered
+    wrong_id: bool = False  # answers name another request
+    unsigned: bool = False
+    slow_s: float = 0.0  # before the answer begins
+    events: int = 5
+    draining: bool = False
+
+
+@dataclass
+class Seen:
+    """What reached it."""
+
+    ran: Counter[str] = field(default_factory=Counter)  # by attempt id
+    refused: int = 0
+    headers: list[dict[str, str]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    paths: list[str] = field(default_factory=list)
+    more: asyncio.Event = field(default_factory=asyncio.Event)  # set with each request
+
+
+class ModelServer:
+    """One server of a service at one address."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, host: str, service: str, capacity: int = 8) -> None:
+        self.host = host
+        self.service = service
+        self.capacity = capacity
+        self.id = f"i-{next(self._numbers)}"
+        self.behaviour = Behaviour()
+        self.seen = Seen()
+        self.address = ""
+        self._sequence = 0
+        self._runner: web.ServerRunner | None = None
+        self._beats: asyncio.Task[None] | None = None
+
+    async def start(self, control: list[str]) -> None:
+        """Listen, and tell the control plane."""
+        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.host, 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = f"{self.host}:{port}"
+        self._beats = asyncio.create_task(self._beat(control))
+
+    async def _beat(self, control: list[str]) -> None:
+        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=1.0)) as session:
+            for address in itertools.cycle(control):
+                self._sequence += 1
+                body = {
+                    "service": self.service,
+                    "address": self.address,
+                    "zone": "a",
+                    "version": "v1",
+                    "capacity": self.capacity,
+                    "state": "draining" if self.behaviour.draining else "ready",
+                    "warmup_remaining_ms": 0,
+                    "sequence": self._sequence,
+                }
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                    async with session.post(f"http://{address}/instances/{self.id}/heartbeat", json=body):
+                        await asyncio.sleep(BEAT_S)
+
+    async def wait_ran(self, requests: int) -> None:
+        """Wait until so many requests have run here."""
+        while sum(self.seen.ran.values()) < requests:
+            self.seen.more.clear()
+            await self.seen.more.wait()
+
+    async def stop(self) -> None:
+        """End without a word."""
+        if self._beats is not None:
+            self._beats.cancel()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.headers.get("X-Target-Instance", self.id) != self.id:
+            return web.Response(status=421, headers={"X-Instance-Id": self.id})
+        body = await request.read()
+        attempt = request.headers.get("X-Attempt-Id", "")
+        echo = {"X-Attempt-Id": "another" if self.behaviour.wrong_id else attempt}
+        if self.behaviour.refuse > 0:
+            self.behaviour.refuse -= 1
+            self.seen.refused += 1
+            return web.Response(status=503, headers={**echo, "X-Not-Executed": "1"})
+        self.seen.ran[attempt] += 1
+        self.seen.headers.append(dict(request.headers))
+        self.seen.bodies.append(body)
+        self.seen.paths.append(request.raw_path)
+        self.seen.more.set()
+        if self.behaviour.silent:
+            await asyncio.sleep(3_600.0)
+        await asyncio.sleep(self.behaviour.slow_s)
+        if not self.behaviour.unsigned:
+            echo["X-Server-Signature"] = f"signed by {self.id}"
+        if self.behaviour.status == 200 and request.path.startswith("/stream"):
+            return await self._stream(request, echo)
+        return web.Response(status=self.behaviour.status, headers=echo, body=b"answer to " + body)
+
+    async def _stream(self, request: web.BaseRequest, headers: dict[str, str]) -> web.StreamResponse:
+        answer = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        await answer.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        cut_after = self.behaviour.cut_after if self.behaviour.cut_times > 0 else None
+        for number in range(first, self.behaviour.events + 1):
+            if cut_after is not None and number - first >= cut_after:
+                self.behaviour.cut_times -= 1
+                await answer.write(b"id: 99\ndata: half an ev")
+                assert request.transport is not None
+                request.transport.abort()
+                return answer
+            await answer.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await asyncio.sleep(EVENT_S)
+        await answer.write_eof()
+        return answer
--- /dev/null
+++ b/tests/test_control_machine.py
@@ -0,0 +1,120 @@
+"""A hypothesis state machine over the control plane's replicas: any order of troubles that must be borne."""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from dunlinloft.coordination.actions import Reply
+from dunlinloft.coordination.messages import Order
+from lab.control.cluster import Cluster
+
+RUNS = int(os.environ.get("CONTROL_RUNS", "25"))  # docs/lab.md tells how to play thousands
+SYNC_MS = 4_000.0  # a machine counts as lost for so long after it is back
+
+
+class Replicas(RuleBasedStateMachine):
+    """Orders, reads and one trouble at a time."""
+
+    @initialize(seed=st.integers(0, 2**32), loss=st.sampled_from([0.0, 0.02]))
+    def begin(self, seed: int, loss: float) -> None:
+        self.cluster = Cluster(seed, loss=loss)
+        self.version = 0
+        self.down: str | None = None
+        self.number = 0
+        self.cluster.run(400.0)
+
+    @rule(step=st.integers(1, 3))
+    def order(self, step: int) -> None:
+        """An operator sends a change on the version that it knows."""
+        self.number += 1
+        version = self.version + step
+        body = {"version": version, "routes": [], "services": [], "note": self.number}
+        order = Order("replace", self.version, f"order {self.number}", body)
+
+        def ended(status: int) -> None:
+            if status == 200:
+                self.version = max(self.version, version)
+                self.cluster.rules.durable(self.cluster.machines, order)
+
+        self.cluster.order(order, ended)
+
+    @rule(place=st.integers(0, 2))
+    def read(self, place: int) -> None:
+        """An operator reads; it learns the version."""
+        acked = self.cluster.rules.newest_acked
+
+        def taker(reply: Reply | None) -> None:
+            if reply is not None and reply.status == 200:
+                self.cluster.rules.read(reply.version, acked)
+                self.version = max(self.version, reply.version)
+
+        self.cluster.call(self.cluster.seeds[place], None, taker)
+
+    @rule(for_ms=st.sampled_from([3.0, 20.0, 150.0, 700.0, 1_500.0]))
+    def pass_time(self, for_ms: float) -> None:
+        self.cluster.run(for_ms)
+
+    @precondition(lambda self: self.down is None)
+    @rule(place=st.integers(0, 2), how=st.sampled_from(["kill", "wipe", "freeze", "cut", "one way", "stall"]))
+    def strike(self, place: int, how: str) -> None:
+        address = self.cluster.seeds[place]
+        self.down = how
+        self.place = place
+        match how:
+            case "kill":
+                self.cluster.kill(address)
+            case "wipe":
+                self.cluster.wipe(address)
+            case "freeze":
+                self.cluster.freeze(address)
+            case "stall":
+                self.cluster.stall(address, True)
+            case _:
+                for other in self.cluster.seeds:
+                    if other != address:
+                        self.cluster.cut(address, other, both=how == "cut")
+
+    @precondition(lambda self: self.down is not None)
+    @rule()
+    def mend(self) -> None:
+        address = self.cluster.seeds[self.place]
+        match self.down:
+            case "kill" | "wipe":
+                self.cluster.start(address)
+            case "freeze":
+                self.cluster.thaw(address)
+            case "stall":
+                self.cluster.stall(address, False)
+            case _:
+                self.cluster.heal()
+        self.down = None
+        self.cluster.run(SYNC_MS)
+
+    @precondition(lambda self: self.down is None)
+    @rule(wiped=st.sampled_from([None, 0, 1, 2]))
+    def lose_all(self, wiped: int | None) -> None:
+        """All processes are killed at once; one may lose its disk."""
+        for place, address in enumerate(self.cluster.seeds):
+            (self.cluster.wipe if place == wiped else self.cluster.kill)(address)
+        for address in self.cluster.seeds:
+            self.cluster.start(address)
+        self.cluster.run(SYNC_MS)
+
+    @invariant()
+    def rules_hold(self) -> None:
+        if hasattr(self, "cluster"):
+            self.cluster.rules.check(self.cluster.machines)
+
+
+TestReplicas = Replicas.TestCase
+TestReplicas.settings = settings(
+    max_examples=RUNS,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
