--- a/dunlinloft/dataplane/lateness.py
+++ b/dunlinloft/dataplane/lateness.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from boltons.cacheutils import LRU
+
 ROUTES_MOST = 16_384  # kinds of request remembered
 LATE_PRIORITY = 4  # added to the priority of what is late anyway; 9 is the least urgent
 
@@ -15,14 +17,12 @@
     """The most time that was left to a request of each route."""
 
     def __init__(self) -> None:
-        self._most_ms: dict[str, float] = {}
+        self._most_ms: LRU[str, float] = LRU(ROUTES_MOST)
 
     def waited_ms(self, route: str, left_ms: float) -> float:
         """How long a client has waited when a try comes that has so much time left."""
         most_ms = self._most_ms.get(route, 0.0)
         if left_ms > most_ms:
-            if len(self._most_ms) >= ROUTES_MOST:
-                self._most_ms.clear()
             self._most_ms[route] = left_ms
             return 0.0
         return most_ms - left_ms
--- a/dunlinloft/dataplane/servers.py
+++ b/dunlinloft/dataplane/servers.py
@@ -6,6 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from boltons.cacheutils import LRU
+
 from dunlinloft.coordination.stream import ServerRecord
 from fleet.rendezvous import rank
 from nickelbridge.logic import DelayController, Rotation
@@ -84,7 +86,7 @@
         self.servers: dict[str, Server] = {}
         self.controller = DelayController()
         self._rotation = Rotation(rng)
-        self._orders: dict[str, list[Server]] = {}
+        self._orders: LRU[str, list[Server]] = LRU(ORDERS_MOST)
 
     def put(self, record: ServerRecord) -> None:
         """A server came or changed."""
@@ -128,8 +130,6 @@
         """The servers in the order of a key, the same at every node."""
         order = self._orders.get(key)
         if order is None:
-            if len(self._orders) >= ORDERS_MOST:
-                self._orders.clear()
             order = sorted(self.servers.values(), key=lambda s: rank(key, s.record.id), reverse=True)
             self._orders[key] = order
         return order
