--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -306,6 +306,17 @@
     sys.exit(labcli.run(scenario, host, seeds, jobs, json_file, html_file, logs, changes))
 
 
+@lab.command("up")
+@click.option("--controls", default=3, show_default=True, type=click.IntRange(1, 9), help="Control planes.")
+@click.option("--nodes", default=4, show_default=True, type=click.IntRange(1, 32), help="Data-plane nodes.")
+@click.option("--network", default=77, show_default=True, type=click.IntRange(1, 254), help="N of 127.N.x.y.")
+def lab_up(controls: int, nodes: int, network: int) -> None:
+    """Start a router fleet on loopback with stand-ins for model servers, until Ctrl-C."""
+    from dunlinloft.upcli import up
+
+    sys.exit(up(controls, nodes, network))
+
+
 @lab.command("compare")
 @click.argument("first", type=click.Path(dir_okay=False))
 @click.argument("second", type=click.Path(dir_okay=False))
--- a/lab/router/model_server.py
+++ b/lab/router/model_server.py
@@ -122,11 +122,13 @@
         if not self.behaviour.unsigned:
             echo["X-Server-Signature"] = f"signed by {self.id}"
         if self.behaviour.status == 200 and request.path.startswith("/stream"):
-            return await self._stream(request, echo)
+            answer = web.StreamResponse(headers={**echo, "Content-Type": "text/event-stream"})
+            with contextlib.suppress(ConnectionError):  # who asked has gone
+                await self._stream(request, answer)
+            return answer
         return web.Response(status=self.behaviour.status, headers=echo, body=b"answer to " + body)
 
-    async def _stream(self, request: web.BaseRequest, headers: dict[str, str]) -> web.StreamResponse:
-        answer = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+    async def _stream(self, request: web.BaseRequest, answer: web.StreamResponse) -> None:
         await answer.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         cut_after = self.behaviour.cut_after if self.behaviour.cut_times > 0 else None
@@ -136,8 +138,7 @@
                 await answer.write(b"id: 99\ndata: half an ev")
                 assert request.transport is not None
                 request.transport.abort()
-                return answer
+                return
             await answer.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
             await asyncio.sleep(EVENT_S)
         await answer.write_eof()
-        return answer
