Take nobody for gone after this process stood still

Cause: a control plane that was frozen heard nobody meanwhile and dropped all its servers at its first look; nodes kept them only where another control plane lists them. Found by reading; tests/test_registry.py.

--- a/dunlinloft/coordination/registry.py
+++ b/dunlinloft/coordination/registry.py
@@ -7,6 +7,7 @@
 from dunlinloft.coordination.stream import ServerRecord
 
 EXPIRE_BEATS = 3.5  # heartbeat intervals without a word, after which a server counts as gone
+STOOD_STILL_MS = 500.0  # between two looks, after which this process must have stood still
 GONE_KEPT_MS = 120_000.0  # so long a server that left isn't taken up again by a late word
 
 
@@ -16,6 +17,7 @@
     def __init__(self, heartbeat_ms: float, now_ms: float) -> None:
         self._expire_ms = EXPIRE_BEATS * heartbeat_ms
         self._complete_ms = now_ms + 1.5 * heartbeat_ms
+        self._expired_ms = now_ms
         self.records: dict[str, ServerRecord] = {}
         self._heard_ms: dict[str, float] = {}
         self._gone_ms: dict[str, float] = {}
@@ -67,7 +69,14 @@
             self._left[server_id] = None
 
     def expire(self, now_ms: float) -> None:
-        """Drop what has been silent for too long, and forget those long gone."""
+        """Drop what has been silent for too long, and forget those long gone; to be called often.
+
+        Where it was not called for long this process stood still itself, and heard nobody for that reason.
+        """
+        stood_still_ms = now_ms - self._expired_ms
+        self._expired_ms = now_ms
+        if stood_still_ms > STOOD_STILL_MS:
+            self._heard_ms = {i: heard + stood_still_ms for i, heard in self._heard_ms.items()}
         for server_id in [i for i, heard in self._heard_ms.items() if now_ms - heard > self._expire_ms]:
             self._drop(server_id)
         for server_id in [i for i, gone in self._gone_ms.items() if now_ms - gone > GONE_KEPT_MS]:
