Send configurations to a node on two streams and versions on the others; look at changed settings without a signal

Need: a node on a link of 5 Mbit/s (grown deployments) would get each configuration from every replica. What it was told of and lacks after 150 ms it fetches from who told.

--- a/dunlinloft/controlplane/distribution.py
+++ b/dunlinloft/controlplane/distribution.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from dunlinloft.coordination.messages import ChainState, Entry
-from dunlinloft.coordination.stream import Delta, Replicas, ServerNews, ServerRecord, Servers, Whole
+from dunlinloft.coordination.stream import Delta, Replicas, ServerNews, ServerRecord, Servers, Version, Whole
 from dunlinloft.transport import lines
 
 
@@ -17,6 +17,7 @@
     writer: lines.LineWriter
     sent: int  # the version last sent
     held: int  # the version last acknowledged
+    wants_configurations: bool  # else versions alone
 
 
 class Distribution:
@@ -35,7 +36,10 @@
         if self._replicas is not None:
             stream.writer.send(self._replicas)
         stream.writer.send(Servers(complete, records))
-        self._send_state(stream)
+        if stream.wants_configurations:
+            self._send_state(stream)
+        elif self._state.version:
+            stream.writer.send(Version(self._state.version))
 
     def end(self, stream: NodeStream) -> None:
         """A node's stream ended."""
@@ -48,8 +52,17 @@
         self._state = state
         self._lines = {}
         self._update = entry if entry is not None and entry.order.kind == "update" else None
+        notice = lines.encoded(Version(state.version))
         for stream in self.streams:
-            self._send_state(stream)
+            if stream.wants_configurations:
+                self._send_state(stream)
+            else:
+                stream.writer.send_line(notice)
+
+    def fetch(self, stream: NodeStream, held: int) -> None:
+        """A node lacks a version that it was told of."""
+        stream.sent = held
+        self._send_state(stream)
 
     def _send_state(self, stream: NodeStream) -> None:
         if not self._state.version or stream.sent >= self._state.version:
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -29,6 +29,7 @@
 from dunlinloft.coordination.stream import (
     Alive,
     Beats,
+    Fetch,
     Held,
     NodesSeen,
     Place,
@@ -222,8 +223,11 @@
             nonlocal stream
             match message:
                 case Subscribe():
-                    stream = NodeStream(message.node, out, message.held, message.held)
+                    wants = message.wants_configurations
+                    stream = NodeStream(message.node, out, message.held, message.held, wants)
                     self._subscribe(stream, message.uptime_ms)
+                case Fetch() if stream is not None:
+                    self._distribution.fetch(stream, message.held)
                 case Held() if stream is not None:
                     stream.held = message.version
                 case TakeQuota():
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -36,6 +36,7 @@
     zone: str
     held: int  # the version that it has in force; 0 for none
     uptime_ms: float  # since its process began
+    wants_configurations: bool  # False: it is told of versions and fetches what it lacks
 
 
 class Held(Struct, frozen=True, tag="held"):
@@ -44,6 +45,18 @@
     version: int
 
 
+class Fetch(Struct, frozen=True, tag="fetch"):
+    """The node lacks a version that it was told of."""
+
+    held: int
+
+
+class Version(Struct, frozen=True, tag="version"):
+    """A configuration of this version was committed."""
+
+    version: int
+
+
 class Alive(Struct, frozen=True, tag="alive"):
     """Nothing to say, on either side."""
 
@@ -140,8 +153,8 @@
     owner: bool = True  # False: the asked one isn't the owner now
 
 
-FromNode = Subscribe | Held | Alive | TakeQuota | Place | PlaceBegan | PlaceEnded
-ToNode = Replicas | Whole | Delta | Servers | ServerNews | QuotaGranted | Placed | Alive
+FromNode = Subscribe | Fetch | Held | Alive | TakeQuota | Place | PlaceBegan | PlaceEnded
+ToNode = Replicas | Whole | Delta | Version | Servers | ServerNews | QuotaGranted | Placed | Alive
 
 
 class Beats(Struct, frozen=True, tag="beats"):
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -13,15 +13,19 @@
 
 from dunlinloft.coordination.stream import (
     Alive,
+    Fetch,
     Held,
     Replicas,
     Subscribe,
     ToNode,
+    Version,
 )
 from dunlinloft.transport import lines
 from fleet.rendezvous import rank
 
-STREAMS_MOST = 5  # replicas subscribed to, chosen by rendezvous hashing where there are more
+STREAMS_MOST = 9  # replicas subscribed to, chosen by rendezvous hashing where there are more
+CONFIGURATION_STREAMS = 2  # of them send configurations, the others tell versions
+FETCH_AFTER_S = 0.15  # a version told of that hasn't come by then is fetched from who told
 REDIAL_S, REDIAL_MOST_S = 0.05, 0.5
 ALIVE_S = 0.3
 SILENT_S = 1.5
@@ -56,6 +60,7 @@
         self._named: tuple[str, ...] = ()
         self.replicas: Replicas | None = None
         self._began_ms = _now_ms()
+        self._fetches: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """The loop that turns the wanted streams into those that are."""
@@ -70,12 +75,19 @@
             await asyncio.sleep(ALIVE_S)
 
     def _wanted(self) -> set[str]:
-        named = self._named
-        if len(named) > STREAMS_MOST:
-            named = tuple(sorted(named, key=lambda address: rank(self._node, address))[:STREAMS_MOST])
+        named = self._ranked()[:STREAMS_MOST]
         up = any(address in self._writers for address in named)
         return set(named) if up else set(named) | set(self._seeds())
 
+    def _ranked(self) -> list[str]:
+        """All replicas in this node's own order; before any is named, the seeds."""
+        return sorted(self._named or self._seeds(), key=lambda address: rank(self._node, address))
+
+    async def _fetch(self, address: str, version: int) -> None:
+        await asyncio.sleep(FETCH_AFTER_S)
+        if self._held() < version:
+            self.send(address, Fetch(self._held()))
+
     def held(self, version: int) -> None:
         """Acknowledge a version to all."""
         for writer in self._writers.values():
@@ -100,7 +112,9 @@
                 continue
             wait_s = REDIAL_S
             writer = lines.LineWriter(raw)
-            writer.send(Subscribe(self._node, self._zone, self._held(), _now_ms() - self._began_ms))
+            wants = address in self._ranked()[:CONFIGURATION_STREAMS]
+            uptime_ms = _now_ms() - self._began_ms
+            writer.send(Subscribe(self._node, self._zone, self._held(), uptime_ms, wants))
             self._writers[address] = writer
             try:
                 reason = await lines.read_messages(reader, _decoder, lambda m: self._on(address, m), SILENT_S)
@@ -116,5 +130,10 @@
             if self.replicas is None or message.epoch >= self.replicas.epoch:
                 self.replicas = message
                 self._named = message.addresses
+        elif isinstance(message, Version):
+            if message.version > self._held():
+                task = asyncio.create_task(self._fetch(address, message.version))
+                self._fetches.add(task)
+                task.add_done_callback(self._fetches.discard)
         else:
             self._take(address, message)
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 import signal
+import time
 from typing import Any
 
 from absl import logging
@@ -41,6 +42,7 @@
 MOST_HEADER = 65_536
 BACKLOG = 1_024
 TICK_S = 0.2
+REREAD_MS = 2_000.0  # between looks at the settings while seeds are needed
 NOTICE_S = 2.6  # after SIGTERM, for the platform to send no more connections: it asks each second, twice
 END_S = 0.6  # before the end of the grace period, what still runs is given up
 KEPT_INTERVALS = 4.0  # heartbeat intervals that a lost stream's servers are kept
@@ -58,6 +60,7 @@
         self._upstreams: dict[str, Upstream] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._closing = False
+        self._read_ms = _now_ms()
         self._serving = asyncio.Event()  # once it has what a start needs
         self._subscriptions = Subscriptions(
             settings.node_name,
@@ -114,6 +117,11 @@
     # What the control plane tells.
 
     def _seeds(self) -> tuple[str, ...]:
+        """The seeds as they are in the file now: it may change without a signal."""
+        now_ms = _now_ms()
+        if now_ms - self._read_ms > REREAD_MS:
+            self._reread()
+            self._read_ms = now_ms
         return self._settings.seeds()
 
     def _on_hangup(self) -> None:
@@ -215,4 +223,4 @@
 
 
 def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1_000.0
+    return time.monotonic() * 1_000.0
