--- a/dunlinloft/controlplane/__main__.py
+++ b/dunlinloft/controlplane/__main__.py
@@ -3,10 +3,23 @@
 from __future__ import annotations
 
 import gc
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from dunlinloft.settings import Settings
+    from dunlinloft.transport.program import Program
+
+
+def load(settings: Settings) -> Program:
+    """The program; what it needs is imported here."""
+
+    from dunlinloft.controlplane.process import ControlPlane
+
+    return ControlPlane(settings)
+
 
 if __name__ == "__main__":
     gc.disable()  # nothing that imports make is garbage; `start` enables it
-    from dunlinloft.controlplane.process import ControlPlane
     from dunlinloft.transport.program import start
 
-    start(ControlPlane)
+    start(load)
--- a/dunlinloft/dataplane/__main__.py
+++ b/dunlinloft/dataplane/__main__.py
@@ -3,13 +3,25 @@
 from __future__ import annotations
 
 import gc
+from typing import TYPE_CHECKING
 
-if __name__ == "__main__":
-    gc.disable()  # nothing that imports make is garbage; `start` enables it
+if TYPE_CHECKING:
+    from dunlinloft.settings import Settings
+    from dunlinloft.transport.program import Program
+
+
+def load(settings: Settings) -> Program:
+    """The program; what it needs is imported here."""
     from dunlinloft.transport.light import import_aiohttp
 
     import_aiohttp()
     from dunlinloft.dataplane.process import DataPlane
+
+    return DataPlane(settings)
+
+
+if __name__ == "__main__":
+    gc.disable()  # nothing that imports make is garbage; `start` enables it
     from dunlinloft.transport.program import start
 
-    start(DataPlane)
+    start(load)
