--- a/dunlinloft/controlplane/distribution.py
+++ b/dunlinloft/controlplane/distribution.py
@@ -5,7 +5,16 @@
 from dataclasses import dataclass
 
 from dunlinloft.coordination.messages import ChainState, Entry
-from dunlinloft.coordination.stream import Delta, Replicas, ServerNews, ServerRecord, Servers, Version, Whole
+from dunlinloft.coordination.stream import (
+    Delta,
+    Replicas,
+    ServerNews,
+    ServerRecord,
+    Servers,
+    ServersComplete,
+    Version,
+    Whole,
+)
 from dunlinloft.transport import lines
 
 
@@ -30,12 +39,12 @@
         self._update: Entry | None = None
         self._replicas: Replicas | None = None
 
-    def subscribe(self, stream: NodeStream, records: tuple[ServerRecord, ...], complete: bool) -> None:
-        """A node subscribed: tell it all."""
+    def subscribe(self, stream: NodeStream, servers: Servers) -> None:
+        """A node subscribed: tell it what it doesn't know."""
         self.streams.add(stream)
         if self._replicas is not None:
             stream.writer.send(self._replicas)
-        stream.writer.send(Servers(complete, records))
+        stream.writer.send(servers)
         if stream.wants_configurations:
             self._send_state(stream)
         elif self._state.version:
@@ -92,9 +101,9 @@
             self._replicas = replicas
             self.to_all(lines.encoded(replicas))
 
-    def all_servers(self, records: tuple[ServerRecord, ...]) -> None:
-        """Tell all of every server, now that all have had time to be heard."""
-        self.to_all(lines.encoded(Servers(True, records)))
+    def servers_complete(self) -> None:
+        """Tell all that every server has had time to be heard."""
+        self.to_all(lines.encoded(ServersComplete()))
 
     def to_all(self, line: bytes) -> None:
         """Send one line to every node."""
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -39,6 +39,7 @@
     QuotaGranted,
     Replicas,
     ServerRecord,
+    Servers,
     Subscribe,
     TakeQuota,
     ToControl,
@@ -199,7 +200,7 @@
             self._flush_servers()
             if not self._told_complete and self._registry.complete(_now_ms()):
                 self._told_complete = True
-                self._distribution.all_servers(tuple(self._registry.records.values()))
+                self._distribution.servers_complete()
             await asyncio.sleep(TICK_S)
 
     def _tell_replicas(self) -> None:
@@ -225,7 +226,7 @@
                 case Subscribe():
                     wants = message.wants_configurations
                     stream = NodeStream(message.node, out, message.held, message.held, wants)
-                    self._subscribe(stream, message.uptime_ms)
+                    self._subscribe(stream, message)
                 case Fetch() if stream is not None:
                     self._distribution.fetch(stream, message.held)
                 case Held() if stream is not None:
@@ -258,13 +259,14 @@
         if reason == "not understood":
             logging.warning("event=refused_line peer=%s", writer.get_extra_info("peername"))
 
-    def _subscribe(self, stream: NodeStream, uptime_ms: float) -> None:
+    def _subscribe(self, stream: NodeStream, message: Subscribe) -> None:
         now_ms = _now_ms()
-        self._quotas.node_seen(uptime_ms, now_ms)
+        self._quotas.node_seen(message.uptime_ms, now_ms)
         self._on_nodes((stream.node,))
         self._flush_servers()
-        records = tuple(self._registry.records.values())
-        self._distribution.subscribe(stream, records, self._registry.complete(now_ms))
+        ranges = self._registry.digests.differing(message.digests)
+        servers = Servers(self._registry.complete(now_ms), ranges, self._registry.in_ranges(ranges))
+        self._distribution.subscribe(stream, servers)
 
     def _on_nodes(self, nodes: tuple[str, ...]) -> None:
         now_s = time.monotonic()
--- a/dunlinloft/coordination/registry.py
+++ b/dunlinloft/coordination/registry.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from dunlinloft.coordination.digests import RangeDigests, range_of
 from dunlinloft.coordination.stream import ServerRecord
 
 EXPIRE_BEATS = 3.5  # heartbeat intervals without a word, after which a server counts as gone
@@ -19,6 +20,7 @@
         self._complete_ms = now_ms + 1.5 * heartbeat_ms
         self._expired_ms = now_ms
         self.records: dict[str, ServerRecord] = {}
+        self.digests = RangeDigests()
         self._heard_ms: dict[str, float] = {}
         self._gone_ms: dict[str, float] = {}
         self._changed: dict[str, None] = {}
@@ -33,8 +35,18 @@
     def restore(self, records: tuple[ServerRecord, ...], now_ms: float) -> None:
         """Take what was known before a restart; whoever isn't heard of in time is dropped."""
         for record in records:
-            self.records[record.id] = record
-            self._heard_ms[record.id] = now_ms
+            self._put(record, now_ms)
+
+    def in_ranges(self, ranges: tuple[int, ...]) -> tuple[ServerRecord, ...]:
+        """The servers in these ranges."""
+        wanted = set(ranges)
+        return tuple(record for record in self.records.values() if range_of(record.id) in wanted)
+
+    def _put(self, record: ServerRecord, now_ms: float) -> None:
+        self.digests.toggle(self.records.get(record.id))
+        self.digests.toggle(record)
+        self.records[record.id] = record
+        self._heard_ms[record.id] = now_ms
 
     def beat(self, record: ServerRecord, now_ms: float, relayed: bool = False) -> None:
         """Take a heartbeat; `relayed` by another control plane."""
@@ -47,8 +59,7 @@
             return
         if known is not None and known.draining and not record.draining:
             record = msgspec.structs.replace(record, state=known.state)
-        self.records[record.id] = record
-        self._heard_ms[record.id] = now_ms
+        self._put(record, now_ms)
         if not relayed:
             self._beats[record.id] = None
         if known is None or _differs(known, record):
@@ -62,7 +73,9 @@
         self._drop(server_id)
 
     def _drop(self, server_id: str) -> None:
-        if self.records.pop(server_id, None) is not None:
+        record = self.records.pop(server_id, None)
+        if record is not None:
+            self.digests.toggle(record)
             self._heard_ms.pop(server_id, None)
             self._changed.pop(server_id, None)
             self._beats.pop(server_id, None)
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -37,6 +37,7 @@
     held: int  # the version that it has in force; 0 for none
     uptime_ms: float  # since its process began
     wants_configurations: bool  # False: it is told of versions and fetches what it lacks
+    digests: tuple[int, ...]  # of the servers that it knows, by range
 
 
 class Held(Struct, frozen=True, tag="held"):
@@ -130,12 +131,17 @@
 
 
 class Servers(Struct, frozen=True, tag="servers"):
-    """All servers that this control plane knows of."""
+    """All servers that this control plane knows of, in the ranges in which the node knows others."""
 
     complete: bool  # False while it has just started and may not have heard of all
+    ranges: tuple[int, ...]
     records: tuple[ServerRecord, ...]
 
 
+class ServersComplete(Struct, frozen=True, tag="servers_complete"):
+    """By now it has heard of all servers that there are, and told of them."""
+
+
 class ServerNews(Struct, frozen=True, tag="server_news"):
     """Servers that came or changed, and the ids of those that are gone."""
 
@@ -154,7 +160,18 @@
 
 
 FromNode = Subscribe | Fetch | Held | Alive | TakeQuota | Place | PlaceBegan | PlaceEnded
-ToNode = Replicas | Whole | Delta | Version | Servers | ServerNews | QuotaGranted | Placed | Alive
+ToNode = (
+    Replicas
+    | Whole
+    | Delta
+    | Version
+    | Servers
+    | ServersComplete
+    | ServerNews
+    | QuotaGranted
+    | Placed
+    | Alive
+)
 
 
 class Beats(Struct, frozen=True, tag="beats"):
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -25,6 +25,7 @@
 
 STREAMS_MOST = 9  # replicas subscribed to, chosen by rendezvous hashing where there are more
 CONFIGURATION_STREAMS = 2  # of them send configurations, the others tell versions
+OTHERS_FIRST_MS = 300.0  # that they wait for the first ones to tell of all servers
 FETCH_AFTER_S = 0.15  # a version told of that hasn't come by then is fetched from who told
 REDIAL_S, REDIAL_MOST_S = 0.05, 0.5
 ALIVE_S = 0.3
@@ -48,6 +49,8 @@
         take: Callable[[str, Any], None],
         lost: Callable[[str], None],
         held: Callable[[], int],
+        digests: Callable[[], tuple[int, ...]],
+        has_servers: Callable[[], bool],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -55,6 +58,8 @@
         self._take = take
         self._lost = lost
         self._held = held
+        self._digests = digests
+        self._has_servers = has_servers
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._writers: dict[str, lines.LineWriter] = {}
         self._named: tuple[str, ...] = ()
@@ -83,6 +88,12 @@
         """All replicas in this node's own order; before any is named, the seeds."""
         return sorted(self._named or self._seeds(), key=lambda address: rank(self._node, address))
 
+    async def _wait_for_servers(self) -> None:
+        """Let the first streams tell of all servers, so that the others need not."""
+        ends_ms = _now_ms() + OTHERS_FIRST_MS
+        while not self._has_servers() and _now_ms() < ends_ms:
+            await asyncio.sleep(OTHERS_FIRST_MS / 10_000.0)
+
     async def _fetch(self, address: str, version: int) -> None:
         await asyncio.sleep(FETCH_AFTER_S)
         if self._held() < version:
@@ -112,10 +123,13 @@
                 continue
             wait_s = REDIAL_S
             writer = lines.LineWriter(raw)
+            self._writers[address] = writer
             wants = address in self._ranked()[:CONFIGURATION_STREAMS]
+            if not wants:
+                await self._wait_for_servers()
             uptime_ms = _now_ms() - self._began_ms
-            writer.send(Subscribe(self._node, self._zone, self._held(), uptime_ms, wants))
-            self._writers[address] = writer
+            held, digests = self._held(), self._digests()
+            writer.send(Subscribe(self._node, self._zone, held, uptime_ms, wants, digests))
             try:
                 reason = await lines.read_messages(reader, _decoder, lambda m: self._on(address, m), SILENT_S)
             finally:
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -24,6 +24,7 @@
     QuotaGranted,
     ServerNews,
     Servers,
+    ServersComplete,
     TakeQuota,
     Whole,
 )
@@ -69,6 +70,8 @@
             self._take,
             lambda source: self._servers.lost(source, _now_ms()),
             lambda: 0 if self._table is None else self._table.version,
+            self._servers.digests,
+            lambda: self._servers.complete,
         )
         self._quotas = NodeQuotas(
             lambda: self._subscriptions.replicas, self._send_quota, settings.timing_bounds.quota_tolerance
@@ -146,7 +149,9 @@
                     order = Order("update", message.base, "", message.body)
                     self._put_in_force(changed(self._document, order))
             case Servers():
-                self._servers.whole(source, message.complete, message.records)
+                self._servers.whole(source, message.complete, message.ranges, message.records)
+            case ServersComplete():
+                self._servers.now_complete(source)
             case ServerNews():
                 self._servers.news(source, message.changed, message.gone)
             case Placed():
--- a/dunlinloft/dataplane/servers.py
+++ b/dunlinloft/dataplane/servers.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from boltons.cacheutils import LRU
 
+from dunlinloft.coordination.digests import RangeDigests, range_of
 from dunlinloft.coordination.stream import ServerRecord
 from fleet.rendezvous import rank
 from nickelbridge.logic import DelayController, Rotation
@@ -160,6 +161,7 @@
         self._rng = rng
         self.pools: dict[str, ServicePool] = {}
         self._listed: dict[str, dict[str, ServerRecord]] = {}  # by control plane
+        self._unconfirmed: dict[str, dict[str, ServerRecord]] = {}  # listed before its restart, not since
         self._lost_ms: dict[str, float] = {}  # streams that ended, and when
         self.complete = False
 
@@ -170,24 +172,45 @@
             pool = self.pools[service] = ServicePool(self._rng)
         return pool
 
-    def whole(self, source: str, complete: bool, records: tuple[ServerRecord, ...]) -> None:
-        """All that one control plane lists; until it has had time to hear of all, nothing is dropped."""
+    def digests(self) -> tuple[int, ...]:
+        """Of all servers known here."""
+        return RangeDigests(self._known()).whole()
+
+    def _known(self) -> Iterable[ServerRecord]:
+        return (server.record for pool in self.pools.values() for server in pool.servers.values())
+
+    def whole(
+        self, source: str, complete: bool, ranges: Collection[int], records: tuple[ServerRecord, ...]
+    ) -> None:
+        """All that one control plane lists in these ranges; in others it lists what is known here.
+
+        Until it has had time to hear of all, nothing is dropped for what it doesn't list.
+        """
         self._lost_ms.pop(source, None)
         old = self._listed.get(source, {})
-        new = {record.id: record for record in records}
-        self._listed[source] = new if complete else {**old, **new}
-        self.complete = self.complete or complete
+        new = {record.id: record for record in self._known() if range_of(record.id) not in set(ranges)}
+        new.update({record.id: record for record in records})
+        self._unconfirmed[source] = {i: record for i, record in old.items() if i not in new}
+        self._listed[source] = {**old, **new}
         for record in records:
             self._put(record)
         if complete:
-            for server_id in old.keys() - new.keys():
-                self._drop(server_id, old[server_id].service)
+            self.now_complete(source)
+
+    def now_complete(self, source: str) -> None:
+        """A control plane has told of all: what it listed in a former life and not since is gone."""
+        self.complete = True
+        for server_id, record in self._unconfirmed.pop(source, {}).items():
+            self._listed[source].pop(server_id, None)
+            self._drop(server_id, record.service)
 
     def news(self, source: str, changed: tuple[ServerRecord, ...], gone: tuple[str, ...]) -> None:
         """What changed at one control plane."""
         listed = self._listed.setdefault(source, {})
+        unconfirmed = self._unconfirmed.get(source, {})
         for record in changed:
             listed[record.id] = record
+            unconfirmed.pop(record.id, None)
             self._put(record)
         for server_id in gone:
             record_gone = listed.pop(server_id, None)
--- a/tests/test_dataplane_parts.py
+++ b/tests/test_dataplane_parts.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from dunlinloft.configuration import Backend, Configuration, Route, Service, Tenant
+from dunlinloft.coordination.digests import RANGES, RangeDigests, range_of
 from dunlinloft.coordination.stream import ServerRecord
 from dunlinloft.dataplane.budget import RetryBudget, gate_allows
 from dunlinloft.dataplane.events import EventCutter
@@ -135,6 +136,9 @@
     assert priority_of(8, 600.0, 200.0) == 9
 
 
+ALL = tuple(range(RANGES))
+
+
 def _record(number: int, sequence: int = 1, state: str = "ready") -> ServerRecord:
     return ServerRecord(f"i-{number}", "pool", f"10.0.0.{number}:80", "a", 8, state, sequence)
 
@@ -166,8 +170,8 @@
 
 def test_a_server_is_dropped_once_no_control_plane_lists_it() -> None:
     table = ServerTable(random.Random(1))
-    table.whole("one", True, (_record(1), _record(2)))
-    table.whole("other", True, (_record(1),))
+    table.whole("one", True, ALL, (_record(1), _record(2)))
+    table.whole("other", True, ALL, (_record(1),))
     table.news("one", (), ("i-1", "i-2"))
     assert set(table.pool("pool").servers) == {"i-1"}
     table.news("other", (), ("i-1",))
@@ -176,27 +180,53 @@
 
 def test_a_control_plane_that_has_just_started_takes_nothing_away() -> None:
     table = ServerTable(random.Random(1))
-    table.whole("one", True, (_record(1), _record(2)))
+    table.whole("one", True, ALL, (_record(1), _record(2)))
     table.lost("one", 0.0)
-    table.whole("one", False, (_record(1, 5),))
+    table.whole("one", False, ALL, (_record(1, 5),))
     assert set(table.pool("pool").servers) == {"i-1", "i-2"}
-    table.whole("one", True, (_record(1, 6),))
+    table.whole("one", True, ALL, (_record(1, 6),))
     assert set(table.pool("pool").servers) == {"i-1"}
 
 
 def test_what_only_a_lost_stream_lists_goes_while_another_is_up() -> None:
     table = ServerTable(random.Random(1))
-    table.whole("one", True, (_record(1),))
+    table.whole("one", True, ALL, (_record(1),))
     table.lost("one", 0.0)
     table.forget_lost(1_000.0, 5_000.0)
     assert table.pool("pool").servers
-    table.whole("other", True, (_record(2),))
+    table.whole("other", True, ALL, (_record(2),))
     table.forget_lost(1_000.0, 6_000.0)
     assert set(table.pool("pool").servers) == {"i-2"}
 
 
+def test_only_ranges_that_differ_are_told_and_the_rest_is_taken_as_listed() -> None:
+    records = [_record(number) for number in range(200)]
+    here = ServerTable(random.Random(1))
+    here.whole("one", True, ALL, tuple(records))
+    there = RangeDigests([*records[1:], _record(500)])
+    ranges = there.differing(here.digests())
+    assert set(ranges) == {range_of("i-0"), range_of("i-500")}
+    told = tuple(r for r in [*records[1:], _record(500)] if range_of(r.id) in ranges)
+    assert len(told) < 20
+    here.whole("other", True, ranges, told)
+    here.news("one", (), tuple(record.id for record in records))
+    assert set(here.pool("pool").servers) == {r.id for r in [*records[1:], _record(500)]}
+    assert there.differing(here.digests()) == ()
+    assert len(there.differing(())) == RANGES
+
+
+def test_a_restarted_control_plane_that_is_complete_takes_away_what_it_has_not_heard_since() -> None:
+    table = ServerTable(random.Random(1))
+    table.whole("one", True, ALL, (_record(1), _record(2), _record(3)))
+    table.lost("one", 0.0)
+    table.whole("one", False, ALL, (_record(1),))
+    table.news("one", (_record(2, 9),), ())
+    table.now_complete("one")
+    assert set(table.pool("pool").servers) == {"i-1", "i-2"}
+
+
 def test_draining_is_followed_whoever_tells_it_first() -> None:
     table = ServerTable(random.Random(1))
-    table.whole("one", True, (_record(1, 4, "draining"),))
-    table.whole("other", True, (_record(1, 3),))
+    table.whole("one", True, ALL, (_record(1, 4, "draining"),))
+    table.whole("other", True, ALL, (_record(1, 3),))
     assert table.pool("pool").servers["i-1"].record.draining
