--- a/dunlinloft/dataplane/upstream.py
+++ b/dunlinloft/dataplane/upstream.py
@@ -14,7 +14,9 @@
 from dunlinloft.dataplane.verdict import Failure, Verdict, verdict_of_answer, verdict_of_break
 
 CONNECT_S = 0.3
-IDLE_S = 4.0  # connections that rested longer aren't used again
+IDLE_S = 4.0  # connections that rested longer aren't used again, as long as servers state nothing
+IDLE_MARGIN_S = 2.0  # of what they state, for what is on its way
+IDLE_LEAST_S, IDLE_CUT, IDLE_GROWTH = 0.5, 0.5, 1.03  # after a loss on a kept connection; with each answer
 SILENT_MS = 1_000  # bytes unacknowledged for so long end a connection
 READ_MOST = 2**16
 
@@ -42,6 +44,7 @@
     """What is known of an attempt under way."""
 
     connected: bool = False
+    reused: bool = False  # on a connection that had been used before
 
 
 def _socket(info: Any) -> socket.socket:
@@ -55,6 +58,28 @@
     context.trace_request_ctx.connected = True
 
 
+async def _on_reused(_: aiohttp.ClientSession, context: SimpleNamespace, __: Any) -> None:
+    context.trace_request_ctx.connected = True
+    context.trace_request_ctx.reused = True
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Connections whose time to rest may change."""
+
+    def set_idle(self, seconds: float) -> None:
+        """How long a connection may rest and be used again; read by the library at each use."""
+        self._keepalive_timeout = seconds
+
+
+def stated_idle_s(keep_alive: str) -> float | None:
+    """The time that a server keeps an idle connection, as its `Keep-Alive` states; None where it doesn't."""
+    for part in keep_alive.split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout" and value.strip().isdecimal():
+            return float(value)
+    return None
+
+
 class Upstream:
     """The connections to one service's servers."""
 
@@ -62,12 +87,13 @@
         self.per_server = per_server
         trace = aiohttp.TraceConfig()
         trace.on_connection_create_end.append(_on_connected)
-        trace.on_connection_reuseconn.append(_on_connected)
-        connector = aiohttp.TCPConnector(
+        trace.on_connection_reuseconn.append(_on_reused)
+        self._idle_s = self._idle_most_s = IDLE_S
+        self._connector = _Connector(
             limit=0, limit_per_host=0, keepalive_timeout=IDLE_S, use_dns_cache=False, socket_factory=_socket
         )
         self._session = aiohttp.ClientSession(
-            connector=connector,
+            connector=self._connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
@@ -101,15 +127,32 @@
                 trace_request_ctx=attempt,
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            if attempt.reused:
+                self._trust_less()
             return Failure(verdict_of_break(attempt.connected), f"{type(error).__name__}: {error}")
         except TimeoutError:
             return Failure(verdict_of_break(attempt.connected), "connecting took too long")
+        self._trust_more(response.headers.get("Keep-Alive", ""))
         problem = _problem(response, headers.get(ATTEMPT_HEADER))
         if problem is not None:
             response.close()
             return problem
         return response
 
+    def _trust_less(self) -> None:
+        """A kept connection was lost: it may have been closed while it rested."""
+        self._idle_s = max(IDLE_LEAST_S, self._idle_s * IDLE_CUT)
+        self._connector.set_idle(self._idle_s)
+
+    def _trust_more(self, keep_alive: str) -> None:
+        stated_s = stated_idle_s(keep_alive)
+        if stated_s is not None:
+            self._idle_most_s = max(IDLE_LEAST_S, stated_s - IDLE_MARGIN_S)
+        idle_s = min(self._idle_most_s, self._idle_s * IDLE_GROWTH)
+        if idle_s != self._idle_s:
+            self._idle_s = idle_s
+            self._connector.set_idle(idle_s)
+
     async def close(self) -> None:
         """End all connections."""
         await self._session.close()
--- a/tests/test_dataplane_parts.py
+++ b/tests/test_dataplane_parts.py
@@ -17,6 +17,7 @@
 from dunlinloft.dataplane.lateness import Lateness, priority_of
 from dunlinloft.dataplane.routing import RoutingTable, cost_of
 from dunlinloft.dataplane.servers import ServerTable, ServicePool, Wish
+from dunlinloft.dataplane.upstream import stated_idle_s
 from dunlinloft.dataplane.verdict import Verdict, verdict_of_answer, verdict_of_break
 from nickelbridge.logic import DelayController
 
@@ -126,6 +127,13 @@
     assert sum(gate_allows(controller, draw / 10.0, now) for draw in range(10)) <= 1
 
 
+def test_what_a_server_states_of_idle_connections() -> None:
+    assert stated_idle_s("timeout=10, max=100") == 10.0
+    assert stated_idle_s("max=100,Timeout = 7") == 7.0
+    assert stated_idle_s("") is None
+    assert stated_idle_s("timeout=soon") is None
+
+
 def test_a_later_try_tells_how_long_its_client_has_waited() -> None:
     lateness = Lateness()
     assert lateness.waited_ms("chat", 2_000.0) == 0.0
