--- /dev/null
+++ b/tests/test_control_planted.py
@@ -0,0 +1,160 @@
+"""Planted faults: each checker of the replicas' rules catches its own, and says nothing without."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from dunlinloft.coordination.actions import Reply
+from dunlinloft.coordination.calls import Calls
+from dunlinloft.coordination.chain import ChainLink
+from dunlinloft.coordination.messages import Ask, ChainState, Order
+from lab.control.cluster import Cluster
+from lab.control.rules import Broken
+
+
+def _order(version: int, base: int, text: str = "") -> Order:
+    body = {"version": version, "routes": [], "services": []}
+    return Order("replace", base, f"{base}/{version}/{text}", body)
+
+
+def _put(cluster: Cluster, order: Order, copies: bool = True) -> None:
+    """Send an order, and check its copies once it is acknowledged."""
+
+    def ended(status: int) -> None:
+        if status == 200 and copies:
+            cluster.rules.durable(cluster.machines, order)
+
+    cluster.order(order, ended)
+    cluster.run(2_000.0)
+
+
+def _cut_off_last(cluster: Cluster) -> str:
+    """Cut the tail off from the others; they go on without it, and it doesn't know."""
+    tail = cluster.seeds[-1]
+    for other in cluster.seeds[:-1]:
+        cluster.cut(tail, other)
+    cluster.run(3_000.0)
+    return tail
+
+
+def _acknowledged_on_one_disk() -> None:
+    cluster = Cluster(1)
+    cluster.run(500.0)
+    for address in cluster.seeds[1:]:
+        cluster.stall(address, True)
+    _put(cluster, _order(1, 0))
+
+
+def _read_at_a_stale_tail() -> None:
+    cluster = Cluster(2)
+    cluster.run(500.0)
+    _put(cluster, _order(1, 0))
+    tail = _cut_off_last(cluster)
+    cluster.machines[tail].gone = True  # operators call the others
+    _put(cluster, _order(2, 1))
+    acked = cluster.rules.newest_acked
+    assert acked == 2
+
+    def taker(reply: Reply | None) -> None:
+        if reply is not None and reply.status == 200:
+            cluster.rules.read(reply.version, acked)
+
+    cluster.call(tail, None, taker)
+    cluster.run(1_500.0)
+
+
+def _the_same_order_again() -> None:
+    cluster = Cluster(3)
+    cluster.run(500.0)
+    _put(cluster, _order(1, 0))
+    _put(cluster, _order(1, 0))
+
+
+def _two_orders_on_one_version() -> None:
+    cluster = Cluster(4)
+    cluster.run(500.0)
+    _put(cluster, _order(1, 0, "one"))
+    _put(cluster, _order(2, 0, "other"))
+
+
+def _loss_of_the_one_that_acknowledged() -> None:
+    cluster = Cluster(5)
+    cluster.run(500.0)
+    _put(cluster, _order(1, 0), copies=False)
+    for address in cluster.seeds[1:]:
+        cluster.cut(cluster.seeds[0], address)
+    cluster.run(20.0)
+    cluster.call(cluster.seeds[0], _order(2, 1, "at the head alone"), lambda _: None)
+    cluster.run(3_000.0)
+    cluster.machines[cluster.seeds[0]].gone = True
+    _put(cluster, _order(3, 1, "at the others"), copies=False)
+    cluster.heal()
+    cluster.run(3_000.0)
+
+
+def _commit_at_once(link: ChainLink) -> None:
+    link._commit(link.state.sequence)
+
+
+SCENES = {
+    "acknowledged on one disk": _acknowledged_on_one_disk,
+    "read at a stale tail": _read_at_a_stale_tail,
+    "the same order again": _the_same_order_again,
+    "two orders on one version": _two_orders_on_one_version,
+    "loss of the one that acknowledged": _loss_of_the_one_that_acknowledged,
+}
+
+
+@pytest.mark.parametrize("name", SCENES)
+def test_without_a_fault_no_rule_is_broken(name: str) -> None:
+    SCENES[name]()
+
+
+def test_a_head_that_commits_alone_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ChainLink, "_on_progress", _commit_at_once)
+    with pytest.raises(Broken, match="acknowledged with 1 copies"):
+        _acknowledged_on_one_disk()
+
+
+def test_two_histories_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ChainLink, "_on_progress", _commit_at_once)
+    with pytest.raises(Broken, match="two histories"):
+        _loss_of_the_one_that_acknowledged()
+
+
+def test_a_read_without_confirmation_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Calls, "_confirmed", lambda *_: True)
+    with pytest.raises(Broken, match="was read"):
+        _read_at_a_stale_tail()
+
+
+def test_orders_that_are_not_remembered_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def forgetful(self: Calls, view: Any) -> bool:
+        self._chain.state = ChainState(
+            self._chain.state.sequence,
+            self._chain.state.chain_digest,
+            self._chain.state.version,
+            self._chain.state.document,
+        )
+        return real(self, view)
+
+    real = Calls._start_next
+    monkeypatch.setattr(Calls, "_start_next", forgetful)
+    with pytest.raises(Broken, match="was refused with 412"):
+        _the_same_order_again()
+
+
+def test_two_on_one_version_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def careless(self: Calls, ask: Any, now_ms: float) -> None:
+        if ask.order is not None:
+            version = self._chain.state.version
+            order = Order("replace", version, ask.order.digest, ask.order.body)
+            ask = Ask(ask.sender, ask.token, order)
+        real(self, ask, now_ms)
+
+    real = Calls.on_ask
+    monkeypatch.setattr(Calls, "on_ask", careless)
+    with pytest.raises(Broken, match="two orders on version 0"):
+        _two_orders_on_one_version()
