--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -46,6 +46,7 @@
 )
 from dunlinloft.settings import Settings, host_port
 from dunlinloft.transport import lines
+from dunlinloft.transport.clock import now_ms
 from dunlinloft.transport.light import import_aiohttp
 
 TICK_S = 0.05
@@ -69,9 +70,9 @@
         self._settings = settings
         self._address = settings.control_address(settings.ip_address)
         self._links = Links()
-        self._registry = Registry(settings.heartbeat_interval_ms, _now_ms())
+        self._registry = Registry(settings.heartbeat_interval_ms, now_ms())
         self._distribution = Distribution()
-        self._quotas = QuotaOwner(self._address, _now_ms())
+        self._quotas = QuotaOwner(self._address, now_ms())
         self._placements = Placements(
             random.Random(secrets.randbits(64)), 1_000.0 * settings.timing_bounds.again_s
         )
@@ -94,7 +95,7 @@
         first = FIRST_INCARNATION if settings.bootstrap else None
         durable = await self._disk.open(first)
         self._replica = self._make_replica(durable, counts)
-        self._registry.restore(await self._disk.known_servers(), _now_ms())
+        self._registry.restore(await self._disk.known_servers(), now_ms())
         self._placements.follow(self._registry.records.values())
         self._perform(self._replica.begin())
         host, port = host_port(self._address)
@@ -156,7 +157,7 @@
             tolerance,
             _judge,
             random.Random(secrets.randbits(64)),
-            _now_ms(),
+            now_ms(),
         )
 
     # The replica's actions.
@@ -190,15 +191,15 @@
         logging.info("event=committed sequence=%d version=%d", state.sequence, state.version)
 
     def _persisted(self, token: int) -> None:
-        self._perform(self._replica.persisted(token, _now_ms()))
+        self._perform(self._replica.persisted(token, now_ms()))
 
     async def _ticks(self) -> None:
         while True:
-            self._perform(self._replica.tick(_now_ms()))
+            self._perform(self._replica.tick(now_ms()))
             self._tell_replicas()
-            self._registry.expire(_now_ms())
+            self._registry.expire(now_ms())
             self._flush_servers()
-            if not self._told_complete and self._registry.complete(_now_ms()):
+            if not self._told_complete and self._registry.complete(now_ms()):
                 self._told_complete = True
                 self._distribution.servers_complete()
             await asyncio.sleep(TICK_S)
@@ -209,7 +210,7 @@
             return
         addresses = tuple(member.address for member in view.roster)
         chain = tuple(member.address for member in view.chain)
-        self._quotas.set_chain(chain, _now_ms())
+        self._quotas.set_chain(chain, now_ms())
         self._distribution.set_replicas(Replicas(view.epoch, addresses, chain, max(1, len(self._nodes))))
 
     # Streams from nodes and other replicas.
@@ -239,7 +240,7 @@
                     self._placements.service(message.service).began((number, message.number))
                 case PlaceEnded():
                     placement = self._placements.service(message.service)
-                    placement.ended((number, message.number), message.failed, _now_ms())
+                    placement.ended((number, message.number), message.failed, now_ms())
                 case Alive():
                     pass
                 case Beats():
@@ -247,7 +248,7 @@
                 case NodesSeen():
                     self._on_nodes(message.nodes)
                 case _:
-                    self._perform(self._replica.handle(message, _now_ms()))
+                    self._perform(self._replica.handle(message, now_ms()))
 
         try:
             reason = await lines.read_messages(reader, _decoder, take, SILENT_S)
@@ -255,17 +256,17 @@
             out.abort()
             if stream is not None:
                 self._distribution.end(stream)
-                self._placements.stream_lost(number, _now_ms())
+                self._placements.stream_lost(number, now_ms())
         if reason == "not understood":
             logging.warning("event=refused_line peer=%s", writer.get_extra_info("peername"))
 
     def _subscribe(self, stream: NodeStream, message: Subscribe) -> None:
-        now_ms = _now_ms()
-        self._quotas.node_seen(message.uptime_ms, now_ms)
+        now = now_ms()
+        self._quotas.node_seen(message.uptime_ms, now)
         self._on_nodes((stream.node,))
         self._flush_servers()
         ranges = self._registry.digests.differing(message.digests)
-        servers = Servers(self._registry.complete(now_ms), ranges, self._registry.in_ranges(ranges))
+        servers = Servers(self._registry.complete(now), ranges, self._registry.in_ranges(ranges))
         self._distribution.subscribe(stream, servers)
 
     def _on_nodes(self, nodes: tuple[str, ...]) -> None:
@@ -274,8 +275,8 @@
             self._nodes[node] = now_s
 
     def _take_quota(self, message: TakeQuota) -> QuotaGranted:
-        now_ms = _now_ms()
-        wait_ms = self._quotas.take(message.tenant, message.amount, self._replica.leased(now_ms), now_ms)
+        now = now_ms()
+        wait_ms = self._quotas.take(message.tenant, message.amount, self._replica.leased(now), now)
         if wait_ms is None:
             return QuotaGranted(message.number, message.tenant, 0.0, 0.0, False)
         return QuotaGranted(message.number, message.tenant, 0.0 if wait_ms else message.amount, wait_ms)
@@ -284,26 +285,26 @@
         wish = PlaceWish(message.parts, message.answer_tokens, message.patient)
         ticket = (stream, message.number)
         placement = self._placements.service(message.service)
-        server_id = placement.place(ticket, wish, message.avoided, _now_ms())
+        server_id = placement.place(ticket, wish, message.avoided, now_ms())
         wait_ms = FULL_WAIT_MS if server_id is None and message.patient else 0.0
         return Placed(message.number, message.service, server_id or "", wait_ms)
 
     # Servers.
 
     def _beat(self, record: ServerRecord) -> None:
-        self._registry.beat(record, _now_ms())
+        self._registry.beat(record, now_ms())
         self._flush_servers()
 
     def _leave(self, server_id: str) -> None:
-        self._registry.leave(server_id, _now_ms())
+        self._registry.leave(server_id, now_ms())
         self._flush_servers()
 
     def _on_beats(self, message: Beats) -> None:
-        now_ms = _now_ms()
+        now = now_ms()
         for record in message.records:
-            self._registry.beat(record, now_ms, relayed=True)
+            self._registry.beat(record, now, relayed=True)
         for server_id in message.gone:
-            self._registry.leave(server_id, now_ms, relayed=True)
+            self._registry.leave(server_id, now, relayed=True)
         self._flush_servers()
 
     def _flush_servers(self) -> None:
@@ -357,7 +358,7 @@
         future: asyncio.Future[Reply] = asyncio.get_running_loop().create_future()
         self._calls[token] = future
         try:
-            self._perform(self._replica.call(token, order, _now_ms()))
+            self._perform(self._replica.call(token, order, now_ms()))
             return await future
         finally:
             self._calls.pop(token, None)
@@ -384,7 +385,3 @@
     from dunlinloft.validation import judge
 
     return judge(document, order)
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1_000.0
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +20,7 @@
     Version,
 )
 from dunlinloft.transport import lines
+from dunlinloft.transport.clock import now_ms
 from fleet.rendezvous import rank
 
 STREAMS_MOST = 9  # replicas subscribed to, chosen by rendezvous hashing where there are more
@@ -34,10 +34,6 @@
 _decoder = msgspec.json.Decoder(ToNode)
 
 
-def _now_ms() -> float:
-    return time.monotonic() * 1_000.0
-
-
 class Subscriptions:
     """Keeps streams to the replicas that are wanted: the seeds at first, then those that replicas name."""
 
@@ -64,7 +60,7 @@
         self._writers: dict[str, lines.LineWriter] = {}
         self._named: tuple[str, ...] = ()
         self.replicas: Replicas | None = None
-        self._began_ms = _now_ms()
+        self._began_ms = now_ms()
         self._fetches: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -90,8 +86,8 @@
 
     async def _wait_for_servers(self) -> None:
         """Let the first streams tell of all servers, so that the others need not."""
-        ends_ms = _now_ms() + OTHERS_FIRST_MS
-        while not self._has_servers() and _now_ms() < ends_ms:
+        ends_ms = now_ms() + OTHERS_FIRST_MS
+        while not self._has_servers() and now_ms() < ends_ms:
             await asyncio.sleep(OTHERS_FIRST_MS / 10_000.0)
 
     async def _fetch(self, address: str, version: int) -> None:
@@ -127,7 +123,7 @@
             wants = address in self._ranked()[:CONFIGURATION_STREAMS]
             if not wants:
                 await self._wait_for_servers()
-            uptime_ms = _now_ms() - self._began_ms
+            uptime_ms = now_ms() - self._began_ms
             held, digests = self._held(), self._digests()
             writer.send(Subscribe(self._node, self._zone, held, uptime_ms, wants, digests))
             try:
--- a/dunlinloft/dataplane/door.py
+++ b/dunlinloft/dataplane/door.py
@@ -11,10 +11,12 @@
 from aiohttp.web_response import Response, StreamResponse
 
 from dunlinloft.configuration import Limits, Tenant
-from dunlinloft.dataplane.exchange import DEADLINE_HEADER, Asked, Exchange, refusal
+from dunlinloft.dataplane.asked import DEADLINE_HEADER, Asked
+from dunlinloft.dataplane.exchange import Exchange, refusal
 from dunlinloft.dataplane.lateness import Lateness
 from dunlinloft.dataplane.quota import NodeQuotas, OverQuota
 from dunlinloft.dataplane.routing import RoutingTable, Way, cost_of
+from dunlinloft.transport.clock import now_ms
 
 BODY_S = 20.0  # for a whole body
 STARTING_RETRY_S = 0.3
@@ -66,7 +68,7 @@
         return answer
 
     async def _serve(self, request: BaseRequest) -> StreamResponse:
-        arrived_ms = _now_ms()
+        arrived_ms = now_ms()
         table = self._table()
         limits = Limits() if table is None else table.limits
         body = await self._body(request, limits.max_body_bytes)
@@ -135,7 +137,3 @@
         return float(request.headers.get(DEADLINE_HEADER, "inf"))
     except ValueError:
         return float("inf")
-
-
-def _now_ms() -> float:
-    return asyncio.get_running_loop().time() * 1_000.0
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-import time
 from typing import Any
 
 from absl import logging
@@ -29,15 +28,18 @@
     Whole,
 )
 from dunlinloft.dataplane.advice import Advice
+from dunlinloft.dataplane.asked import Asked
+from dunlinloft.dataplane.attempts import Serving
 from dunlinloft.dataplane.budget import RetryBudget
 from dunlinloft.dataplane.control import Subscriptions
 from dunlinloft.dataplane.door import Door
-from dunlinloft.dataplane.exchange import Asked, Exchange
+from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.quota import NodeQuotas
 from dunlinloft.dataplane.routing import RoutingTable
 from dunlinloft.dataplane.servers import ServerTable
 from dunlinloft.dataplane.upstream import Upstream
 from dunlinloft.settings import Settings, SettingsError, host_port, read_settings
+from dunlinloft.transport.clock import now_ms
 
 IDLE_S = 75.0  # clients' connections that rest longer are closed
 MOST_HEADER = 65_536
@@ -61,14 +63,14 @@
         self._upstreams: dict[str, Upstream] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._closing = False
-        self._read_ms = _now_ms()
+        self._read_ms = now_ms()
         self._serving = asyncio.Event()  # once it has what a start needs
         self._subscriptions = Subscriptions(
             settings.node_name,
             settings.zone,
             self._seeds,
             self._take,
-            lambda source: self._servers.lost(source, _now_ms()),
+            lambda source: self._servers.lost(source, now_ms()),
             lambda: 0 if self._table is None else self._table.version,
             self._servers.digests,
             lambda: self._servers.complete,
@@ -121,10 +123,9 @@
 
     def _seeds(self) -> tuple[str, ...]:
         """The seeds as they are in the file now: it may change without a signal."""
-        now_ms = _now_ms()
-        if now_ms - self._read_ms > REREAD_MS:
+        if now_ms() - self._read_ms > REREAD_MS:
             self._reread()
-            self._read_ms = now_ms
+            self._read_ms = now_ms()
         return self._settings.seeds()
 
     def _on_hangup(self) -> None:
@@ -183,7 +184,7 @@
         kept_ms = KEPT_INTERVALS * self._settings.heartbeat_interval_ms
         while True:
             await asyncio.sleep(TICK_S)
-            self._servers.forget_lost(kept_ms, _now_ms())
+            self._servers.forget_lost(kept_ms, now_ms())
 
     # Serving.
 
@@ -222,10 +223,5 @@
             budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_window_s, bounds.retry_allowance)
             self._budgets[service] = budget
         pool = self._servers.pool(service)
-        return Exchange(
-            asked, service, pool, self._advice, upstream, budget, self._nodes(), self._rng, self._closing
-        )
-
-
-def _now_ms() -> float:
-    return time.monotonic() * 1_000.0
+        serving = Serving(service, pool, self._advice, upstream, budget, self._nodes(), self._rng)
+        return Exchange(asked, serving, self._closing)
