--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -430,3 +430,27 @@
     from dunlinloft import labcli
 
     labcli.list_shipped()
+
+
+@main.group()
+def state() -> None:
+    """Look at a control plane's data directory; nothing in it is changed."""
+
+
+@state.command("inspect")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="As one line of JSON.")
+def state_inspect(folder: str, as_json: bool) -> None:
+    """Say what FOLDER recovers to: view, chain, version, orders remembered, servers known."""
+    from dunlinloft import statecli
+
+    sys.exit(statecli.inspect(Path(folder), as_json))
+
+
+@state.command("verify")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+def state_verify(folder: str) -> None:
+    """Read every block in FOLDER. Exit status: 0 all whole, 1 a torn end, 2 no state can be read."""
+    from dunlinloft import statecli
+
+    sys.exit(statecli.verify(Path(folder)))
--- a/dunlinloft/controlplane/store.py
+++ b/dunlinloft/controlplane/store.py
@@ -56,7 +56,12 @@
     return _HEADER.pack(len(body), zlib.crc32(body)) + body
 
 
-def _bodies(data: bytes) -> list[bytes]:
+def block_size(body: bytes) -> int:
+    """Bytes that a block takes in its file."""
+    return _HEADER.size + len(body)
+
+
+def whole_blocks(data: bytes) -> list[bytes]:
     """The whole blocks from the start of a file."""
     found = []
     at = 0
@@ -76,7 +81,7 @@
         data = path.read_bytes()
     except FileNotFoundError:
         return None
-    for body in _bodies(data)[:1]:
+    for body in whole_blocks(data)[:1]:
         try:
             slot = _slot.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError):
@@ -94,7 +99,7 @@
     except FileNotFoundError:
         return []
     records: list[Record] = []
-    for body in _bodies(data):
+    for body in whole_blocks(data):
         try:
             block = _block.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError):
--- a/tests/test_control_store.py
+++ b/tests/test_control_store.py
@@ -48,8 +48,8 @@
     log = stores.log_path(tmp_path, found[1])
     whole = log.read_bytes()
     ends = [0]
-    for body in stores._bodies(whole):
-        ends.append(ends[-1] + stores._HEADER.size + len(body))
+    for body in stores.whole_blocks(whole):
+        ends.append(ends[-1] + stores.block_size(body))
     for cut in range(len(whole) + 1):
         log.write_bytes(whole[:cut])
         recovered = stores.recover(tmp_path)
