Put the first view on disk before it is used

With seeds that name other replicas there would have been two views of one epoch. It is persisted like any other, and formed only where settings say bootstrap. Tests: replicas that start again with other seeds. Parallel workers of the process tests get loopback networks of their own.

--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -97,7 +97,8 @@
         self._replica = self._make_replica(durable, counts)
         self._registry.restore(await self._disk.known_servers(), now_ms())
         self._placements.follow(self._registry.records.values())
-        self._perform(self._replica.begin())
+        begins = settings.bootstrap and counts and self._address in settings.seeds()
+        self._perform(self._replica.begin(first_view(settings.seeds()) if begins else None))
         host, port = host_port(self._address)
         internal = await asyncio.start_server(
             self._on_stream, host, port, limit=lines.MOST_LINE, backlog=BACKLOG
@@ -146,8 +147,6 @@
         incarnation = durable.incarnation or secrets.token_hex(8)
         me = Member(self._address, incarnation)
         seeds = settings.seeds()
-        if durable.view is None and incarnation == FIRST_INCARNATION and counts and self._address in seeds:
-            durable.view = first_view(seeds)
         tolerance = settings.fault_tolerance.hosts_lost
         return Replica(
             me,
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -110,8 +110,13 @@
         self._dispatch(message)
         return self._done()
 
-    def begin(self) -> list[Action]:
-        """To be called once, first: what was committed before this start."""
+    def begin(self, first: View | None) -> list[Action]:
+        """To be called once, first. `first` is the view to begin with at the first start of all.
+
+        It is put on disk like any other: a replica that is started again may be told other seeds.
+        """
+        if first is not None and self.view is None:
+            self._learn(first)
         if self.chain.committed.sequence:
             self._actions.append(Commit(self.chain.committed))
         return self._done()
--- a/lab/control/cluster.py
+++ b/lab/control/cluster.py
@@ -65,6 +65,7 @@
         self._count = itertools.count()
         self.machines: dict[str, Machine] = {}
         self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, size + 1))
+        self.told = self.seeds  # the seeds that processes find in their settings when they start
         self.cuts: set[tuple[str, str]] = set()  # from, to
         self._replies: dict[str, Callable[[Reply], None]] = {}
         self._tokens = itertools.count(1)
@@ -99,13 +100,12 @@
             incarnation = FIRST_INCARNATION if bootstrap else f"{self.rng.getrandbits(64):016x}"
             machine.durable = Durable(incarnation)
         durable = _copied(machine.durable)
-        if durable.view is None and durable.incarnation == FIRST_INCARNATION and address in self.seeds:
-            durable.view = first_view(self.seeds)
         me = Member(address, durable.incarnation)
         rng = random.Random(self.rng.getrandbits(64))
-        machine.replica = Replica(me, True, durable, self.seeds, self.tolerance, judge, rng, self.now)
+        machine.replica = Replica(me, True, durable, self.told, self.tolerance, judge, rng, self.now)
         life = machine.life
-        self._perform(machine, machine.replica.begin())
+        first = first_view(self.seeds) if bootstrap and address in self.seeds else None
+        self._perform(machine, machine.replica.begin(first))
         self.after(self.rng.uniform(0.0, TICK_MS), lambda: self._tick(machine, life))
 
     def add(self, address: str) -> None:
--- a/tests/test_control_replicas.py
+++ b/tests/test_control_replicas.py
@@ -8,6 +8,7 @@
 
 from dunlinloft.coordination.actions import Reply
 from dunlinloft.coordination.messages import Order
+from dunlinloft.coordination.replica import first_view
 from lab.control.cluster import Cluster
 
 
@@ -177,6 +178,31 @@
     _settled(cluster, operator)
 
 
+@pytest.mark.parametrize("wiped", [None, 0, 2])
+def test_replicas_that_start_again_with_other_seeds_find_each_other(wiped: int | None) -> None:
+    """The first view was once kept in memory alone: seed_turnover, then all lost power (hunt 6ae8-19)."""
+    cluster = Cluster(11)
+    operator = Operator(cluster)
+    cluster.after(300.0, operator.change)
+    cluster.run(2_000.0)
+    for address in cluster.seeds:
+        cluster.kill(address)
+    cluster.told = ("10.9.9.1:7000", cluster.seeds[0])
+    if wiped is not None:
+        cluster.wipe(cluster.seeds[wiped])
+    for address in cluster.seeds:
+        cluster.start(address)
+    _settled(cluster, operator)
+
+
+def test_a_first_view_is_on_disk_before_it_is_used() -> None:
+    cluster = Cluster(12)
+    cluster.run(50.0)
+    for machine in cluster.machines.values():
+        assert machine.durable is not None
+        assert machine.durable.view == first_view(cluster.seeds)
+
+
 @pytest.mark.parametrize("planned", [True, False])
 def test_machines_are_replaced_one_after_the_other(planned: bool) -> None:
     cluster = Cluster(7)
--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import os
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
@@ -19,7 +20,8 @@
 
 HOST = "fleet.example"
 KEY = {"Api-Key": "key of the tenant"}
-_networks = itertools.count(40)
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_networks = itertools.count(40 + 20 * (WORKER % 10))  # each worker has loopback networks of its own
 
 
 def _route(name: str, prefix: str, kind: str, **more: Any) -> dict[str, Any]:
