--- a/dunlinloft/transport/program.py
+++ b/dunlinloft/transport/program.py
@@ -14,7 +14,7 @@
 from dunlinloft.settings import VARIABLE, Settings, SettingsError, read_settings
 
 BAD_SETTINGS = 2
-GIVE_WAY_S = 0.8  # that a process on which nothing waits leaves the processor to others at a start
+GIVE_WAY_S = 0.35  # that a process on which little waits leaves the processor to others at a start
 
 _SETTINGS = flags.DEFINE_string("settings", None, f"The settings file; else the one that {VARIABLE} names.")
 
