--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -22,7 +22,7 @@
 from dunlinloft.coordination.actions import Action, Commit, Persist, Reply, Send
 from dunlinloft.coordination.calls import Invalid, Valid
 from dunlinloft.coordination.messages import Document, Durable, Member, Order
-from dunlinloft.coordination.placement import Placements, PlaceWish
+from dunlinloft.coordination.placement import PlacementRequest, Placements
 from dunlinloft.coordination.quotas import QuotaOwner
 from dunlinloft.coordination.registry import Registry
 from dunlinloft.coordination.replica import FIRST_INCARNATION, Replica, first_view
@@ -281,10 +281,10 @@
         return QuotaGranted(message.number, message.tenant, 0.0 if wait_ms else message.amount, wait_ms)
 
     def _place(self, stream: int, message: Place) -> Placed:
-        wish = PlaceWish(message.parts, message.answer_tokens, message.patient)
+        needs = PlacementRequest(message.parts, message.answer_tokens, message.patient)
         ticket = (stream, message.number)
         placement = self._placements.service(message.service)
-        server_id = placement.place(ticket, wish, message.avoided, now_ms())
+        server_id = placement.place(ticket, needs, message.avoided, now_ms())
         wait_ms = FULL_WAIT_MS if server_id is None and message.patient else 0.0
         return Placed(message.number, message.service, server_id or "", wait_ms)
 
--- a/dunlinloft/coordination/placement.py
+++ b/dunlinloft/coordination/placement.py
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlaceWish:
+class PlacementRequest:
     """What a request needs."""
 
     parts: tuple[tuple[str, int], ...]  # of its prompt, in order: name and tokens
@@ -165,7 +165,9 @@
             else:
                 load.record = record
 
-    def place(self, ticket: TicketId, wish: PlaceWish, avoided: Collection[str], now_ms: float) -> str | None:
+    def place(
+        self, ticket: TicketId, needs: PlacementRequest, avoided: Collection[str], now_ms: float
+    ) -> str | None:
         """The id of the server that a request should go to; it counts as out there from now on."""
         loads = [
             load
@@ -174,23 +176,23 @@
         ]
         if not loads or len(self._tickets) >= TICKETS_MOST:
             return None
-        keys = _path_keys(wish.parts)
-        total = wish.prompt_tokens
+        keys = _path_keys(needs.parts)
+        total = needs.prompt_tokens
         fresh = self._fresh(keys, now_ms)
-        costs = [self._cost(load, keys, fresh, total, wish.answer_tokens, now_ms) for load in loads]
-        shared = wish.shared_part
+        costs = [self._cost(load, keys, fresh, total, needs.answer_tokens, now_ms) for load in loads]
+        shared = needs.shared_part
         if shared is not None:
             # The same at every owner and node: after a change of owner parts are where they were.
             home = max(range(len(loads)), key=lambda place: rank(shared[0], loads[place].record.id))
             costs[home] -= HOME_SHARE * shared[1]
         least = min(costs)
-        if wish.patient and least >= FULL_COST / 2.0:
+        if needs.patient and least >= FULL_COST / 2.0:
             return None
         bound = least + NEAR_SHARE * abs(least) + NEAR_TOKENS
         near = [load for load, cost in zip(loads, costs, strict=True) if cost <= bound]
         load = self._rotation.pick((load, max(1.0, load.record.capacity - load.out)) for load in near)
         assert load is not None
-        self._take(ticket, load, keys, total, wish.answer_tokens, now_ms)
+        self._take(ticket, load, keys, total, needs.answer_tokens, now_ms)
         return load.record.id
 
     def _cost(
--- a/dunlinloft/dataplane/attempts.py
+++ b/dunlinloft/dataplane/attempts.py
@@ -11,8 +11,8 @@
 from multidict import CIMultiDict
 
 from dunlinloft.dataplane.advice import Advice, Advised, Wait
-from dunlinloft.dataplane.asked import DEADLINE_HEADER, Asked
 from dunlinloft.dataplane.budget import RetryBudget, gate_allows
+from dunlinloft.dataplane.client_request import DEADLINE_HEADER, ClientRequest
 from dunlinloft.dataplane.lateness import priority_of
 from dunlinloft.dataplane.servers import Server, ServicePool
 from dunlinloft.dataplane.upstream import (
@@ -65,11 +65,11 @@
 class Attempts:
     """Sends a request, and again where the gate and the rules allow."""
 
-    def __init__(self, asked: Asked, serving: Serving) -> None:
-        self._asked = asked
+    def __init__(self, client_request: ClientRequest, serving: Serving) -> None:
+        self._request = client_request
         self._serving = serving
-        self._id = asked.request.headers.get(ATTEMPT_HEADER, "")
-        self._wish = asked.wish()
+        self._id = client_request.http.headers.get(ATTEMPT_HEADER, "")
+        self._needs = client_request.needs()
         self._tried: list[str] = []
         self._arrivals = 0  # at servers, so far
         self._unreached = 0
@@ -79,17 +79,17 @@
         serving.budget.first(now_ms())
 
     def _base_headers(self) -> CIMultiDict[str]:
-        headers = passed_headers(CIMultiDict(self._asked.request.headers))
+        headers = passed_headers(CIMultiDict(self._request.http.headers))
         for name in _OWN_HEADERS:
             headers.popall(name, None)
-        if self._asked.tenant is not None:
-            headers["X-Tenant-Id"] = self._asked.tenant.name
+        if self._request.tenant is not None:
+            headers["X-Tenant-Id"] = self._request.tenant.name
         return headers
 
     async def open(self, resume_after: str | None = None) -> Opened | Failure:
         """Send until a server's answer begins; the failure where that is over."""
         while True:
-            if now_ms() >= self._asked.ends_ms:
+            if now_ms() >= self._request.ends_ms:
                 return Failure(Verdict.NOT_EXECUTED, "no time left")
             server = await self._choose()
             if server is None:
@@ -105,9 +105,9 @@
         if failure.reason == UNREACHED:
             self._unreached += 1
             return self._unreached < CONNECTS_MOST
-        if self._arrivals >= self._asked.way.route.max_attempts:
+        if self._arrivals >= self._request.active_route.route.max_attempts:
             return False
-        if failure.verdict is not Verdict.NOT_EXECUTED and not self._asked.idempotent:
+        if failure.verdict is not Verdict.NOT_EXECUTED and not self._request.idempotent:
             return False
         serving = self._serving
         if not gate_allows(serving.pool.controller, serving.rng.random(), now_ms()):
@@ -115,7 +115,7 @@
         if not serving.budget.may_send(serving.nodes, now_ms()):
             return False
         wait_ms = RETRY_WAIT_MS * 2.0 ** (self._arrivals - 1) * (0.5 + serving.rng.random())
-        if now_ms() + wait_ms >= self._asked.ends_ms:
+        if now_ms() + wait_ms >= self._request.ends_ms:
             return False
         await asyncio.sleep(wait_ms / 1_000.0)
         return True
@@ -125,7 +125,9 @@
         now = now_ms()
         for advised in self._advised.values():
             advised.began()
-        self._serving.pool.controller.answered(now - self._asked.arrived_ms, self._asked.aim_ms, now, True)
+        self._serving.pool.controller.answered(
+            now - self._request.arrived_ms, self._request.aim_ms, now, True
+        )
 
     def end(self, opened: Opened) -> None:
         """An attempt is no longer out."""
@@ -143,24 +145,24 @@
     async def _choose(self) -> Server | None:
         """The server that the service's owner names, or else one by this node's own rotation."""
         pool, limit, now = self._serving.pool, self._serving.upstream.per_server, now_ms()
-        advised = await self._ask(pool.avoided(self._asked.aim_ms, limit, self._tried, now))
+        advised = await self._ask(pool.avoided(self._request.aim_ms, limit, self._tried, now))
         if advised is not None:
             server = pool.servers.get(advised.server_id)
             if server is not None and not server.record.draining:
                 self._advised[server.record.id] = advised
                 return server
             advised.ended(False)
-        return pool.pick(self._wish, limit, self._tried, now)
+        return pool.pick(self._needs, limit, self._tried, now)
 
     async def _ask(self, avoided: set[str]) -> Advised | None:
         """Ask the owner; a request that is late anyway waits for a free place, half of its time at most."""
-        wish, serving = self._wish, self._serving
+        needs, serving = self._needs, self._serving
         began_ms = now_ms()
-        patient = self._asked.client_waited_ms(began_ms) >= self._asked.aim_ms
-        until_ms = began_ms + PATIENT_SHARE * (self._asked.ends_ms - began_ms)
+        patient = self._request.client_waited_ms(began_ms) >= self._request.aim_ms
+        until_ms = began_ms + PATIENT_SHARE * (self._request.ends_ms - began_ms)
         while True:
             advice = await serving.advice.ask(
-                serving.service, wish.parts, wish.answer_tokens, avoided, patient, now_ms()
+                serving.service, needs.parts, needs.answer_tokens, avoided, patient, now_ms()
             )
             if not isinstance(advice, Wait):
                 return advice
@@ -172,10 +174,10 @@
     def _headers(self, server: Server, resume_after: str | None) -> CIMultiDict[str]:
         now = now_ms()
         headers = self._base.copy()
-        headers[DEADLINE_HEADER] = str(max(1, math.floor(self._asked.ends_ms - now)))
+        headers[DEADLINE_HEADER] = str(max(1, math.floor(self._request.ends_ms - now)))
         headers["X-Target-Instance"] = server.record.id
-        waited_ms = self._asked.client_waited_ms(now)
-        headers["Priority"] = str(priority_of(self._asked.priority, waited_ms, self._asked.aim_ms))
+        waited_ms = self._request.client_waited_ms(now)
+        headers["Priority"] = str(priority_of(self._request.priority, waited_ms, self._request.aim_ms))
         if resume_after is not None:
             headers[RESUME_HEADER] = resume_after
         return headers
@@ -205,19 +207,19 @@
         self, server: Server, resume_after: str | None, attempt: Attempt
     ) -> aiohttp.ClientResponse | Failure:
         """Send within the time left; a time-out counts as a delay sample of its length."""
-        left_ms = self._asked.ends_ms - now_ms()
+        left_ms = self._request.ends_ms - now_ms()
         try:
             async with asyncio.timeout(left_ms / 1_000.0):
                 return await self._serving.upstream.send(
                     server.record.address,
-                    self._asked.method,
-                    self._asked.target,
+                    self._request.method,
+                    self._request.target,
                     self._headers(server, resume_after),
-                    self._asked.body,
+                    self._request.body,
                     attempt,
                 )
         except TimeoutError:
-            self._serving.pool.controller.answered(left_ms, self._asked.aim_ms, now_ms(), False)
+            self._serving.pool.controller.answered(left_ms, self._request.aim_ms, now_ms(), False)
             return cancelled_verdict(attempt)
 
     def _judge(self, server: Server, failure: Failure, attempt: Attempt) -> None:
--- a/dunlinloft/dataplane/exchange.py
+++ b/dunlinloft/dataplane/exchange.py
@@ -8,8 +8,8 @@
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
-from dunlinloft.dataplane.asked import Asked
 from dunlinloft.dataplane.attempts import Attempts, Opened, Serving
+from dunlinloft.dataplane.client_request import ClientRequest
 from dunlinloft.dataplane.events import EventCutter
 from dunlinloft.dataplane.upstream import next_bytes, passed_headers
 from dunlinloft.dataplane.verdict import Failure, Verdict
@@ -28,9 +28,9 @@
 class Exchange:
     """Has a request sent, and passes the answer on."""
 
-    def __init__(self, asked: Asked, serving: Serving, closing: bool) -> None:
-        self._asked = asked
-        self._attempts = Attempts(asked, serving)
+    def __init__(self, client_request: ClientRequest, serving: Serving, closing: bool) -> None:
+        self._request = client_request
+        self._attempts = Attempts(client_request, serving)
         self._closing = closing
         self._answer: StreamResponse | None = None  # once its head went out
 
@@ -50,15 +50,15 @@
         """The answer to a request that is given up on, at once."""
         if not self._attempts.may_have_run:
             return refusal(503, failure.reason, FULL_RETRY_S)
-        if now_ms() >= self._asked.ends_ms:
+        if now_ms() >= self._request.ends_ms:
             return refusal(504, failure.reason)
         return refusal(502, failure.reason)
 
     async def _pass_on(self, opened: Opened) -> StreamResponse | Failure:
         """Pass an answer on; a failure where nothing was passed and the attempt is lost."""
         try:
-            async with asyncio.timeout(max(0.0, self._asked.ends_ms - now_ms()) / 1_000.0):
-                if self._asked.streaming and opened.response.status < 300:
+            async with asyncio.timeout(max(0.0, self._request.ends_ms - now_ms()) / 1_000.0):
+                if self._request.streaming and opened.response.status < 300:
                     return await self._pass_stream(opened)
                 return await self._pass_body(opened)
         except TimeoutError:
@@ -78,12 +78,12 @@
         """Send the head; from here on there is no other answer."""
         head = self._head(response)
         self._answer = StreamResponse(status=response.status, reason=response.reason, headers=head)
-        await self._answer.prepare(self._asked.request)
+        await self._answer.prepare(self._request.http)
         return self._answer
 
     def _broken_off(self, answer: StreamResponse) -> StreamResponse:
         """End the client's connection so that what was passed doesn't look whole."""
-        transport = self._asked.request.transport
+        transport = self._request.http.transport
         if transport is not None:
             transport.close()
         return answer
@@ -158,7 +158,7 @@
 
     async def _resume(self, cutter: EventCutter, failure: Failure) -> Opened | None:
         """Another server that goes on after the last event; the head and stamp stay those of the first."""
-        if cutter.last_id is None or not self._asked.idempotent:
+        if cutter.last_id is None or not self._request.idempotent:
             return None
         if not await self._attempts.may_go_on(failure):
             return None
--- a/dunlinloft/dataplane/door.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -11,11 +11,11 @@
 from aiohttp.web_response import Response, StreamResponse
 
 from dunlinloft.configuration import Limits, Tenant
-from dunlinloft.dataplane.asked import DEADLINE_HEADER, Asked
+from dunlinloft.dataplane.client_request import DEADLINE_HEADER, ClientRequest
 from dunlinloft.dataplane.exchange import Exchange, refusal
 from dunlinloft.dataplane.lateness import Lateness
 from dunlinloft.dataplane.quota import NodeQuotas, OverQuota
-from dunlinloft.dataplane.routing import RoutingTable, Way, cost_of
+from dunlinloft.dataplane.routing import ActiveRoute, RoutingTable, cost_of
 from dunlinloft.transport.clock import now_ms
 
 BODY_S = 20.0  # for a whole body
@@ -24,7 +24,7 @@
 HOLD_SHARE = 0.25  # or this share of its deadline
 CHUNK = 65_536
 
-MakeExchange = Callable[[Asked], Exchange]
+MakeExchange = Callable[[ClientRequest], Exchange]
 
 
 class Refused(Exception):
@@ -35,7 +35,7 @@
         self.answer = answer
 
 
-class Door:
+class Frontend:
     """Takes clients' requests."""
 
     def __init__(
@@ -78,21 +78,21 @@
         table = self._table()
         if table is None:
             return refusal(503, "no configuration yet", STARTING_RETRY_S)
-        way, tenant = self._match(table, request)
+        active, tenant = self._match(table, request)
         deadline_ms = _deadline_ms(request)
-        ends_ms = arrived_ms + min(deadline_ms, way.route.timeout_ms)
+        ends_ms = arrived_ms + min(deadline_ms, active.route.timeout_ms)
         waited_ms = 0.0
         if deadline_ms < math.inf:
-            waited_ms = self._lateness.waited_ms(way.route.name, deadline_ms)
+            waited_ms = self._lateness.waited_ms(active.route.name, deadline_ms)
         if tenant is not None and tenant.rate_per_s > 0.0:
             amount = cost_of(tenant, request.headers.get("X-Token-Usage"))
             paid = await self._quotas.pay(tenant.name, amount, tenant.rate_per_s, arrived_ms)
             if isinstance(paid, OverQuota):
                 return refusal(429, "over the tenant's quota", paid.wait_ms / 1_000.0)
-        asked = Asked(
-            request, request.method, request.raw_path, body, way, tenant, arrived_ms, ends_ms, waited_ms
+        client_request = ClientRequest(
+            request, request.method, request.raw_path, body, active, tenant, arrived_ms, ends_ms, waited_ms
         )
-        return await self._make_exchange(asked).run()
+        return await self._make_exchange(client_request).run()
 
     async def _hold(self, request: BaseRequest) -> None:
         """Wait a little for what a start needs: it takes less time than a client's return."""
@@ -101,17 +101,17 @@
             async with asyncio.timeout(seconds):
                 await self._serving.wait()
 
-    def _match(self, table: RoutingTable, request: BaseRequest) -> tuple[Way, Tenant | None]:
+    def _match(self, table: RoutingTable, request: BaseRequest) -> tuple[ActiveRoute, Tenant | None]:
         host = request.headers.get("Host", "").partition(":")[0]
-        way = table.find(host, request.raw_path.partition("?")[0])
-        if way is None:
+        active = table.find(host, request.raw_path.partition("?")[0])
+        if active is None:
             raise Refused(refusal(404, "no such route"))
-        if not table.has_tenants or way.route.public:
-            return way, None
+        if not table.has_tenants or active.route.public:
+            return active, None
         tenant = table.holder(request.headers.get("Api-Key", ""))
         if tenant is None:
             raise Refused(refusal(401, "unknown key"))
-        return way, tenant
+        return active, tenant
 
     async def _body(self, request: BaseRequest, most: int) -> bytes:
         parts: list[bytes] = []
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -1,4 +1,4 @@
-"""The data-plane process: the door, the readiness answer, and what the control plane tells."""
+"""The data-plane process: the frontend, the readiness answer, and what the control plane tells."""
 
 from __future__ import annotations
 
@@ -28,12 +28,12 @@
     Whole,
 )
 from dunlinloft.dataplane.advice import Advice
-from dunlinloft.dataplane.asked import Asked
 from dunlinloft.dataplane.attempts import Serving
 from dunlinloft.dataplane.budget import RetryBudget
+from dunlinloft.dataplane.client_request import ClientRequest
 from dunlinloft.dataplane.control import Subscriptions
-from dunlinloft.dataplane.door import Door
 from dunlinloft.dataplane.exchange import Exchange
+from dunlinloft.dataplane.frontend import Frontend
 from dunlinloft.dataplane.quota import NodeQuotas
 from dunlinloft.dataplane.routing import RoutingTable
 from dunlinloft.dataplane.servers import ServerTable
@@ -79,7 +79,7 @@
             lambda: self._subscriptions.replicas, self._send_quota, settings.timing_bounds.quota_tolerance
         )
         self._advice = Advice(lambda: self._subscriptions.replicas, self._subscriptions.send)
-        self._door = Door(
+        self._frontend = Frontend(
             lambda: self._table, self._quotas, self._exchange, lambda: self._closing, self._serving
         )
 
@@ -93,7 +93,7 @@
         listeners = self._settings.listeners_config
         assert listeners.frontend is not None
         front = Server(
-            self._door.handle,
+            self._frontend.handle,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=IDLE_S,
@@ -114,7 +114,7 @@
         ends_s = loop.time() + grace_s
         await asyncio.sleep(min(NOTICE_S, grace_s / 2.0))
         listening.close()
-        while self._door.inflight and loop.time() < ends_s:
+        while self._frontend.inflight and loop.time() < ends_s:
             await asyncio.sleep(0.05)
         for task in tasks:
             task.cancel()
@@ -209,8 +209,8 @@
         replicas = self._subscriptions.replicas
         return 1 if replicas is None else replicas.nodes
 
-    def _exchange(self, asked: Asked) -> Exchange:
-        service = asked.way.service()
+    def _exchange(self, client_request: ClientRequest) -> Exchange:
+        service = client_request.active_route.service()
         upstream = self._upstreams.get(service)
         if upstream is None:
             assert self._table is not None
@@ -224,4 +224,4 @@
             self._budgets[service] = budget
         pool = self._servers.pool(service)
         serving = Serving(service, pool, self._advice, upstream, budget, self._nodes(), self._rng)
-        return Exchange(asked, serving, self._closing)
+        return Exchange(client_request, serving, self._closing)
--- a/dunlinloft/dataplane/routing.py
+++ b/dunlinloft/dataplane/routing.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Way:
+class ActiveRoute:
     """A route in force, and the rotation between its services."""
 
     route: Route
@@ -42,16 +42,18 @@
         self.version = configuration.version
         self.limits = configuration.limits
         self.services: dict[str, Service] = {service.name: service for service in configuration.services}
-        self._ways: dict[tuple[str, str], Way] = {}
+        self._active: dict[tuple[str, str], ActiveRoute] = {}
         for route in configuration.routes:
             branches = [Branch(backend) for backend in route.targets() if backend.weight > 0.0]
-            self._ways[(route.hostname.lower(), route.path_prefix)] = Way(route, branches, Rotation(rng))
+            self._active[(route.hostname.lower(), route.path_prefix)] = ActiveRoute(
+                route, branches, Rotation(rng)
+            )
         self._holders: dict[str, Tenant] = {
             key: tenant for tenant in configuration.tenants for key in tenant.api_keys
         }
         self.has_tenants = bool(configuration.tenants)
 
-    def find(self, host: str, path: str) -> Way | None:
+    def find(self, host: str, path: str) -> ActiveRoute | None:
         """The route of a host whose prefix begins the path and is longest."""
         host = host.lower()
         end = len(path)
@@ -59,9 +61,9 @@
             end = path.rfind("/", 0, end)
             if end < 0:
                 return None
-            way = self._ways.get((host, path[: end + 1]))
-            if way is not None:
-                return way
+            active = self._active.get((host, path[: end + 1]))
+            if active is not None:
+                return active
 
     def holder(self, key: str) -> Tenant | None:
         """The tenant that holds a key."""
--- a/dunlinloft/dataplane/servers.py
+++ b/dunlinloft/dataplane/servers.py
@@ -71,7 +71,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Wish:
+class ServerNeeds:
     """What a request needs of its server."""
 
     aim_ms: float
@@ -111,7 +111,7 @@
             if server.inflight >= limit or now_ms < server.avoid_until_ms or server.silent(aim_ms, now_ms)
         }
 
-    def pick(self, wish: Wish, limit: int, tried: Iterable[str], now_ms: float) -> Server | None:
+    def pick(self, needs: ServerNeeds, limit: int, tried: Iterable[str], now_ms: float) -> Server | None:
         """The server for a send: by rotation, among the homes of a shared part where that is worth it."""
         excluded = set(tried)
         able = [
@@ -119,12 +119,12 @@
             for server in self.servers.values()
             if not server.record.draining and server.record.id not in excluded and server.inflight < limit
         ]
-        well = [s for s in able if now_ms >= s.avoid_until_ms and not s.silent(wish.aim_ms, now_ms)]
+        well = [s for s in able if now_ms >= s.avoid_until_ms and not s.silent(needs.aim_ms, now_ms)]
         candidates = well or able
         if not candidates:
             return None
-        if wish.shared is not None and wish.shared[1] >= AFFINE_TOKENS:
-            candidates = self._homes(wish.shared[0], candidates)
+        if needs.shared is not None and needs.shared[1] >= AFFINE_TOKENS:
+            candidates = self._homes(needs.shared[0], candidates)
         return self._rotation.pick((server, _weight(server)) for server in candidates)
 
     def _order(self, key: str) -> list[Server]:
--- a/tests/test_dataplane_parts.py
+++ b/tests/test_dataplane_parts.py
@@ -16,7 +16,7 @@
 from dunlinloft.dataplane.events import EventCutter
 from dunlinloft.dataplane.lateness import Lateness, priority_of
 from dunlinloft.dataplane.routing import RoutingTable, cost_of
-from dunlinloft.dataplane.servers import ServerTable, ServicePool, Wish
+from dunlinloft.dataplane.servers import ServerNeeds, ServerTable, ServicePool
 from dunlinloft.dataplane.upstream import stated_idle_s
 from dunlinloft.dataplane.verdict import Verdict, verdict_of_answer, verdict_of_break
 from nickelbridge.logic import DelayController
@@ -155,14 +155,14 @@
     pool = ServicePool(random.Random(1))
     for number in range(3):
         pool.put(_record(number))
-    wish = Wish(200.0)
+    needs = ServerNeeds(200.0)
     pool.servers["i-0"].failed(0.0)
-    picked = {server.record.id for _ in range(30) if (server := pool.pick(wish, 10, (), 10.0))}
+    picked = {server.record.id for _ in range(30) if (server := pool.pick(needs, 10, (), 10.0))}
     assert picked == {"i-1", "i-2"}
     for server in pool.servers.values():
         server.failed(10.0)
-    assert pool.pick(wish, 10, (), 20.0) is not None
-    assert {pool.pick(wish, 10, (), 5_000.0 + n) for n in range(30)} == set(pool.servers.values())
+    assert pool.pick(needs, 10, (), 20.0) is not None
+    assert {pool.pick(needs, 10, (), 5_000.0 + n) for n in range(30)} == set(pool.servers.values())
 
 
 def test_a_silent_server_is_kept_away_from() -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,11 +5,11 @@
 import random
 from collections import Counter
 
-from dunlinloft.coordination.placement import PlaceWish, ServicePlacement, owner_of_service
+from dunlinloft.coordination.placement import PlacementRequest, ServicePlacement, owner_of_service
 from dunlinloft.coordination.stream import ServerRecord
 
-LONG = PlaceWish((("system", 2_500), ("handbook", 3_800), ("own", 2_900)), 60)
-SHORT = PlaceWish((("greeting", 50), ("rider", 30), ("own", 140)), 4_000)
+LONG = PlacementRequest((("system", 2_500), ("handbook", 3_800), ("own", 2_900)), 60)
+SHORT = PlacementRequest((("greeting", 50), ("rider", 30), ("own", 140)), 4_000)
 
 
 def _record(number: int, capacity: int = 12, state: str = "ready") -> ServerRecord:
@@ -23,8 +23,8 @@
     return placement
 
 
-def _place(placement: ServicePlacement, number: int, wish: PlaceWish, now: float = 0.0) -> str:
-    found = placement.place((1, number), wish, (), now)
+def _place(placement: ServicePlacement, number: int, needs: PlacementRequest, now: float = 0.0) -> str:
+    found = placement.place((1, number), needs, (), now)
     assert found is not None
     return found
 
@@ -57,7 +57,7 @@
     placement = _placement()
     for number in range(40):
         parts = (("system", 2_500), (f"handbook {number % 5}", 3_800), (f"own {number}", 2_900))
-        _place(placement, number, PlaceWish(parts, 60), 50.0 * number)
+        _place(placement, number, PlacementRequest(parts, 60), 50.0 * number)
         placement.began((1, number))
         placement.ended((1, number), False, 50.0 * number + 40.0)
     recent = {i: load.recently(2_000.0) for i, load in placement._loads.items()}
