Begin a stream anew that ended by a fault of ours, and end a node whose loops fail

Need: an exception while a message was taken left a node without that stream for good, unsaid. Both programs guard their loops by the same function.

--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -8,7 +8,6 @@
 import secrets
 import signal
 import time
-from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -48,6 +47,7 @@
 from dunlinloft.transport import lines
 from dunlinloft.transport.clock import now_ms
 from dunlinloft.transport.light import import_aiohttp
+from dunlinloft.transport.tasks import guarded
 
 TICK_S = 0.05
 ALIVE_S = 0.3  # between words to nodes
@@ -112,7 +112,7 @@
             self._node_words(),
             self._memories(),
         ]
-        tasks = [asyncio.create_task(self._guarded(each)) for each in loops]
+        tasks = [asyncio.create_task(guarded(each, settings.node_name)) for each in loops]
         await self._start_api()
         await stop.wait()
         await self._leave_chain()
@@ -132,16 +132,6 @@
         api = Server(Api(self._call, self._beat, self._leave).handle, access_log=None)
         await asyncio.get_running_loop().create_server(api, host, port, backlog=BACKLOG)
 
-    async def _guarded(self, loop: Coroutine[Any, Any, None]) -> None:
-        """A loop that fails says so and ends the process: the platform starts it again."""
-        try:
-            await loop
-        except asyncio.CancelledError:
-            raise
-        except Exception:
-            logging.exception("event=loop_failed node=%s", self._settings.node_name)
-            raise SystemExit(1) from None
-
     def _make_replica(self, durable: Durable, counts: bool) -> Replica:
         settings = self._settings
         incarnation = durable.incarnation or secrets.token_hex(8)
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -71,10 +71,19 @@
                 self._tasks[address] = asyncio.create_task(self._keep(address))
             for address in self._tasks.keys() - wanted:
                 self._tasks.pop(address).cancel()
-            for writer in self._writers.values():
+            self._drop_failed()
+            for writer in list(self._writers.values()):
                 writer.send(Alive())
             await asyncio.sleep(ALIVE_S)
 
+    def _drop_failed(self) -> None:
+        """A stream that ended by a fault of ours is said, and begun anew at the next look."""
+        for address, task in list(self._tasks.items()):
+            if task.done():
+                del self._tasks[address]
+                if not task.cancelled() and task.exception() is not None:
+                    logging.error("event=stream_failed replica=%s", address, exc_info=task.exception())
+
     def _wanted(self) -> set[str]:
         named = self._ranked()[:STREAMS_MOST]
         up = any(address in self._writers for address in named)
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -40,6 +40,7 @@
 from dunlinloft.dataplane.upstream import Upstream
 from dunlinloft.settings import Settings, SettingsError, host_port, read_settings
 from dunlinloft.transport.clock import now_ms
+from dunlinloft.transport.tasks import guarded
 
 IDLE_S = 75.0  # clients' connections that rest longer are closed
 MOST_HEADER = 65_536
@@ -106,7 +107,9 @@
             host, port = host_port(listeners.readiness)
             await loop.create_server(Server(self._on_readiness, access_log=None), host, port)
         logging.info("event=started node=%s", self._settings.node_name)
-        tasks = [asyncio.create_task(self._subscriptions.run()), asyncio.create_task(self._ticks())]
+        node = self._settings.node_name
+        loops = (self._subscriptions.run(), self._ticks())
+        tasks = [asyncio.create_task(guarded(each, node)) for each in loops]
         await stop.wait()
         self._closing = True
         logging.info("event=closing node=%s", self._settings.node_name)
