--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -21,8 +21,9 @@
 from dunlinloft.coordination.actions import Action, Commit, Persist, Reply, Send
 from dunlinloft.coordination.calls import Invalid, Valid
 from dunlinloft.coordination.messages import Document, Durable, Member, Order
+from dunlinloft.coordination.nodes import Nodes
 from dunlinloft.coordination.placement import PlacementRequest, Placements
-from dunlinloft.coordination.quotas import QuotaOwner
+from dunlinloft.coordination.quotas import QuotaLimit, QuotaOwner
 from dunlinloft.coordination.registry import Registry
 from dunlinloft.coordination.replica import FIRST_INCARNATION, Replica, first_view
 from dunlinloft.coordination.stream import (
@@ -30,6 +31,7 @@
     Beats,
     Fetch,
     Held,
+    NodeAlive,
     NodesSeen,
     Place,
     PlaceBegan,
@@ -54,7 +56,6 @@
 RELAY_S = 0.3  # between words of servers heard to other control planes
 NODES_S = 1.0
 REMEMBER_S = 1.0  # between looks at whether other servers are known than those on disk
-NODES_KEPT_S = 20.0  # a node not heard of for so long no longer counts
 SILENT_S = 2.0  # a peer's stream that is silent for so long is ended
 LEAVE_S = 2.0  # after SIGTERM, for the chain to go on without this replica
 BACKLOG = 512
@@ -72,13 +73,14 @@
         self._links = Links()
         self._registry = Registry(settings.heartbeat_interval_ms, now_ms())
         self._distribution = Distribution()
-        self._quotas = QuotaOwner(self._address, now_ms())
+        self._nodes = Nodes()
+        bounds = settings.timing_bounds.quota_bounds()
+        self._quotas = QuotaOwner(self._address, now_ms(), bounds, self._nodes)
         self._placements = Placements(
             random.Random(secrets.randbits(64)), 1_000.0 * settings.timing_bounds.again_s
         )
         self._calls: dict[str, asyncio.Future[Reply]] = {}
         self._numbers = itertools.count(1)
-        self._nodes: dict[str, float] = {}  # data-plane nodes, and when each was heard of
         self._told_complete = False
 
     async def run(self) -> None:
@@ -174,7 +176,8 @@
             logging.error("event=configuration_refused version=%d error=%s", state.version, error)
         else:
             tenants = (tenant for tenant in configuration.tenants if tenant.rate_per_s)
-            self._quotas.set_limits({tenant.name: (tenant.rate_per_s, tenant.burst) for tenant in tenants})
+            limits = {tenant.name: QuotaLimit(tenant.rate_per_s, tenant.burst) for tenant in tenants}
+            self._quotas.set_limits(limits)
             self._placements.set_memory(_memory(configuration.services))
         logging.info("event=committed sequence=%d version=%d", state.sequence, state.version)
 
@@ -185,6 +188,7 @@
         while True:
             self._perform(self._replica.tick(now_ms()))
             self._tell_replicas()
+            self._quotas.settle(self._replica.leased(now_ms()), now_ms())
             self._registry.expire(now_ms())
             self._flush_servers()
             if not self._told_complete and self._registry.complete(now_ms()):
@@ -199,7 +203,7 @@
         addresses = tuple(member.address for member in view.roster)
         chain = tuple(member.address for member in view.chain)
         self._quotas.set_chain(chain, now_ms())
-        self._distribution.set_replicas(Replicas(view.epoch, addresses, chain, max(1, len(self._nodes))))
+        self._distribution.set_replicas(Replicas(view.epoch, addresses, chain, self._nodes.count()))
 
     # Streams from nodes and other replicas.
 
@@ -220,7 +224,10 @@
                     self._distribution.fetch(stream, message.held)
                 case Held() if stream is not None:
                     stream.held = message.version
-                case TakeQuota():
+                case NodeAlive() if stream is not None:
+                    self._nodes.heard(stream.node, message.alone, now_ms())
+                case TakeQuota() if stream is not None:
+                    self._nodes.heard(stream.node, message.alone, now_ms())
                     out.send(self._take_quota(message))
                 case Place():
                     out.send(self._place(number, message))
@@ -229,12 +236,10 @@
                 case PlaceEnded():
                     placement = self._placements.service(message.service)
                     placement.ended((number, message.number), message.failed, now_ms())
-                case Alive():
-                    pass
                 case Beats():
                     self._on_beats(message)
                 case NodesSeen():
-                    self._on_nodes(message.nodes)
+                    self._nodes.seen(message.nodes, now_ms())
                 case _:
                     self._perform(self._replica.handle(message, now_ms()))
 
@@ -251,23 +256,20 @@
     def _subscribe(self, stream: NodeStream, message: Subscribe) -> None:
         now = now_ms()
         self._quotas.node_seen(message.uptime_ms, now)
-        self._on_nodes((stream.node,))
+        self._nodes.heard(stream.node, True, now)
         self._flush_servers()
         ranges = self._registry.digests.differing(message.digests)
         servers = Servers(self._registry.complete(now), ranges, self._registry.in_ranges(ranges))
         self._distribution.subscribe(stream, servers)
 
-    def _on_nodes(self, nodes: tuple[str, ...]) -> None:
-        now_s = time.monotonic()
-        for node in nodes:
-            self._nodes[node] = now_s
-
     def _take_quota(self, message: TakeQuota) -> QuotaGranted:
         now = now_ms()
-        wait_ms = self._quotas.take(message.tenant, message.amount, self._replica.leased(now), now)
-        if wait_ms is None:
-            return QuotaGranted(message.number, message.tenant, 0.0, 0.0, False)
-        return QuotaGranted(message.number, message.tenant, 0.0 if wait_ms else message.amount, wait_ms)
+        leased = self._replica.leased(now)
+        taken = self._quotas.take(message.tenant, message.amount, message.reserve, leased, now)
+        if taken is None:
+            return QuotaGranted(message.number, message.tenant, 0.0, 0.0, 0.0, False)
+        amount = 0.0 if taken.wait_ms else message.amount
+        return QuotaGranted(message.number, message.tenant, amount, taken.reserve, taken.wait_ms)
 
     def _place(self, stream: int, message: Place) -> Placed:
         needs = PlacementRequest(message.parts, message.answer_tokens, message.patient)
@@ -332,9 +334,7 @@
     async def _node_words(self) -> None:
         while True:
             await asyncio.sleep(NODES_S)
-            self._on_nodes(tuple(stream.node for stream in self._distribution.streams))
-            oldest = time.monotonic() - NODES_KEPT_S
-            self._nodes = {node: seen for node, seen in self._nodes.items() if seen >= oldest}
+            self._nodes.forget(now_ms())
             line = lines.encoded(NodesSeen(tuple(stream.node for stream in self._distribution.streams)))
             for address in self._replica.addresses():
                 self._links.send_line(address, line)
--- /dev/null
+++ b/dunlinloft/coordination/nodes.py
@@ -0,0 +1,62 @@
+"""The data-plane nodes that there are, and which of them a quota's owner hears.
+
+A node that an owner does not hear may spend its standing share of each quota, so the owner has to count it
+as spending. Names come from the nodes themselves, from other replicas, and from disk after a restart. Times
+are in milliseconds of a steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+CONTACT_MS = 450.0  # a node not heard for so long may be spending without its owner
+FORGET_MS = 20_000.0  # a node that nobody has heard for so long is gone; `SHARE_VALID_MS` has ended by then
+
+
+@dataclass(slots=True)
+class Contact:
+    """What is known of one node."""
+
+    seen_ms: float  # by anybody
+    heard_ms: float | None = None  # by this replica
+    alone: bool = True  # it says that it spends without this owner
+
+
+class Nodes:
+    """The nodes of the fleet as one replica knows them."""
+
+    def __init__(self) -> None:
+        self._contacts: dict[str, Contact] = {}
+
+    def heard(self, node: str, alone: bool, now_ms: float) -> None:
+        """A node's own word came here; `alone` says that it spends without this replica."""
+        contact = self._contacts.setdefault(node, Contact(now_ms))
+        contact.seen_ms = contact.heard_ms = now_ms
+        contact.alone = alone
+
+    def seen(self, nodes: Iterable[str], now_ms: float) -> None:
+        """Somebody else heard these nodes, or they were known before a restart."""
+        for node in nodes:
+            self._contacts.setdefault(node, Contact(now_ms)).seen_ms = now_ms
+
+    def forget(self, now_ms: float) -> None:
+        """Drop those whom nobody has heard for long."""
+        for node in [n for n, contact in self._contacts.items() if now_ms - contact.seen_ms > FORGET_MS]:
+            del self._contacts[node]
+
+    def names(self) -> tuple[str, ...]:
+        """All nodes."""
+        return tuple(sorted(self._contacts))
+
+    def count(self) -> int:
+        """How many there are; never none."""
+        return max(1, len(self._contacts))
+
+    def alone_share(self, now_ms: float) -> float:
+        """The share of all nodes that may be spending their standing shares now."""
+        alone = sum(
+            contact.alone or contact.heard_ms is None or now_ms - contact.heard_ms > CONTACT_MS
+            for contact in self._contacts.values()
+        )
+        return alone / self.count()
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -1,7 +1,15 @@
 """Tenants' quotas over all nodes: each tenant's is owned by one control plane, found by rendezvous hashing.
 
-The owner grants only while a majority is known to be in its epoch, and a new owner waits until the old one
-can't grant any more: the epoch is the fencing token.
+What all nodes spend in a window stays within the rule's limit by construction, whoever is cut off, killed
+or newly elected (`docs/control-state.md`, "Sums over all machines"):
+
+- An owner grants from a bucket that fills at the tenant's rate, and only under its lease. A new owner waits
+  until the old one's lease has ended, and begins with little.
+- Each node holds a reserve that it drew from the bucket before; nothing but a draw refills it.
+- A node that is out of its owner's reach spends its reserve and, later, a standing share of the rate. The
+  owner's bucket fills by that much less for every node that it doesn't hear.
+
+All amounts are in what the tenant's quota counts: requests or tokens.
 """
 
 from __future__ import annotations
@@ -9,12 +17,60 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from dunlinloft.coordination.nodes import Nodes
 from fleet.rendezvous import rank
 
 HANDOVER_MS = 750.0  # a new owner waits so long; the old one stops `LEASE_MS` after it was last confirmed
-EXTRA_SECONDS = 0.2  # of the rate that may be saved up beside the burst: under what windows leave open
-FIRST_SECONDS = 0.5  # of the rate that a new owner begins with, where nodes have been running all the while
+EXTRA_SHARE = 0.1  # of what a window may exceed the rate by, that a bucket holds beside the burst
+RESERVE_SHARE, RESERVE_TOLERANCE = 0.5, 0.6  # of that, and of the tolerance, in all nodes' reserves together
+FIRST_SECONDS = 0.15  # of the rate that a new owner begins with: by so much it began after the old one's end
+FIRST_TOLERANCE = 0.1  # of the tolerance that it begins with, too
+TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
+RESERVE_ABOVE = 0.3  # a reserve is filled only while the bucket holds more than this share of its most
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """The rule's figures, as the deployment states them."""
+
+    interval_s: float
+    overshoot: float
+    tolerance: float
+
+    def spare(self, limit: QuotaLimit) -> float:
+        """By how much a window may exceed rate and burst, beside the tolerance."""
+        return self.overshoot * (limit.rate_per_s * self.interval_s + limit.burst)
+
+    def bucket_most(self, limit: QuotaLimit) -> float:
+        """The most that a bucket holds."""
+        return limit.burst + EXTRA_SHARE * self.spare(limit)
+
+    def reserve_most(self, limit: QuotaLimit) -> float:
+        """The most that all nodes' reserves hold together."""
+        return RESERVE_SHARE * self.spare(limit) + RESERVE_TOLERANCE * self.tolerance
+
+    def first_level(self, limit: QuotaLimit, together: bool) -> float:
+        """What an owner's bucket begins with; `together` with all nodes."""
+        seconds = TOGETHER_SECONDS if together else FIRST_SECONDS
+        level = seconds * limit.rate_per_s + FIRST_TOLERANCE * self.tolerance
+        return min(level, self.bucket_most(limit))
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaLimit:
+    """A tenant's limit."""
+
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaTaken:
+    """An owner's answer: the amount was taken where there is no wait."""
+
+    wait_ms: float
+    reserve: float  # taken beside it, for the node to keep
 
 
 def owner_of(tenant: str, addresses: Sequence[str]) -> str | None:
@@ -26,85 +82,113 @@
 class QuotaBucket:
     """What is left of a tenant's quota."""
 
-    rate_per_ms: float
     most: float
     level: float
-    at_ms: float
 
-    def settle(self, now_ms: float) -> None:
+    def fill(self, amount: float) -> None:
         """Add what has come since."""
-        self.level = min(self.most, self.level + self.rate_per_ms * max(0.0, now_ms - self.at_ms))
-        self.at_ms = max(self.at_ms, now_ms)
+        self.level = min(self.most, self.level + amount)
 
-    def take(self, amount: float, now_ms: float) -> float:
-        """Take an amount; the wait in ms until something is there again, 0 where it was taken."""
-        self.settle(now_ms)
+    def take(self, amount: float, rate_per_s: float) -> float:
+        """Take an amount; the wait in ms until it is there, 0 where it was taken."""
         needed = min(amount, self.most)  # a request larger than the whole needs a full bucket
         if self.level >= needed:
             self.level -= amount
             return 0.0
-        return 1.0 + (needed - self.level) / self.rate_per_ms if self.rate_per_ms else 1_000.0
+        return 1.0 + 1_000.0 * (needed - self.level) / rate_per_s if rate_per_s else 1_000.0
+
+    def take_reserve(self, wanted: float) -> float:
+        """Take for a node's reserve what isn't needed here."""
+        spare = self.level - RESERVE_ABOVE * self.most
+        taken = max(0.0, min(wanted, spare))
+        self.level -= taken
+        return taken
 
 
 class QuotaOwner:
-    """The quotas that one control plane owns."""
+    """The quotas that one control plane owns. `nodes` is kept up to date by the host."""
 
-    def __init__(self, address: str, began_ms: float) -> None:
+    def __init__(self, address: str, began_ms: float, bounds: QuotaBounds, nodes: Nodes) -> None:
         self._address = address
         self._began_ms = began_ms
-        self._all_began_anew = True  # owner and nodes: then nothing was used while they were down
-        self._limits: dict[str, tuple[float, float]] = {}
+        self._bounds = bounds
+        self._nodes = nodes
+        self._together = True  # owner and nodes began together: nothing was used while they were down
+        self._limits: dict[str, QuotaLimit] = {}
         self._chain: tuple[str, ...] = ()
         self._buckets: dict[str, QuotaBucket] = {}
         self._may_from_ms: dict[str, float] = {}
+        self._settled_ms = began_ms
+        self._leased = False
+        self._alone_share = 1.0
 
     def node_seen(self, uptime_ms: float, now_ms: float) -> None:
-        """A node subscribed. One that ran before this owner may have used its own rate meanwhile."""
+        """A node subscribed. One that ran before this owner may have spent meanwhile."""
         if now_ms - uptime_ms >= self._began_ms - TOGETHER_MS:
             return
-        self._all_began_anew = False
-        for tenant, bucket in self._buckets.items():
-            bucket.settle(now_ms)
-            bucket.level = min(bucket.level, FIRST_SECONDS * self._limits[tenant][0])
+        if self._together:
+            self._together = False
+            for tenant, bucket in self._buckets.items():
+                bucket.level = min(bucket.level, self._bounds.first_level(self._limits[tenant], False))
 
-    def set_limits(self, limits: dict[str, tuple[float, float]]) -> None:
-        """Rate a second and burst by tenant; 0 is no limit."""
+    def set_limits(self, limits: dict[str, QuotaLimit]) -> None:
+        """The tenants that have a limit."""
         self._limits = limits
         for tenant in [name for name in self._buckets if name not in limits]:
             del self._buckets[tenant]
         for tenant, bucket in self._buckets.items():
-            bucket.rate_per_ms, bucket.most = self._sizes(tenant)
+            bucket.most = self._bounds.bucket_most(limits[tenant])
             bucket.level = min(bucket.level, bucket.most)
 
-    def _sizes(self, tenant: str) -> tuple[float, float]:
-        rate, burst = self._limits[tenant]
-        return rate / 1_000.0, burst + EXTRA_SECONDS * rate
-
     def set_chain(self, chain: tuple[str, ...], now_ms: float) -> None:
         """The control planes among which quotas are sharded now; what comes over is waited for."""
         old, self._chain = self._chain, chain
-        if not old:
+        if not old or old == chain:
             return  # a restart: in this epoch nobody but this replica could grant what is its own
         for tenant in self._limits:
             mine = owner_of(tenant, chain) == self._address
             was_mine = owner_of(tenant, old) == self._address
             if mine and not was_mine:
-                self._all_began_anew = False
+                self._together = False
                 self._may_from_ms[tenant] = now_ms + HANDOVER_MS
             if not mine:
                 self._buckets.pop(tenant, None)
 
-    def take(self, tenant: str, amount: float, leased: bool, now_ms: float) -> float | None:
-        """Take from a quota: the wait in ms, 0 where taken; None where this isn't its owner now."""
-        if tenant not in self._limits:
-            return None
-        if not leased or owner_of(tenant, self._chain) != self._address:
-            return None
-        if now_ms < self._may_from_ms.get(tenant, 0.0):
+    def settle(self, leased: bool, now_ms: float) -> None:
+        """Fill the buckets for the time since the last call; to be called often.
+
+        Time counts only where the lease held at both its ends: without an owner, nodes spend the whole rate.
+        """
+        passed_s = max(0.0, now_ms - self._settled_ms) / 1_000.0
+        alone_share = self._nodes.alone_share(now_ms)
+        share = 1.0 - max(alone_share, self._alone_share)
+        if leased and self._leased and share > 0.0:
+            for tenant, bucket in self._buckets.items():
+                bucket.fill(self._limits[tenant].rate_per_s * share * passed_s)
+        self._settled_ms = max(self._settled_ms, now_ms)
+        self._leased, self._alone_share = leased, alone_share
+        if leased:
+            self._begin_buckets(now_ms)
+
+    def _begin_buckets(self, now_ms: float) -> None:
+        for tenant, limit in self._limits.items():
+            if tenant in self._buckets or not self._may_grant(tenant, now_ms):
+                continue
+            level = self._bounds.first_level(limit, self._together)
+            self._buckets[tenant] = QuotaBucket(self._bounds.bucket_most(limit), level)
+
+    def _may_grant(self, tenant: str, now_ms: float) -> bool:
+        mine = owner_of(tenant, self._chain) == self._address
+        return mine and now_ms >= self._may_from_ms.get(tenant, 0.0)
+
+    def take(
+        self, tenant: str, amount: float, reserve_wanted: float, leased: bool, now_ms: float
+    ) -> QuotaTaken | None:
+        """Take from a quota; None where this isn't its owner now."""
+        limit = self._limits.get(tenant)
+        if limit is None or not leased or not self._may_grant(tenant, now_ms):
             return None
-        bucket = self._buckets.get(tenant)
-        if bucket is None:
-            rate, most = self._sizes(tenant)
-            level = most if self._all_began_anew else min(most, FIRST_SECONDS * 1_000.0 * rate)
-            bucket = self._buckets[tenant] = QuotaBucket(rate, most, level, now_ms)
-        return bucket.take(amount, now_ms)
+        self.settle(leased, now_ms)
+        bucket = self._buckets[tenant]
+        wait_ms = bucket.take(amount, limit.rate_per_s)
+        return QuotaTaken(wait_ms, 0.0 if wait_ms else bucket.take_reserve(reserve_wanted))
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -59,7 +59,13 @@
 
 
 class Alive(Struct, frozen=True, tag="alive"):
-    """Nothing to say, on either side."""
+    """Nothing to say, from the control plane."""
+
+
+class NodeAlive(Struct, frozen=True, tag="node_alive"):
+    """Nothing to say, from a node."""
+
+    alone: bool  # it spends quotas without the replica that it says this to
 
 
 class TakeQuota(Struct, frozen=True, tag="take_quota"):
@@ -68,6 +74,8 @@
     number: int
     tenant: str
     amount: float
+    reserve: float  # that the node would like to keep beside it
+    alone: bool  # as in `NodeAlive`
 
 
 class Place(Struct, frozen=True, tag="place"):
@@ -154,11 +162,12 @@
     number: int
     tenant: str
     amount: float  # 0 where nothing is left
+    reserve: float  # for the node to keep
     wait_ms: float  # until as much will be there
     owner: bool = True  # False: the asked one isn't the owner now
 
 
-FromNode = Subscribe | Fetch | Held | Alive | TakeQuota | Place | PlaceBegan | PlaceEnded
+FromNode = Subscribe | Fetch | Held | NodeAlive | TakeQuota | Place | PlaceBegan | PlaceEnded
 ToNode = (
     Replicas
     | Whole
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -11,9 +11,9 @@
 from absl import logging
 
 from dunlinloft.coordination.stream import (
-    Alive,
     Fetch,
     Held,
+    NodeAlive,
     Replicas,
     Subscribe,
     ToNode,
@@ -47,6 +47,7 @@
         held: Callable[[], int],
         digests: Callable[[], tuple[int, ...]],
         has_servers: Callable[[], bool],
+        alone: Callable[[str], bool],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -56,6 +57,9 @@
         self._held = held
         self._digests = digests
         self._has_servers = has_servers
+        self._alone = alone
+        self.heard_ms = now_ms()  # the last word from any replica
+        self._node_counts: dict[str, int] = {}  # as each replica that is heard tells
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._writers: dict[str, lines.LineWriter] = {}
         self._named: tuple[str, ...] = ()
@@ -72,8 +76,8 @@
             for address in self._tasks.keys() - wanted:
                 self._tasks.pop(address).cancel()
             self._drop_failed()
-            for writer in list(self._writers.values()):
-                writer.send(Alive())
+            for address, writer in list(self._writers.items()):
+                writer.send(NodeAlive(self._alone(address)))
             await asyncio.sleep(ALIVE_S)
 
     def _drop_failed(self) -> None:
@@ -140,15 +144,15 @@
             finally:
                 writer.abort()
                 del self._writers[address]
+                self._node_counts.pop(address, None)
                 self._lost(address)
             logging.info("event=stream_ended replica=%s reason=%s", address, reason)
             await asyncio.sleep(wait_s * (0.5 + random.random()))
 
     def _on(self, address: str, message: Any) -> None:
+        self.heard_ms = now_ms()
         if isinstance(message, Replicas):
-            if self.replicas is None or message.epoch >= self.replicas.epoch:
-                self.replicas = message
-                self._named = message.addresses
+            self._on_replicas(address, message)
         elif isinstance(message, Version):
             if message.version > self._held():
                 task = asyncio.create_task(self._fetch(address, message.version))
@@ -156,3 +160,11 @@
                 task.add_done_callback(self._fetches.discard)
         else:
             self._take(address, message)
+
+    def _on_replicas(self, address: str, message: Replicas) -> None:
+        """Take the newest view, and as many nodes as any replica knows: one that just started knows few."""
+        self._node_counts[address] = message.nodes
+        if self.replicas is not None and message.epoch < self.replicas.epoch:
+            return
+        self.replicas = msgspec.structs.replace(message, nodes=max(self._node_counts.values()))
+        self._named = message.addresses
--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -11,6 +11,7 @@
 from aiohttp.web_response import Response, StreamResponse
 
 from dunlinloft.configuration import Limits, Tenant
+from dunlinloft.coordination.quotas import QuotaLimit
 from dunlinloft.dataplane.client_request import DEADLINE_HEADER, ClientRequest
 from dunlinloft.dataplane.exchange import Exchange, refusal
 from dunlinloft.dataplane.lateness import Lateness
@@ -86,7 +87,8 @@
             waited_ms = self._lateness.waited_ms(active.route.name, deadline_ms)
         if tenant is not None and tenant.rate_per_s > 0.0:
             amount = cost_of(tenant, request.headers.get("X-Token-Usage"))
-            paid = await self._quotas.pay(tenant.name, amount, tenant.rate_per_s, now_ms())
+            limit = QuotaLimit(tenant.rate_per_s, tenant.burst)
+            paid = await self._quotas.pay(tenant.name, amount, limit, now_ms())
             if isinstance(paid, OverQuota):
                 return refusal(429, "over the tenant's quota", paid.wait_ms / 1_000.0)
         client_request = ClientRequest(
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -24,7 +24,6 @@
     ServerNews,
     Servers,
     ServersComplete,
-    TakeQuota,
     Whole,
 )
 from dunlinloft.dataplane.advice import Advice
@@ -75,9 +74,13 @@
             lambda: 0 if self._table is None else self._table.version,
             self._servers.digests,
             lambda: self._servers.complete,
+            lambda address: self._quotas.alone(address),
         )
         self._quotas = NodeQuotas(
-            lambda: self._subscriptions.replicas, self._send_quota, settings.timing_bounds.quota_tolerance
+            lambda: self._subscriptions.replicas,
+            lambda: self._subscriptions.heard_ms,
+            self._subscriptions.send,
+            settings.timing_bounds.quota_bounds(),
         )
         self._advice = Advice(lambda: self._subscriptions.replicas, self._subscriptions.send)
         self._frontend = Frontend(
@@ -180,9 +183,6 @@
             logging.info("event=in_force version=%d", version)
         self._subscriptions.held(self._table.version)
 
-    def _send_quota(self, address: str, message: TakeQuota) -> bool:
-        return self._subscriptions.send(address, message)
-
     async def _ticks(self) -> None:
         kept_ms = KEPT_INTERVALS * self._settings.heartbeat_interval_ms
         while True:
--- a/dunlinloft/settings.py
+++ b/dunlinloft/settings.py
@@ -8,6 +8,8 @@
 import msgspec
 from msgspec import Struct
 
+from dunlinloft.coordination.quotas import QuotaBounds
+
 VARIABLE = "DUNLINLOFT_CONFIG"
 CONTROL_PORT = 0  # place in the internal port range
 
@@ -52,6 +54,10 @@
     quota_tolerance: float = 0.0
     again_s: float = 3.0
 
+    def quota_bounds(self) -> QuotaBounds:
+        """The figures of the rule on tenants' quotas."""
+        return QuotaBounds(self.quota_interval_s, self.quota_overshoot, self.quota_tolerance)
+
 
 class Settings(Struct, frozen=True):
     """The settings of one process; fields that aren't named here are ignored: the platform may add some."""
--- /dev/null
+++ b/lab/control/quota_cluster.py
@@ -0,0 +1,260 @@
+"""Tenants' quotas over replicas and nodes in virtual time, checked against the rule's own sliding window."""
+
+from __future__ import annotations
+
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dunlinloft.coordination.nodes import Nodes
+from dunlinloft.coordination.quota_holder import Fleet, QuotaHolder
+from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit, QuotaOwner, QuotaTaken, owner_of
+from dunlinloft.coordination.stream import Replicas
+from lab.control.cluster import DELAY_MS, TICK_MS, Cluster, Machine
+from lab.control.rules import Broken
+
+TENANT = "tenant"
+ALIVE_MS = 300.0
+ASK_MS = 30.0
+SILENT_MS = 250.0
+GOSSIP_MS = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """Part of a quota that a node spent."""
+
+    at_ms: float
+    amount: float
+
+
+class QuotaWindow:
+    """The rule: what is spent in any window stays within the limit."""
+
+    def __init__(self, bounds: QuotaBounds, limit: QuotaLimit) -> None:
+        whole = limit.rate_per_s * bounds.interval_s + limit.burst
+        self.allowed = whole * (1.0 + bounds.overshoot) + bounds.tolerance
+        self._window_ms = 1_000.0 * bounds.interval_s
+        self._spent: deque[Spent] = deque()
+        self._sum = 0.0
+        self.worst = 0.0
+        self.total = 0.0
+
+    def spend(self, amount: float, now_ms: float) -> None:
+        """Something was spent. Raises `Broken` over the limit."""
+        self._spent.append(Spent(now_ms, amount))
+        self._sum += amount
+        self.total += amount
+        while self._spent[0].at_ms <= now_ms - self._window_ms:
+            self._sum -= self._spent.popleft().amount
+        self.worst = max(self.worst, self._sum)
+        if self._sum > self.allowed:
+            raise Broken(f"{self._sum:.0f} were spent in a window that allows {self.allowed:.0f}")
+
+
+@dataclass(slots=True)
+class OwnerSide:
+    """What one life of a replica's process knows of quotas."""
+
+    life: int
+    owner: QuotaOwner
+    nodes: Nodes
+
+
+@dataclass(slots=True)
+class QuotaNode:
+    """One data-plane node, and what it knows of the control plane."""
+
+    name: str
+    holder: QuotaHolder
+    began_ms: float
+    heard_ms: float
+    replicas: Replicas | None = None
+    counts: dict[str, int] = field(default_factory=dict)
+    subscribed: dict[str, int] = field(default_factory=dict)  # by replica: the life that it subscribed to
+    silent_until_ms: dict[str, float] = field(default_factory=dict)
+    refused: int = 0
+    paid: int = 0
+
+
+class QuotaCluster(Cluster):
+    """Replicas with quota owners, and nodes that spend one tenant's quota as fast as they may."""
+
+    def __init__(
+        self, seed: int, bounds: QuotaBounds, limit: QuotaLimit, nodes: int = 8, size: int = 3
+    ) -> None:
+        self.bounds = bounds
+        self.limit = limit
+        self.window = QuotaWindow(bounds, limit)
+        self.sides: dict[str, OwnerSide] = {}
+        self.nodes: dict[str, QuotaNode] = {}
+        super().__init__(seed, size)
+        for number in range(nodes):
+            self.start_node(f"node-{number}")
+        self.after(GOSSIP_MS, self._gossip)
+
+    def start(self, address: str, bootstrap: bool = False) -> None:
+        """Start a replica's process, and its side of quotas."""
+        nodes = Nodes()
+        owner = QuotaOwner(address, self.now, self.bounds, nodes)
+        owner.set_limits({TENANT: self.limit})
+        super().start(address, bootstrap)
+        self.sides[address] = OwnerSide(self.machines[address].life, owner, nodes)
+
+    def start_node(self, name: str) -> None:
+        """Start a node, or start it again: it holds nothing then."""
+        node = QuotaNode(name, QuotaHolder(self.bounds), self.now, self.now)
+        self.nodes[name] = node
+        self.after(self.rng.uniform(0.0, ALIVE_MS), lambda: self._alive(node))
+
+    def _running(self, node: QuotaNode) -> bool:
+        return self.nodes[node.name] is node
+
+    def _tick(self, machine: Machine, life: int) -> None:
+        super()._tick(machine, life)
+        replica = machine.replica
+        if replica is None or machine.life != life or machine.frozen or replica.view is None:
+            return
+        side = self.sides[machine.address]
+        chain = tuple(member.address for member in replica.view.chain)
+        side.owner.set_chain(chain, self.now)
+        side.owner.settle(replica.leased(self.now), self.now)
+        side.nodes.forget(self.now)
+        told = Replicas(replica.view.epoch, chain, chain, side.nodes.count())
+        for node in list(self.nodes.values()):
+            if node.subscribed.get(machine.address) == life:
+                self._to_node(machine.address, node, lambda node=node: self._told(machine, node, told))  # type: ignore[misc]
+
+    def _told(self, machine: Machine, node: QuotaNode, told: Replicas) -> None:
+        node.heard_ms = self.now
+        node.counts[machine.address] = told.nodes
+        if node.replicas is None or told.epoch >= node.replicas.epoch:
+            most = max(node.counts.values())
+            node.replicas = Replicas(told.epoch, told.addresses, told.chain, most)
+
+    def _gossip(self) -> None:
+        """Replicas tell each other of the nodes that they hear."""
+        for source, machine in self.machines.items():
+            if machine.replica is None or machine.frozen:
+                continue
+            names = tuple(n.name for n in self.nodes.values() if n.subscribed.get(source) == machine.life)
+            for target in self.machines:
+                self._to_replica(source, target, lambda side, names=names: side.nodes.seen(names, self.now))  # type: ignore[misc]
+        self.after(GOSSIP_MS, self._gossip)
+
+    # Messages.
+
+    def _to_node(self, source: str, node: QuotaNode, handle: Callable[[], None]) -> None:
+        def arrive() -> None:
+            if self._running(node) and (source, node.name) not in self.cuts:
+                handle()
+
+        self.after(self.rng.uniform(*DELAY_MS), arrive)
+
+    def _to_replica(self, source: str, target: str, handle: Callable[[OwnerSide], None]) -> None:
+        def arrive() -> None:
+            machine = self.machines[target]
+            if (source, target) in self.cuts:
+                return
+            self._guarded(machine, machine.life, lambda: handle(self.sides[target]))
+
+        if (source, target) not in self.cuts:
+            self.after(self.rng.uniform(*DELAY_MS), arrive)
+
+    def _alive(self, node: QuotaNode) -> None:
+        if not self._running(node):
+            return
+        for address in self.machines:
+            alone = node.holder.alone(address)
+            self._to_replica(
+                node.name,
+                address,
+                lambda side, address=address, alone=alone: self._heard(side, node, address, alone),  # type: ignore[misc]
+            )
+        self.after(ALIVE_MS, lambda: self._alive(node))
+
+    def _heard(self, side: OwnerSide, node: QuotaNode, address: str, alone: bool) -> None:
+        if node.subscribed.get(address) != side.life:
+            node.subscribed[address] = side.life
+            side.owner.node_seen(self.now - node.began_ms, self.now)
+            alone = True
+        side.nodes.heard(node.name, alone, self.now)
+
+    # Spending.
+
+    def spend(self, name: str, amount: float) -> None:
+        """A request of the tenant at a node."""
+        node = self.nodes[name]
+        replicas = node.replicas
+        owner = None if replicas is None else owner_of(TENANT, replicas.chain)
+        if owner is None or self.now < node.silent_until_ms.get(owner, 0.0):
+            self._alone(node, owner, amount)
+            return
+        asked_ms = self.now
+        answers = itertools.count()
+
+        def answered(taken: QuotaTaken | None) -> None:
+            if not self._running(node) or next(answers):
+                return
+            if taken is None:
+                self._unanswered(node, owner, asked_ms)
+                self._alone(node, owner, amount)
+                return
+            node.holder.answered(owner)
+            if taken.wait_ms:
+                node.refused += 1
+                return
+            node.holder.drawn(TENANT, self.limit, taken.reserve, self._fleet(node))
+            self._spent(node, amount)
+
+        def late() -> None:
+            if self._running(node) and not next(answers):
+                node.silent_until_ms[owner] = self.now + SILENT_MS
+                self._unanswered(node, owner, asked_ms)
+                self._alone(node, owner, amount)
+
+        wanted = node.holder.wanted(TENANT, self.limit, self._fleet(node))
+        alone = node.holder.alone(owner)
+
+        def ask(side: OwnerSide) -> None:
+            machine = self.machines[owner]
+            assert machine.replica is not None
+            side.nodes.heard(node.name, alone, self.now)
+            leased = machine.replica.leased(self.now)
+            taken = side.owner.take(TENANT, amount, wanted, leased, self.now)
+            self._to_node(owner, node, lambda: answered(taken))
+
+        self._to_replica(node.name, owner, ask)
+        self.after(ASK_MS, late)
+
+    def _unanswered(self, node: QuotaNode, owner: str, asked_ms: float) -> None:
+        if node.holder.unanswered(owner, asked_ms):
+            self._to_replica(node.name, owner, lambda side: self._heard(side, node, owner, True))
+
+    def _fleet(self, node: QuotaNode) -> Fleet:
+        return Fleet(1 if node.replicas is None else node.replicas.nodes, node.heard_ms)
+
+    def _alone(self, node: QuotaNode, owner: str | None, amount: float) -> None:
+        wait_ms = node.holder.spend_alone(owner, TENANT, self.limit, amount, self._fleet(node), self.now)
+        if wait_ms:
+            node.refused += 1
+        else:
+            self._spent(node, amount)
+
+    def _spent(self, node: QuotaNode, amount: float) -> None:
+        node.paid += 1
+        self.window.spend(amount, self.now)
+
+
+def traffic(cluster: QuotaCluster, demand: float, amounts: tuple[float, float]) -> None:
+    """Requests at all nodes, for ever: `demand` times the tenant's rate, of sizes between two."""
+    mean = (amounts[0] + amounts[1]) / 2.0
+    gap_ms = 1_000.0 * mean / (cluster.limit.rate_per_s * demand)
+
+    def arrive() -> None:
+        name = cluster.rng.choice(sorted(cluster.nodes))
+        cluster.spend(name, cluster.rng.uniform(*amounts))
+        cluster.after(cluster.rng.expovariate(1.0 / gap_ms), arrive)
+
+    cluster.after(TICK_MS, arrive)
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -1,181 +1,331 @@
-"""Quotas over all nodes: what owners grant adds up to no more than a window leaves open."""
+"""Quotas over all nodes: what is spent in any window stays within the limit, whatever fails."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import pytest
 from msgspec import Struct
 
-from dunlinloft.coordination.quotas import HANDOVER_MS, QuotaOwner, owner_of
-from dunlinloft.coordination.stream import QuotaGranted, Replicas, TakeQuota
-from dunlinloft.dataplane import quota as node_quotas
+from dunlinloft.coordination import quota_holder
+from dunlinloft.coordination.nodes import CONTACT_MS, FORGET_MS, Nodes
+from dunlinloft.coordination.quota_holder import ALONE_AFTER_MS, Fleet, QuotaHolder
+from dunlinloft.coordination.quotas import HANDOVER_MS, QuotaBounds, QuotaLimit, QuotaOwner, owner_of
+from dunlinloft.coordination.stream import NodeAlive, QuotaGranted, Replicas, TakeQuota
 from dunlinloft.dataplane.quota import Granted, NodeQuotas, OverQuota
+from lab.control.quota_cluster import QuotaCluster, QuotaWindow, traffic
+from lab.control.rules import Broken
 
-RATE, BURST = 100_000.0, 100_000.0
-WINDOW_MS = 8_000.0
-TOLERANCE = 72_000.0
+BOUNDS = QuotaBounds(8.0, 0.1, 72_000.0)
+LIMIT = QuotaLimit(100_000.0, 100_000.0)
+LARGE = QuotaLimit(436_251.0, 436_251.0)
+SMALL = QuotaLimit(18_000.0, 18_000.0)
 CHAIN = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
 
 
-def _most_in_window(taken: list[tuple[float, float]]) -> float:
-    """The most taken in any window."""
-    most = 0.0
-    for start, _ in taken:
-        most = max(most, sum(amount for at, amount in taken if start <= at < start + WINDOW_MS))
-    return most
+def _owner_address(chain: tuple[str, ...] = CHAIN) -> str:
+    address = owner_of("tenant", chain)
+    assert address is not None
+    return address
 
 
-ALLOWED = (RATE * WINDOW_MS / 1_000.0 + BURST) * 1.1 + TOLERANCE
+def _owner(address: str, limit: QuotaLimit = LIMIT) -> QuotaOwner:
+    nodes = Nodes()
+    nodes.heard("node", False, 0.0)
+    owner = QuotaOwner(address, 0.0, BOUNDS, nodes)
+    owner.set_limits({"tenant": limit})
+    owner.set_chain(CHAIN, 0.0)
+    return owner
 
 
-def _owner(address: str, now: float = 0.0) -> QuotaOwner:
-    owner = QuotaOwner(address, now)
-    owner.set_limits({"tenant": (RATE, BURST)})
-    owner.set_chain(CHAIN, now)
-    return owner
+class _Connected:
+    """An owner whose one node is heard all the time."""
+
+    def __init__(self, owner: QuotaOwner) -> None:
+        self.owner = owner
+
+    def take(self, amount: float, now_ms: float) -> float:
+        """Take from the quota; the wait."""
+        self.owner._nodes.heard("node", False, now_ms)
+        taken = self.owner.take("tenant", amount, 0.0, True, now_ms)
+        assert taken is not None
+        return taken.wait_ms
 
 
 def test_an_owner_grants_no_more_than_a_window_allows() -> None:
-    address = owner_of("tenant", CHAIN)
-    assert address is not None
-    owner = _owner(address)
+    connected = _Connected(_owner(_owner_address()))
+    window = QuotaWindow(BOUNDS, LIMIT)
     rng = random.Random(1)
-    taken = []
     now = 0.0
     while now < 30_000.0:
         now += rng.uniform(0.0, 40.0)
         amount = rng.uniform(100.0, 30_000.0)
-        if owner.take("tenant", amount, True, now) == 0.0:
-            taken.append((now, amount))
-    assert _most_in_window(taken) <= ALLOWED
-    assert sum(amount for _, amount in taken) >= 0.95 * RATE * 30.0
+        if connected.take(amount, now) == 0.0:
+            window.spend(amount, now)
+    assert window.total >= 0.95 * LIMIT.rate_per_s * 30.0
 
 
 def test_what_is_under_the_limit_is_granted() -> None:
-    address = owner_of("tenant", CHAIN)
-    assert address is not None
-    owner = _owner(address)
+    connected = _Connected(_owner(_owner_address()))
     rng = random.Random(2)
     now, refused = 0.0, 0
     for _ in range(1_000):
         now += rng.expovariate(1.0 / 100.0)
-        refused += owner.take("tenant", rng.uniform(2_000.0, 13_000.0), True, now) != 0.0
+        refused += connected.take(rng.uniform(2_000.0, 13_000.0), now) != 0.0
     assert refused <= 10
 
 
 def test_only_the_owner_grants_and_only_with_a_lease() -> None:
     for address in CHAIN:
         owner = _owner(address)
-        granted = owner.take("tenant", 100.0, True, 0.0)
-        assert (granted == 0.0) == (address == owner_of("tenant", CHAIN))
-        assert owner.take("tenant", 100.0, False, 0.0) is None
-        assert owner.take("nobody", 100.0, True, 0.0) is None
+        granted = owner.take("tenant", 100.0, 0.0, True, 0.0)
+        assert (granted is not None) == (address == _owner_address())
+        assert owner.take("tenant", 100.0, 0.0, False, 0.0) is None
+        assert owner.take("nobody", 100.0, 0.0, True, 0.0) is None
 
 
 def test_a_new_owner_waits_until_the_old_one_can_grant_no_more() -> None:
-    address = owner_of("tenant", CHAIN)
-    left = tuple(a for a in CHAIN if a != address)
-    successor = owner_of("tenant", left)
-    assert successor is not None
-    owner = _owner(successor)
+    left = tuple(a for a in CHAIN if a != _owner_address())
+    owner = _owner(_owner_address(left))
     owner.set_chain(left, 1_000.0)
-    assert owner.take("tenant", 100.0, True, 1_000.0 + HANDOVER_MS - 1.0) is None
-    assert owner.take("tenant", 100.0, True, 1_000.0 + HANDOVER_MS) == 0.0
+    assert owner.take("tenant", 100.0, 0.0, True, 1_000.0 + HANDOVER_MS - 1.0) is None
+    assert owner.take("tenant", 100.0, 0.0, True, 1_000.0 + HANDOVER_MS) is not None
 
 
-def test_an_owner_that_began_alone_starts_with_little() -> None:
-    address = owner_of("tenant", CHAIN)
-    assert address is not None
-    for uptime_ms, granted in ((500.0, 12), (60_000.0, 5)):
-        owner = _owner(address)
-        owner.node_seen(uptime_ms, 500.0)
-        assert sum(owner.take("tenant", 10_000.0, True, 500.0) == 0.0 for _ in range(20)) == granted
+def test_a_new_owner_begins_with_what_it_began_later_than_the_old_one_ended() -> None:
+    left = tuple(a for a in CHAIN if a != _owner_address())
+    owner = _owner(_owner_address(left))
+    owner.set_chain(left, 1_000.0)
+    now = 1_000.0 + HANDOVER_MS
+    granted = sum(owner.take("tenant", 1_000.0, 0.0, True, now) is not None for _ in range(1))
+    while (taken := owner.take("tenant", 1_000.0, 0.0, True, now)) is not None and not taken.wait_ms:
+        granted += 1
+    assert 1_000.0 * granted <= BOUNDS.first_level(LIMIT, False)
 
 
 def test_a_node_that_ran_before_takes_back_what_a_common_start_would_grant() -> None:
-    address = owner_of("tenant", CHAIN)
-    assert address is not None
-    owner = _owner(address)
-    owner.node_seen(100.0, 500.0)
-    assert owner.take("tenant", 10_000.0, True, 500.0) == 0.0
+    owner = _owner(_owner_address())
+    assert owner.take("tenant", 10_000.0, 0.0, True, 500.0) is not None
     owner.node_seen(60_000.0, 600.0)
-    assert sum(owner.take("tenant", 10_000.0, True, 600.0) == 0.0 for _ in range(20)) == 5
+    taken = owner.take("tenant", BOUNDS.first_level(LIMIT, False) + 1_000.0, 0.0, True, 600.0)
+    assert taken is not None
+    assert taken.wait_ms > 0.0
 
 
 def test_a_lower_limit_takes_saved_tokens_away() -> None:
-    address = owner_of("tenant", CHAIN)
-    assert address is not None
-    owner = _owner(address)
-    assert owner.take("tenant", 10.0, True, 0.0) == 0.0
-    owner.set_limits({"tenant": (10.0, 10.0)})
-    assert owner.take("tenant", 10_000.0, True, 100_000.0) == 0.0  # larger than all: with a full bucket
-    assert owner.take("tenant", 10.0, True, 100_100.0)
-
-
-class _Fleet:
-    """Nodes and one owner, in virtual time; the owner may be out of reach."""
-
-    def __init__(self, nodes: int) -> None:
-        address = owner_of("tenant", CHAIN)
-        assert address is not None
-        self.owner = _owner(address)
+    connected = _Connected(_owner(_owner_address()))
+    assert connected.take(10.0, 0.0) == 0.0
+    connected.owner.set_limits({"tenant": QuotaLimit(10.0, 10.0)})
+    assert connected.take(10_000.0, 100_000.0) == 0.0  # larger than all: with a full bucket
+    assert connected.take(10.0, 100_100.0)
+
+
+def test_a_bucket_fills_by_less_for_each_node_that_is_not_heard() -> None:
+    nodes = Nodes()
+    nodes.heard("heard", False, 0.0)
+    nodes.seen(("silent",), 0.0)
+    assert nodes.alone_share(0.0) == 0.5
+    nodes.heard("silent", True, 0.0)
+    assert nodes.alone_share(0.0) == 0.5
+    nodes.heard("silent", False, 0.0)
+    assert nodes.alone_share(CONTACT_MS) == 0.0
+    assert nodes.alone_share(CONTACT_MS + 1.0) == 1.0
+    nodes.forget(FORGET_MS + 1.0)
+    assert nodes.names() == ()
+
+
+def test_without_a_lease_a_bucket_does_not_fill() -> None:
+    owner = _owner(_owner_address())
+    owner.settle(True, 0.0)
+    level = owner._buckets["tenant"].level
+    owner.settle(False, 100.0)
+    owner.settle(True, 200.0)
+    assert owner._buckets["tenant"].level == level
+
+
+def test_a_node_alone_spends_its_reserve_first_and_its_share_later() -> None:
+    holder = QuotaHolder(BOUNDS)
+    fleet = Fleet(10, 0.0)
+    most = BOUNDS.reserve_most(LIMIT) / 10.0
+    assert holder.wanted("tenant", LIMIT, fleet) == most
+    holder.drawn("tenant", LIMIT, 10.0 * most, fleet)
+    assert holder.wanted("tenant", LIMIT, fleet) == 0.0
+    holder.unanswered("owner", 0.0)
+    assert holder.spend_alone("owner", "tenant", LIMIT, most, fleet, 1.0) == 0.0
+    assert holder.spend_alone("owner", "tenant", LIMIT, 100.0, fleet, ALONE_AFTER_MS) > 0.0
+    later = ALONE_AFTER_MS + 10.0
+    assert holder.spend_alone("owner", "tenant", LIMIT, 100.0, fleet, later) == 0.0
+    assert holder.spend_alone("owner", "tenant", LIMIT, 100.0, fleet, later) > 0.0
+
+
+def test_a_node_that_hears_no_replica_for_long_spends_nothing() -> None:
+    holder = QuotaHolder(BOUNDS)
+    holder.unanswered("owner", 0.0)
+    fleet = Fleet(10, 0.0)
+    now, spent = 0.0, 0.0
+    while now < 40_000.0:
+        now += 20.0
+        if not holder.spend_alone("owner", "tenant", LIMIT, 500.0, fleet, now):
+            assert now < FORGET_MS
+            spent += 500.0
+    assert spent > 0.0
+
+
+# Random troubles in the simulated world.
+
+
+def _trouble(cluster: QuotaCluster, rng: random.Random) -> Callable[[], object]:
+    """Bring one trouble about; what ends it."""
+    control = rng.choice(cluster.seeds)
+    others = [address for address in cluster.seeds if address != control]
+    nodes = sorted(cluster.nodes)
+    match rng.choice(
+        ["kill", "freeze", "cut", "cut all", "node cut", "nodes owner", "all", "node", "one way"]
+    ):
+        case "kill":
+            cluster.kill(control)
+            return lambda: cluster.start(control)
+        case "freeze":
+            cluster.freeze(control)
+            return lambda: cluster.thaw(control)
+        case "cut":
+            for other in others:
+                cluster.cut(control, other)
+        case "one way":
+            for node in rng.sample(nodes, 3):
+                cluster.cut(control, node, both=False)
+        case "cut all":
+            for other in (*others, *nodes):
+                cluster.cut(control, other)
+        case "node cut":
+            for node in rng.sample(nodes, rng.randint(1, len(nodes) // 2)):
+                for address in cluster.seeds:
+                    cluster.cut(node, address)
+        case "nodes owner":
+            for node in rng.sample(nodes, rng.randint(1, len(nodes))):
+                cluster.cut(node, control)
+        case "all":
+            for address in cluster.seeds:
+                cluster.kill(address)
+            return lambda: list(map(cluster.start, cluster.seeds))
+        case "node":
+            cluster.start_node(rng.choice(nodes))
+    return cluster.heal
+
+
+def _play(seed: int, limit: QuotaLimit, demand: float) -> QuotaCluster:
+    """Half a minute with troubles, one after the other or two at once."""
+    cluster = QuotaCluster(seed, BOUNDS, limit)
+    rng = random.Random(seed)
+    traffic(cluster, demand, (300.0, 9_190.0))
+    cluster.run(4_000.0)
+    for _ in range(8):
+        end = _trouble(cluster, rng)
+        cluster.run(rng.uniform(100.0, 4_000.0))
+        end()
+        cluster.run(rng.uniform(50.0, 2_000.0))
+    return cluster
+
+
+@pytest.mark.parametrize("limit", [LARGE, LIMIT, SMALL])
+@pytest.mark.parametrize("seed", range(8))
+def test_no_window_passes_the_limit(seed: int, limit: QuotaLimit) -> None:
+    cluster = _play(seed, limit, 3.0)
+    assert cluster.window.total > 0.3 * limit.rate_per_s * cluster.now / 1_000.0
+
+
+def test_hardly_anything_is_refused_below_the_limit_when_the_owner_is_lost() -> None:
+    cluster = QuotaCluster(5, BOUNDS, LARGE)
+    traffic(cluster, 0.75, (300.0, 9_190.0))
+    cluster.run(6_000.0)
+    refused = sum(node.refused for node in cluster.nodes.values())
+    paid = sum(node.paid for node in cluster.nodes.values())
+    cluster.kill(_owner_address(cluster.seeds))
+    cluster.run(4_000.0)
+    lost = sum(node.refused for node in cluster.nodes.values()) - refused
+    served = sum(node.paid for node in cluster.nodes.values()) - paid
+    assert lost <= 0.12 * (lost + served), f"{lost} refused, {served} served"
+
+
+def _broken_by(limit: QuotaLimit, demand: float) -> None:
+    for seed in range(12):
+        _play(seed, limit, demand)
+
+
+def test_a_share_that_is_spent_at_once_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Nodes, "alone_share", lambda *_: 0.0)
+    with pytest.raises(Broken, match="were spent"):
+        _broken_by(LARGE, 6.0)
+
+
+def test_an_owner_that_begins_full_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(QuotaBounds, "first_level", lambda self, limit, _: self.bucket_most(limit))
+    with pytest.raises(Broken, match="were spent"):
+        _broken_by(LARGE, 6.0)
+
+
+def test_a_node_that_goes_on_alone_at_the_whole_rate_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def whole(self: QuotaHolder, *_: object) -> float:
+        return 0.0
+
+    monkeypatch.setattr(quota_holder.QuotaHolder, "spend_alone", whole)
+    with pytest.raises(Broken, match="were spent"):
+        _broken_by(LIMIT, 3.0)
+
+
+# The node's asking.
+
+
+class _Asked:
+    """A node's quotas before an owner that answers at once, or not at all."""
+
+    def __init__(self) -> None:
+        self.owner = _owner(_owner_address())
         self.reachable = True
         self.now = 0.0
-        replicas = Replicas(1, CHAIN, CHAIN, nodes)
-        self.nodes = [NodeQuotas(lambda: replicas, self._sender(n), TOLERANCE) for n in range(nodes)]
-
-    def _sender(self, number: int):  # type: ignore[no-untyped-def]
-        def send(address: str, message: Struct) -> bool:
-            assert isinstance(message, TakeQuota)
-            if not self.reachable:
-                return False
-            wait_ms = self.owner.take(message.tenant, message.amount, True, self.now)
-            assert wait_ms is not None
-            granted = QuotaGranted(message.number, "tenant", 0.0 if wait_ms else message.amount, wait_ms)
-            self.nodes[number].on_granted(granted)
-            return True
+        self.alive: list[NodeAlive] = []
+        replicas = Replicas(1, CHAIN, CHAIN, 10)
+        self.quotas = NodeQuotas(lambda: replicas, lambda: self.now, self._send, BOUNDS)
 
-        return send
-
-
-@pytest.mark.parametrize("seed", range(6))
-def test_nodes_without_their_owner_stay_within_what_a_window_allows(seed: int) -> None:
-    async def play() -> tuple[list[tuple[float, float]], int]:
-        fleet = _Fleet(10)
-        rng = random.Random(seed)
-        taken, granted_alone = [], 0
-        gone_ms = rng.uniform(6_000.0, 12_000.0)
-        while fleet.now < 25_000.0:
-            fleet.now += rng.expovariate(1.0 / 25.0)
-            fleet.reachable = not gone_ms <= fleet.now < gone_ms + 1_200.0
-            amount = rng.uniform(1_000.0, 16_000.0)
-            node = rng.choice(fleet.nodes)
-            paid = await node.pay("tenant", amount, RATE, fleet.now)
-            if isinstance(paid, Granted):
-                taken.append((fleet.now, amount))
-                granted_alone += not fleet.reachable
-            else:
-                assert isinstance(paid, OverQuota)
-                assert paid.wait_ms > 0.0
-        return taken, granted_alone
-
-    taken, granted_alone = asyncio.run(play())
-    assert _most_in_window(taken) <= ALLOWED
-    assert granted_alone > 0
-
-
-def test_a_node_that_is_cut_off_for_long_falls_back_to_little() -> None:
-    async def play() -> float:
-        fleet = _Fleet(10)
-        fleet.reachable = False
-        total = 0.0
-        while fleet.now < 30_000.0:
-            fleet.now += 20.0
-            paid = await fleet.nodes[0].pay("tenant", 5_000.0, RATE, fleet.now)
-            if isinstance(paid, Granted) and fleet.now > 10_000.0:
-                total += 5_000.0
-        return total
-
-    assert asyncio.run(play()) <= 20.0 * node_quotas.ALONE_SHARE * RATE / 10.0 + 10_000.0
+    def _send(self, address: str, message: Struct) -> bool:
+        if isinstance(message, NodeAlive):
+            self.alive.append(message)
+            return True
+        assert isinstance(message, TakeQuota)
+        if not self.reachable:
+            return False
+        self.owner._nodes.heard("node", message.alone, self.now)
+        taken = self.owner.take(message.tenant, message.amount, message.reserve, True, self.now)
+        assert taken is not None
+        amount = 0.0 if taken.wait_ms else message.amount
+        self.quotas.on_granted(QuotaGranted(message.number, "tenant", amount, taken.reserve, taken.wait_ms))
+        return True
+
+
+def test_a_node_tells_its_owner_that_it_spends_alone_and_that_no_longer() -> None:
+    async def play() -> None:
+        asked = _Asked()
+        address = _owner_address()
+        assert await asked.quotas.pay("tenant", 100.0, LIMIT, 0.0) == Granted()
+        assert not asked.quotas.alone(address)
+        asked.reachable = False
+        assert await asked.quotas.pay("tenant", 100.0, LIMIT, 10.0) == Granted()
+        assert asked.quotas.alone(address)
+        assert asked.alive == [NodeAlive(True)]
+        asked.reachable = True
+        assert await asked.quotas.pay("tenant", 100.0, LIMIT, 20.0) == Granted()
+        assert not asked.quotas.alone(address)
+
+    asyncio.run(play())
+
+
+def test_what_an_owner_refuses_is_told_with_a_wait() -> None:
+    async def play() -> None:
+        asked = _Asked()
+        paid = await asked.quotas.pay("tenant", 150_000.0, LIMIT, 0.0)
+        assert isinstance(paid, OverQuota)
+        assert paid.wait_ms > 0.0
+
+    asyncio.run(play())
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -11,8 +11,17 @@
 
 
 def _subscriptions() -> Subscriptions:
+    seeds = ("127.0.0.1:1",)
     return Subscriptions(
-        "node", "a", lambda: ("127.0.0.1:1",), lambda *_: None, lambda _: None, lambda: 0, tuple, lambda: True
+        "node",
+        "a",
+        lambda: seeds,
+        lambda *_: None,
+        lambda _: None,
+        lambda: 0,
+        tuple,
+        lambda: True,
+        lambda _: False,
     )
 
 
