Divide reserves and standing shares by what nodes spend, each with an end on its holder's clock

An owner whose handover was pending also stopped nodes' shares for another half second.

Change: an owner gives each node a share of the rate by what it spent; the shares that are out never add up to more than one, those of an earlier owner count until their holders were heard. A node's silence is told by tenant.

--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -23,7 +23,7 @@
 from dunlinloft.coordination.messages import Document, Durable, Member, Order
 from dunlinloft.coordination.nodes import Nodes
 from dunlinloft.coordination.placement import PlacementRequest, Placements
-from dunlinloft.coordination.quotas import QuotaLimit, QuotaOwner
+from dunlinloft.coordination.quotas import QuotaAsk, QuotaLimit, QuotaOwner
 from dunlinloft.coordination.registry import Registry
 from dunlinloft.coordination.replica import FIRST_INCARNATION, Replica, first_view
 from dunlinloft.coordination.stream import (
@@ -225,10 +225,9 @@
                 case Held() if stream is not None:
                     stream.held = message.version
                 case NodeAlive() if stream is not None:
-                    self._nodes.heard(stream.node, message.alone, now_ms())
+                    self._nodes.heard(stream.node, message.hears, now_ms())
                 case TakeQuota() if stream is not None:
-                    self._nodes.heard(stream.node, message.alone, now_ms())
-                    out.send(self._take_quota(message))
+                    out.send(self._take_quota(stream.node, message))
                 case Place():
                     out.send(self._place(number, message))
                 case PlaceBegan():
@@ -256,20 +255,20 @@
     def _subscribe(self, stream: NodeStream, message: Subscribe) -> None:
         now = now_ms()
         self._quotas.node_seen(message.uptime_ms, now)
-        self._nodes.heard(stream.node, True, now)
+        self._nodes.heard(stream.node, False, now)
         self._flush_servers()
         ranges = self._registry.digests.differing(message.digests)
         servers = Servers(self._registry.complete(now), ranges, self._registry.in_ranges(ranges))
         self._distribution.subscribe(stream, servers)
 
-    def _take_quota(self, message: TakeQuota) -> QuotaGranted:
+    def _take_quota(self, node: str, message: TakeQuota) -> QuotaGranted:
         now = now_ms()
-        leased = self._replica.leased(now)
-        taken = self._quotas.take(message.tenant, message.amount, message.reserve, leased, now)
+        ask = QuotaAsk(node, message.tenant, message.amount, message.reserve, message.share, message.alone)
+        taken = self._quotas.take(ask, self._replica.leased(now), now)
         if taken is None:
-            return QuotaGranted(message.number, message.tenant, 0.0, 0.0, 0.0, False)
+            return QuotaGranted(message.number, message.tenant, 0.0, 0.0, 0.0, 0.0, False)
         amount = 0.0 if taken.wait_ms else message.amount
-        return QuotaGranted(message.number, message.tenant, amount, taken.reserve, taken.wait_ms)
+        return QuotaGranted(message.number, message.tenant, amount, taken.reserve, taken.share, taken.wait_ms)
 
     def _place(self, stream: int, message: Place) -> Placed:
         needs = PlacementRequest(message.parts, message.answer_tokens, message.patient)
@@ -335,6 +334,7 @@
         while True:
             await asyncio.sleep(NODES_S)
             self._nodes.forget(now_ms())
+            self._quotas.forget(now_ms())
             line = lines.encoded(NodesSeen(tuple(stream.node for stream in self._distribution.streams)))
             for address in self._replica.addresses():
                 self._links.send_line(address, line)
--- a/dunlinloft/coordination/nodes.py
+++ b/dunlinloft/coordination/nodes.py
@@ -1,8 +1,7 @@
 """The data-plane nodes that there are, and which of them a quota's owner hears.
 
-A node that an owner does not hear may spend its standing share of each quota, so the owner has to count it
-as spending. Names come from the nodes themselves, from other replicas, and from disk after a restart. Times
-are in milliseconds of a steady clock.
+A node that an owner does not hear may spend its standing shares of quotas, so the owner has to count it as
+spending. Times are in milliseconds of a steady clock.
 """
 
 from __future__ import annotations
@@ -11,7 +10,7 @@
 from dataclasses import dataclass
 
 CONTACT_MS = 450.0  # a node not heard for so long may be spending without its owner
-FORGET_MS = 20_000.0  # a node that nobody has heard for so long is gone; `SHARE_VALID_MS` has ended by then
+FORGET_MS = 20_000.0  # a node that nobody has heard for so long is gone
 
 
 @dataclass(slots=True)
@@ -20,7 +19,7 @@
 
     seen_ms: float  # by anybody
     heard_ms: float | None = None  # by this replica
-    alone: bool = True  # it says that it spends without this owner
+    hears: bool = False  # it says that it hears this replica
 
 
 class Nodes:
@@ -29,14 +28,14 @@
     def __init__(self) -> None:
         self._contacts: dict[str, Contact] = {}
 
-    def heard(self, node: str, alone: bool, now_ms: float) -> None:
-        """A node's own word came here; `alone` says that it spends without this replica."""
+    def heard(self, node: str, hears: bool, now_ms: float) -> None:
+        """A node's own word came here; `hears` tells whether it gets this replica's answers."""
         contact = self._contacts.setdefault(node, Contact(now_ms))
         contact.seen_ms = contact.heard_ms = now_ms
-        contact.alone = alone
+        contact.hears = hears
 
     def seen(self, nodes: Iterable[str], now_ms: float) -> None:
-        """Somebody else heard these nodes, or they were known before a restart."""
+        """Somebody else heard these nodes."""
         for node in nodes:
             self._contacts.setdefault(node, Contact(now_ms)).seen_ms = now_ms
 
@@ -53,10 +52,10 @@
         """How many there are; never none."""
         return max(1, len(self._contacts))
 
-    def alone_share(self, now_ms: float) -> float:
-        """The share of all nodes that may be spending their standing shares now."""
-        alone = sum(
-            contact.alone or contact.heard_ms is None or now_ms - contact.heard_ms > CONTACT_MS
-            for contact in self._contacts.values()
+    def disconnected(self, now_ms: float) -> tuple[str, ...]:
+        """The nodes that may be spending without this owner now."""
+        return tuple(
+            name
+            for name, contact in self._contacts.items()
+            if not contact.hears or contact.heard_ms is None or now_ms - contact.heard_ms > CONTACT_MS
         )
-        return alone / self.count()
--- a/dunlinloft/coordination/quota_holder.py
+++ b/dunlinloft/coordination/quota_holder.py
@@ -2,81 +2,93 @@
 
 Its reserve of a tenant was drawn from the owner's bucket before. Once it has been without the owner for
 `ALONE_AFTER_MS`, its standing share of the rate is added: by then the owner, if there is one, counts this
-node among those that it doesn't hear (`nodes.CONTACT_MS`), and fills its bucket by so much less. Times are
-in milliseconds of a steady clock.
+node among those that it doesn't hear (`nodes.CONTACT_MS`), and fills its bucket by so much less. The share
+ends on this node's own clock. Times are in milliseconds of a steady clock.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
-from dunlinloft.coordination.nodes import CONTACT_MS, FORGET_MS
+from dunlinloft.coordination.nodes import CONTACT_MS
+from dunlinloft.coordination.quota_shares import SHARE_VALID_MS
 from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit
 
-ALONE_AFTER_MS = CONTACT_MS + 50.0  # without its owner, before the standing share is added
-SHARE_VALID_MS = FORGET_MS - 5_000.0  # after the last word from any replica; then the share ends
+TELL_AFTER_MS = 150.0  # without its owner, before the node tells it so: most silences are shorter
+ALONE_AFTER_MS = CONTACT_MS + 50.0  # before the standing share is added
 WAIT_LEAST_MS, WAIT_MOST_MS = 100.0, 1_000.0  # that a refused request is told to wait
 
 
-@dataclass(frozen=True, slots=True)
-class Fleet:
-    """What a node knows of the fleet that a quota is shared by."""
-
-    nodes: int
-    heard_ms: float  # the last word from any replica
-
-
 @dataclass(slots=True)
 class Reserve:
     """What one node holds of one tenant's quota."""
 
     level: float = 0.0
-    filled_ms: float = 0.0  # up to when the standing share has been added
+    share: float = 0.0  # of the rate; until
+    share_until_ms: float = 0.0
+    filled_ms: float = 0.0  # up to when the share has been added to the level
+    alone_since_ms: float | None = None  # when what no owner has answered since was asked
+
+    def share_at(self, now_ms: float) -> float:
+        """The share that is held now."""
+        return self.share if now_ms < self.share_until_ms else 0.0
 
 
 @dataclass(slots=True)
 class QuotaHolder:
-    """One node's reserves, and the owners that it is out of reach of."""
+    """One node's reserves and shares, and the owners that it is out of reach of."""
 
     bounds: QuotaBounds
     _reserves: dict[str, Reserve] = field(default_factory=dict)
-    _alone_since_ms: dict[str, float] = field(default_factory=dict)  # by owner
+    _silent_since_ms: dict[str, float] = field(default_factory=dict)  # by owner
+
+    def hears(self, owner: str, now_ms: float) -> bool:
+        """Whether an owner answers; told to it with each word."""
+        return _short(self._silent_since_ms.get(owner), now_ms)
 
-    def alone(self, owner: str) -> bool:
-        """Whether this node spends without an owner; told to it with each word."""
-        return owner in self._alone_since_ms
+    def alone(self, tenant: str, now_ms: float) -> bool:
+        """Whether a tenant's quota is, or soon will be, spent here without its owner; told with each ask."""
+        return not _short(self._reserve(tenant).alone_since_ms, now_ms)
 
-    def unanswered(self, owner: str, asked_ms: float) -> bool:
-        """An owner did not answer, or isn't one; whether this is news."""
-        if owner in self._alone_since_ms:
-            return False
-        self._alone_since_ms[owner] = asked_ms
-        return True
+    def unanswered(self, owner: str, tenant: str, asked_ms: float) -> None:
+        """An owner did not answer, or isn't one."""
+        self._silent_since_ms.setdefault(owner, asked_ms)
+        reserve = self._reserve(tenant)
+        if reserve.alone_since_ms is None:
+            reserve.alone_since_ms = asked_ms
 
-    def answered(self, owner: str) -> None:
+    def answered(self, owner: str, tenant: str) -> None:
         """The owner answered: this node no longer spends without it."""
-        self._alone_since_ms.pop(owner, None)
+        self._silent_since_ms.pop(owner, None)
+        self._reserve(tenant).alone_since_ms = None
+
+    def held(self, tenant: str, now_ms: float) -> float:
+        """The share that is held now."""
+        return self._reserve(tenant).share_at(now_ms)
 
-    def wanted(self, tenant: str, limit: QuotaLimit, fleet: Fleet) -> float:
+    def wanted(self, tenant: str, limit: QuotaLimit, now_ms: float) -> float:
         """How much more the reserve should hold."""
-        return max(0.0, self._most(limit, fleet) - self._reserve(tenant).level)
+        reserve = self._reserve(tenant)
+        return max(0.0, self._most(reserve, limit, now_ms) - reserve.level)
 
-    def drawn(self, tenant: str, limit: QuotaLimit, amount: float, fleet: Fleet) -> None:
-        """The owner added to the reserve."""
+    def drawn(
+        self, tenant: str, limit: QuotaLimit, amount: float, share: float, asked_ms: float, now_ms: float
+    ) -> None:
+        """The owner added to the reserve, and gave a share."""
         reserve = self._reserve(tenant)
-        reserve.level = min(self._most(limit, fleet), reserve.level + amount)
+        reserve.share = share
+        reserve.share_until_ms = asked_ms + SHARE_VALID_MS
+        reserve.level = min(self._most(reserve, limit, now_ms), reserve.level + amount)
 
-    def spend_alone(
-        self, owner: str | None, tenant: str, limit: QuotaLimit, amount: float, fleet: Fleet, now_ms: float
-    ) -> float:
+    def spend_alone(self, tenant: str, limit: QuotaLimit, amount: float, now_ms: float) -> float:
         """Spend without the owner; the wait in ms until it may be tried again, 0 where it was spent."""
         reserve = self._reserve(tenant)
-        share_per_s = limit.rate_per_s / fleet.nodes
-        since_ms = now_ms if owner is None else self._alone_since_ms.get(owner, now_ms)
+        share_per_s = limit.rate_per_s * reserve.share
+        since_ms = now_ms if reserve.alone_since_ms is None else reserve.alone_since_ms
         begins_ms = max(since_ms + ALONE_AFTER_MS, reserve.filled_ms)
-        ends_ms = min(now_ms, fleet.heard_ms + SHARE_VALID_MS)
+        ends_ms = min(now_ms, reserve.share_until_ms)
         if ends_ms > begins_ms:
-            most = max(self._most(limit, fleet), amount)
+            most = max(self._most(reserve, limit, now_ms), amount)
             added = share_per_s * (ends_ms - begins_ms) / 1_000.0
             reserve.level = max(reserve.level, min(most, reserve.level + added))
             reserve.filled_ms = ends_ms
@@ -92,5 +104,10 @@
             reserve = self._reserves[tenant] = Reserve()
         return reserve
 
-    def _most(self, limit: QuotaLimit, fleet: Fleet) -> float:
-        return self.bounds.reserve_most(limit) / fleet.nodes
+    def _most(self, reserve: Reserve, limit: QuotaLimit, now_ms: float) -> float:
+        return self.bounds.reserve_most(limit) * reserve.share_at(now_ms)
+
+
+def _short(since_ms: float | None, now_ms: float) -> bool:
+    """Whether a silence, if there is one, has been too short to be told."""
+    return since_ms is None or now_ms - since_ms < TELL_AFTER_MS
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -6,8 +6,8 @@
 - An owner grants from a bucket that fills at the tenant's rate, and only under its lease. A new owner waits
   until the old one's lease has ended, and begins with little.
 - Each node holds a reserve that it drew from the bucket before; nothing but a draw refills it.
-- A node that is out of its owner's reach spends its reserve and, later, a standing share of the rate. The
-  owner's bucket fills by that much less for every node that it doesn't hear.
+- A node that is out of its owner's reach spends its reserve and, later, its standing share of the rate
+  (`quota_shares.py`). The owner's bucket fills by that much less for every node that it doesn't hear.
 
 All amounts are in what the tenant's quota counts: requests or tokens.
 """
@@ -18,12 +18,13 @@
 from dataclasses import dataclass
 
 from dunlinloft.coordination.nodes import Nodes
+from dunlinloft.coordination.quota_shares import TenantShares
 from fleet.rendezvous import rank
 
 HANDOVER_MS = 750.0  # a new owner waits so long; the old one stops `LEASE_MS` after it was last confirmed
 EXTRA_SHARE = 0.1  # of what a window may exceed the rate by, that a bucket holds beside the burst
-RESERVE_SHARE, RESERVE_TOLERANCE = 0.5, 0.6  # of that, and of the tolerance, in all nodes' reserves together
-FIRST_SECONDS = 0.15  # of the rate that a new owner begins with: by so much it began after the old one's end
+RESERVE_SHARE, RESERVE_TOLERANCE = 0.6, 0.6  # of that, and of the tolerance, in all nodes' reserves together
+FIRST_SECONDS = 0.3  # of the rate that a new owner begins with: nodes spent none of it for longer
 FIRST_TOLERANCE = 0.1  # of the tolerance that it begins with, too
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
@@ -65,12 +66,25 @@
     burst: float
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaAsk:
+    """What a node asks its owner for."""
+
+    node: str
+    tenant: str
+    amount: float
+    reserve: float  # that it would like to keep beside it
+    share: float  # of the rate that it holds
+    alone: bool  # it spends that share now
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaTaken:
     """An owner's answer: the amount was taken where there is no wait."""
 
     wait_ms: float
     reserve: float  # taken beside it, for the node to keep
+    share: float  # of the rate that the node holds from now on
 
 
 def owner_of(tenant: str, addresses: Sequence[str]) -> str | None:
@@ -84,6 +98,7 @@
 
     most: float
     level: float
+    shares: TenantShares
 
     def fill(self, amount: float) -> None:
         """Add what has come since."""
@@ -120,7 +135,6 @@
         self._may_from_ms: dict[str, float] = {}
         self._settled_ms = began_ms
         self._leased = False
-        self._alone_share = 1.0
 
     def node_seen(self, uptime_ms: float, now_ms: float) -> None:
         """A node subscribed. One that ran before this owner may have spent meanwhile."""
@@ -130,6 +144,7 @@
             self._together = False
             for tenant, bucket in self._buckets.items():
                 bucket.level = min(bucket.level, self._bounds.first_level(self._limits[tenant], False))
+                bucket.shares.not_first(now_ms)
 
     def set_limits(self, limits: dict[str, QuotaLimit]) -> None:
         """The tenants that have a limit."""
@@ -160,13 +175,13 @@
         Time counts only where the lease held at both its ends: without an owner, nodes spend the whole rate.
         """
         passed_s = max(0.0, now_ms - self._settled_ms) / 1_000.0
-        alone_share = self._nodes.alone_share(now_ms)
-        share = 1.0 - max(alone_share, self._alone_share)
-        if leased and self._leased and share > 0.0:
+        if leased and self._leased:
+            disconnected = self._nodes.disconnected(now_ms)
             for tenant, bucket in self._buckets.items():
+                share = 1.0 - bucket.shares.spent_elsewhere(disconnected, now_ms)
                 bucket.fill(self._limits[tenant].rate_per_s * share * passed_s)
         self._settled_ms = max(self._settled_ms, now_ms)
-        self._leased, self._alone_share = leased, alone_share
+        self._leased = leased
         if leased:
             self._begin_buckets(now_ms)
 
@@ -175,20 +190,28 @@
             if tenant in self._buckets or not self._may_grant(tenant, now_ms):
                 continue
             level = self._bounds.first_level(limit, self._together)
-            self._buckets[tenant] = QuotaBucket(self._bounds.bucket_most(limit), level)
+            shares = TenantShares(now_ms, self._together)
+            self._buckets[tenant] = QuotaBucket(self._bounds.bucket_most(limit), level, shares)
 
     def _may_grant(self, tenant: str, now_ms: float) -> bool:
         mine = owner_of(tenant, self._chain) == self._address
         return mine and now_ms >= self._may_from_ms.get(tenant, 0.0)
 
-    def take(
-        self, tenant: str, amount: float, reserve_wanted: float, leased: bool, now_ms: float
-    ) -> QuotaTaken | None:
+    def forget(self, now_ms: float) -> None:
+        """Drop shares that have ended; to be called now and then."""
+        for bucket in self._buckets.values():
+            bucket.shares.forget(now_ms)
+
+    def take(self, ask: QuotaAsk, leased: bool, now_ms: float) -> QuotaTaken | None:
         """Take from a quota; None where this isn't its owner now."""
-        limit = self._limits.get(tenant)
-        if limit is None or not leased or not self._may_grant(tenant, now_ms):
+        limit = self._limits.get(ask.tenant)
+        if limit is None or not leased or not self._may_grant(ask.tenant, now_ms):
             return None
         self.settle(leased, now_ms)
-        bucket = self._buckets[tenant]
-        wait_ms = bucket.take(amount, limit.rate_per_s)
-        return QuotaTaken(wait_ms, 0.0 if wait_ms else bucket.take_reserve(reserve_wanted))
+        bucket = self._buckets[ask.tenant]
+        bucket.shares.heard(ask.node, ask.share, ask.alone, now_ms)
+        wait_ms = bucket.take(ask.amount, limit.rate_per_s)
+        reserve = 0.0 if wait_ms else bucket.take_reserve(ask.reserve)
+        spent = 0.0 if wait_ms else ask.amount
+        share = bucket.shares.give(ask.node, spent, self._nodes.count(), now_ms)
+        return QuotaTaken(wait_ms, reserve, share)
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -65,7 +65,7 @@
 class NodeAlive(Struct, frozen=True, tag="node_alive"):
     """Nothing to say, from a node."""
 
-    alone: bool  # it spends quotas without the replica that it says this to
+    hears: bool  # whether it gets the answers of the replica that it says this to
 
 
 class TakeQuota(Struct, frozen=True, tag="take_quota"):
@@ -75,7 +75,8 @@
     tenant: str
     amount: float
     reserve: float  # that the node would like to keep beside it
-    alone: bool  # as in `NodeAlive`
+    share: float  # of the tenant's rate that it holds
+    alone: bool  # it spends that share, as no owner answers
 
 
 class Place(Struct, frozen=True, tag="place"):
@@ -163,6 +164,7 @@
     tenant: str
     amount: float  # 0 where nothing is left
     reserve: float  # for the node to keep
+    share: float  # of the rate that it holds from now on
     wait_ms: float  # until as much will be there
     owner: bool = True  # False: the asked one isn't the owner now
 
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -47,7 +47,7 @@
         held: Callable[[], int],
         digests: Callable[[], tuple[int, ...]],
         has_servers: Callable[[], bool],
-        alone: Callable[[str], bool],
+        hears: Callable[[str, float], bool],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -57,8 +57,7 @@
         self._held = held
         self._digests = digests
         self._has_servers = has_servers
-        self._alone = alone
-        self.heard_ms = now_ms()  # the last word from any replica
+        self._hears = hears
         self._node_counts: dict[str, int] = {}  # as each replica that is heard tells
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._writers: dict[str, lines.LineWriter] = {}
@@ -77,7 +76,7 @@
                 self._tasks.pop(address).cancel()
             self._drop_failed()
             for address, writer in list(self._writers.items()):
-                writer.send(NodeAlive(self._alone(address)))
+                writer.send(NodeAlive(self._hears(address, now_ms())))
             await asyncio.sleep(ALIVE_S)
 
     def _drop_failed(self) -> None:
@@ -150,7 +149,6 @@
             await asyncio.sleep(wait_s * (0.5 + random.random()))
 
     def _on(self, address: str, message: Any) -> None:
-        self.heard_ms = now_ms()
         if isinstance(message, Replicas):
             self._on_replicas(address, message)
         elif isinstance(message, Version):
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -74,11 +74,10 @@
             lambda: 0 if self._table is None else self._table.version,
             self._servers.digests,
             lambda: self._servers.complete,
-            lambda address: self._quotas.alone(address),
+            lambda address, now: self._quotas.hears(address, now),
         )
         self._quotas = NodeQuotas(
             lambda: self._subscriptions.replicas,
-            lambda: self._subscriptions.heard_ms,
             self._subscriptions.send,
             settings.timing_bounds.quota_bounds(),
         )
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -8,9 +8,9 @@
 
 from msgspec import Struct
 
-from dunlinloft.coordination.quota_holder import Fleet, QuotaHolder
+from dunlinloft.coordination.quota_holder import QuotaHolder
 from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit, owner_of
-from dunlinloft.coordination.stream import NodeAlive, QuotaGranted, Replicas, TakeQuota
+from dunlinloft.coordination.stream import QuotaGranted, Replicas, TakeQuota
 
 ASK_S = 0.03  # the owner's answer is waited for so long
 SILENT_MS = 250.0  # an owner that did not answer isn't waited for during so long
@@ -35,17 +35,15 @@
 
 
 class NodeQuotas:
-    """Pays for requests. `heard_ms` tells when any replica was last heard."""
+    """Pays for requests."""
 
     def __init__(
         self,
         replicas: Callable[[], Replicas | None],
-        heard_ms: Callable[[], float],
         send: Callable[[str, Struct], bool],
         bounds: QuotaBounds,
     ) -> None:
         self._replicas = replicas
-        self._heard_ms = heard_ms
         self._send = send
         self._holder = QuotaHolder(bounds)
         self._denials: dict[str, _Denial] = {}
@@ -53,9 +51,9 @@
         self._numbers = itertools.count(1)
         self._silent_until_ms: dict[str, float] = {}  # by owner
 
-    def alone(self, owner: str) -> bool:
-        """Whether this node spends without an owner."""
-        return self._holder.alone(owner)
+    def hears(self, owner: str, now_ms: float) -> bool:
+        """Whether an owner answers this node."""
+        return self._holder.hears(owner, now_ms)
 
     def on_granted(self, message: QuotaGranted) -> None:
         """An owner's answer; one that comes too late was paid for nothing."""
@@ -69,21 +67,20 @@
         if denial is not None and now_ms < denial.until_ms and amount >= denial.amount:
             return OverQuota(denial.until_ms - now_ms)
         replicas = self._replicas()
-        fleet = Fleet(1 if replicas is None else replicas.nodes, self._heard_ms())
         owner = None if replicas is None else owner_of(tenant, replicas.chain)
-        answer = await self._ask(owner, tenant, amount, self._holder.wanted(tenant, limit, fleet), now_ms)
+        answer = await self._ask(owner, tenant, amount, limit, now_ms)
         if owner is None or answer is None or not answer.owner:
-            wait_ms = self._holder.spend_alone(owner, tenant, limit, amount, fleet, now_ms)
+            wait_ms = self._holder.spend_alone(tenant, limit, amount, now_ms)
             return OverQuota(wait_ms) if wait_ms else Granted()
-        self._holder.answered(owner)
+        self._holder.answered(owner, tenant)
+        self._holder.drawn(tenant, limit, answer.reserve, answer.share, now_ms, now_ms)
         if answer.amount < amount:
             self._denials[tenant] = _Denial(now_ms + min(answer.wait_ms, DENY_MOST_MS), amount)
             return OverQuota(answer.wait_ms)
-        self._holder.drawn(tenant, limit, answer.reserve, fleet)
         return Granted()
 
     async def _ask(
-        self, owner: str | None, tenant: str, amount: float, reserve: float, now_ms: float
+        self, owner: str | None, tenant: str, amount: float, limit: QuotaLimit, now_ms: float
     ) -> QuotaGranted | None:
         if owner is None or now_ms < self._silent_until_ms.get(owner, 0.0):
             return None
@@ -92,13 +89,15 @@
         self._waiting[number] = future
         answer = None
         try:
-            if self._send(owner, TakeQuota(number, tenant, amount, reserve, self.alone(owner))):
+            reserve = self._holder.wanted(tenant, limit, now_ms)
+            share, alone = self._holder.held(tenant, now_ms), self._holder.alone(tenant, now_ms)
+            if self._send(owner, TakeQuota(number, tenant, amount, reserve, share, alone)):
                 async with asyncio.timeout(ASK_S):
                     answer = await future
         except TimeoutError:
             self._silent_until_ms[owner] = now_ms + 1_000.0 * ASK_S + SILENT_MS
         finally:
             self._waiting.pop(number, None)
-        if (answer is None or not answer.owner) and self._holder.unanswered(owner, now_ms):
-            self._send(owner, NodeAlive(True))
+        if answer is None or not answer.owner:
+            self._holder.unanswered(owner, tenant, now_ms)
         return answer
--- a/lab/control/quota_cluster.py
+++ b/lab/control/quota_cluster.py
@@ -8,8 +8,15 @@
 from dataclasses import dataclass, field
 
 from dunlinloft.coordination.nodes import Nodes
-from dunlinloft.coordination.quota_holder import Fleet, QuotaHolder
-from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit, QuotaOwner, QuotaTaken, owner_of
+from dunlinloft.coordination.quota_holder import QuotaHolder
+from dunlinloft.coordination.quotas import (
+    QuotaAsk,
+    QuotaBounds,
+    QuotaLimit,
+    QuotaOwner,
+    QuotaTaken,
+    owner_of,
+)
 from dunlinloft.coordination.stream import Replicas
 from lab.control.cluster import DELAY_MS, TICK_MS, Cluster, Machine
 from lab.control.rules import Broken
@@ -69,7 +76,6 @@
     name: str
     holder: QuotaHolder
     began_ms: float
-    heard_ms: float
     replicas: Replicas | None = None
     counts: dict[str, int] = field(default_factory=dict)
     subscribed: dict[str, int] = field(default_factory=dict)  # by replica: the life that it subscribed to
@@ -104,7 +110,7 @@
 
     def start_node(self, name: str) -> None:
         """Start a node, or start it again: it holds nothing then."""
-        node = QuotaNode(name, QuotaHolder(self.bounds), self.now, self.now)
+        node = QuotaNode(name, QuotaHolder(self.bounds), self.now)
         self.nodes[name] = node
         self.after(self.rng.uniform(0.0, ALIVE_MS), lambda: self._alive(node))
 
@@ -121,13 +127,13 @@
         side.owner.set_chain(chain, self.now)
         side.owner.settle(replica.leased(self.now), self.now)
         side.nodes.forget(self.now)
+        side.owner.forget(self.now)
         told = Replicas(replica.view.epoch, chain, chain, side.nodes.count())
         for node in list(self.nodes.values()):
             if node.subscribed.get(machine.address) == life:
                 self._to_node(machine.address, node, lambda node=node: self._told(machine, node, told))  # type: ignore[misc]
 
     def _told(self, machine: Machine, node: QuotaNode, told: Replicas) -> None:
-        node.heard_ms = self.now
         node.counts[machine.address] = told.nodes
         if node.replicas is None or told.epoch >= node.replicas.epoch:
             most = max(node.counts.values())
@@ -166,20 +172,20 @@
         if not self._running(node):
             return
         for address in self.machines:
-            alone = node.holder.alone(address)
+            hears = node.holder.hears(address, self.now)
             self._to_replica(
                 node.name,
                 address,
-                lambda side, address=address, alone=alone: self._heard(side, node, address, alone),  # type: ignore[misc]
+                lambda side, address=address, hears=hears: self._heard(side, node, address, hears),  # type: ignore[misc]
             )
         self.after(ALIVE_MS, lambda: self._alive(node))
 
-    def _heard(self, side: OwnerSide, node: QuotaNode, address: str, alone: bool) -> None:
+    def _heard(self, side: OwnerSide, node: QuotaNode, address: str, hears: bool) -> None:
         if node.subscribed.get(address) != side.life:
             node.subscribed[address] = side.life
             side.owner.node_seen(self.now - node.began_ms, self.now)
-            alone = True
-        side.nodes.heard(node.name, alone, self.now)
+            hears = False
+        side.nodes.heard(node.name, hears, self.now)
 
     # Spending.
 
@@ -189,7 +195,7 @@
         replicas = node.replicas
         owner = None if replicas is None else owner_of(TENANT, replicas.chain)
         if owner is None or self.now < node.silent_until_ms.get(owner, 0.0):
-            self._alone(node, owner, amount)
+            self._alone(node, amount)
             return
         asked_ms = self.now
         answers = itertools.count()
@@ -198,45 +204,37 @@
             if not self._running(node) or next(answers):
                 return
             if taken is None:
-                self._unanswered(node, owner, asked_ms)
-                self._alone(node, owner, amount)
+                node.holder.unanswered(owner, TENANT, asked_ms)
+                self._alone(node, amount)
                 return
-            node.holder.answered(owner)
+            node.holder.answered(owner, TENANT)
+            node.holder.drawn(TENANT, self.limit, taken.reserve, taken.share, asked_ms, self.now)
             if taken.wait_ms:
                 node.refused += 1
                 return
-            node.holder.drawn(TENANT, self.limit, taken.reserve, self._fleet(node))
             self._spent(node, amount)
 
         def late() -> None:
             if self._running(node) and not next(answers):
                 node.silent_until_ms[owner] = self.now + SILENT_MS
-                self._unanswered(node, owner, asked_ms)
-                self._alone(node, owner, amount)
+                node.holder.unanswered(owner, TENANT, asked_ms)
+                self._alone(node, amount)
 
-        wanted = node.holder.wanted(TENANT, self.limit, self._fleet(node))
-        alone = node.holder.alone(owner)
+        wanted = node.holder.wanted(TENANT, self.limit, self.now)
+        held, alone = node.holder.held(TENANT, self.now), node.holder.alone(TENANT, self.now)
+        ask = QuotaAsk(name, TENANT, amount, wanted, held, alone)
 
-        def ask(side: OwnerSide) -> None:
+        def take(side: OwnerSide) -> None:
             machine = self.machines[owner]
             assert machine.replica is not None
-            side.nodes.heard(node.name, alone, self.now)
-            leased = machine.replica.leased(self.now)
-            taken = side.owner.take(TENANT, amount, wanted, leased, self.now)
+            taken = side.owner.take(ask, machine.replica.leased(self.now), self.now)
             self._to_node(owner, node, lambda: answered(taken))
 
-        self._to_replica(node.name, owner, ask)
+        self._to_replica(node.name, owner, take)
         self.after(ASK_MS, late)
 
-    def _unanswered(self, node: QuotaNode, owner: str, asked_ms: float) -> None:
-        if node.holder.unanswered(owner, asked_ms):
-            self._to_replica(node.name, owner, lambda side: self._heard(side, node, owner, True))
-
-    def _fleet(self, node: QuotaNode) -> Fleet:
-        return Fleet(1 if node.replicas is None else node.replicas.nodes, node.heard_ms)
-
-    def _alone(self, node: QuotaNode, owner: str | None, amount: float) -> None:
-        wait_ms = node.holder.spend_alone(owner, TENANT, self.limit, amount, self._fleet(node), self.now)
+    def _alone(self, node: QuotaNode, amount: float) -> None:
+        wait_ms = node.holder.spend_alone(TENANT, self.limit, amount, self.now)
         if wait_ms:
             node.refused += 1
         else:
@@ -253,7 +251,10 @@
     gap_ms = 1_000.0 * mean / (cluster.limit.rate_per_s * demand)
 
     def arrive() -> None:
-        name = cluster.rng.choice(sorted(cluster.nodes))
+        names = sorted(cluster.nodes)
+        # Clients fall on nodes by a hash: the busiest gets three times what the quietest does.
+        weights = [1.0 + 2.0 * place / len(names) for place in range(len(names))]
+        name = cluster.rng.choices(names, weights)[0]
         cluster.spend(name, cluster.rng.uniform(*amounts))
         cluster.after(cluster.rng.expovariate(1.0 / gap_ms), arrive)
 
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -11,9 +11,17 @@
 
 from dunlinloft.coordination import quota_holder
 from dunlinloft.coordination.nodes import CONTACT_MS, FORGET_MS, Nodes
-from dunlinloft.coordination.quota_holder import ALONE_AFTER_MS, Fleet, QuotaHolder
-from dunlinloft.coordination.quotas import HANDOVER_MS, QuotaBounds, QuotaLimit, QuotaOwner, owner_of
-from dunlinloft.coordination.stream import NodeAlive, QuotaGranted, Replicas, TakeQuota
+from dunlinloft.coordination.quota_holder import ALONE_AFTER_MS, TELL_AFTER_MS, QuotaHolder
+from dunlinloft.coordination.quota_shares import SHARE_KEPT_MS, SHARE_VALID_MS, TenantShares
+from dunlinloft.coordination.quotas import (
+    HANDOVER_MS,
+    QuotaAsk,
+    QuotaBounds,
+    QuotaLimit,
+    QuotaOwner,
+    owner_of,
+)
+from dunlinloft.coordination.stream import QuotaGranted, Replicas, TakeQuota
 from dunlinloft.dataplane.quota import Granted, NodeQuotas, OverQuota
 from lab.control.quota_cluster import QuotaCluster, QuotaWindow, traffic
 from lab.control.rules import Broken
@@ -25,6 +33,10 @@
 CHAIN = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
 
 
+def _ask(amount: float, tenant: str = "tenant", node: str = "node") -> QuotaAsk:
+    return QuotaAsk(node, tenant, amount, 0.0, 0.0, False)
+
+
 def _owner_address(chain: tuple[str, ...] = CHAIN) -> str:
     address = owner_of("tenant", chain)
     assert address is not None
@@ -33,7 +45,7 @@
 
 def _owner(address: str, limit: QuotaLimit = LIMIT) -> QuotaOwner:
     nodes = Nodes()
-    nodes.heard("node", False, 0.0)
+    nodes.heard("node", True, 0.0)
     owner = QuotaOwner(address, 0.0, BOUNDS, nodes)
     owner.set_limits({"tenant": limit})
     owner.set_chain(CHAIN, 0.0)
@@ -48,8 +60,8 @@
 
     def take(self, amount: float, now_ms: float) -> float:
         """Take from the quota; the wait."""
-        self.owner._nodes.heard("node", False, now_ms)
-        taken = self.owner.take("tenant", amount, 0.0, True, now_ms)
+        self.owner._nodes.heard("node", True, now_ms)
+        taken = self.owner.take(_ask(amount), True, now_ms)
         assert taken is not None
         return taken.wait_ms
 
@@ -80,18 +92,18 @@
 def test_only_the_owner_grants_and_only_with_a_lease() -> None:
     for address in CHAIN:
         owner = _owner(address)
-        granted = owner.take("tenant", 100.0, 0.0, True, 0.0)
+        granted = owner.take(_ask(100.0), True, 0.0)
         assert (granted is not None) == (address == _owner_address())
-        assert owner.take("tenant", 100.0, 0.0, False, 0.0) is None
-        assert owner.take("nobody", 100.0, 0.0, True, 0.0) is None
+        assert owner.take(_ask(100.0), False, 0.0) is None
+        assert owner.take(_ask(100.0, "nobody"), True, 0.0) is None
 
 
 def test_a_new_owner_waits_until_the_old_one_can_grant_no_more() -> None:
     left = tuple(a for a in CHAIN if a != _owner_address())
     owner = _owner(_owner_address(left))
     owner.set_chain(left, 1_000.0)
-    assert owner.take("tenant", 100.0, 0.0, True, 1_000.0 + HANDOVER_MS - 1.0) is None
-    assert owner.take("tenant", 100.0, 0.0, True, 1_000.0 + HANDOVER_MS) is not None
+    assert owner.take(_ask(100.0), True, 1_000.0 + HANDOVER_MS - 1.0) is None
+    assert owner.take(_ask(100.0), True, 1_000.0 + HANDOVER_MS) is not None
 
 
 def test_a_new_owner_begins_with_what_it_began_later_than_the_old_one_ended() -> None:
@@ -99,17 +111,17 @@
     owner = _owner(_owner_address(left))
     owner.set_chain(left, 1_000.0)
     now = 1_000.0 + HANDOVER_MS
-    granted = sum(owner.take("tenant", 1_000.0, 0.0, True, now) is not None for _ in range(1))
-    while (taken := owner.take("tenant", 1_000.0, 0.0, True, now)) is not None and not taken.wait_ms:
+    granted = 0
+    while (taken := owner.take(_ask(1_000.0), True, now)) is not None and not taken.wait_ms:
         granted += 1
-    assert 1_000.0 * granted <= BOUNDS.first_level(LIMIT, False)
+    assert 0.9 * BOUNDS.first_level(LIMIT, False) < 1_000.0 * granted <= BOUNDS.first_level(LIMIT, False)
 
 
 def test_a_node_that_ran_before_takes_back_what_a_common_start_would_grant() -> None:
     owner = _owner(_owner_address())
-    assert owner.take("tenant", 10_000.0, 0.0, True, 500.0) is not None
+    assert owner.take(_ask(10_000.0), True, 500.0) is not None
     owner.node_seen(60_000.0, 600.0)
-    taken = owner.take("tenant", BOUNDS.first_level(LIMIT, False) + 1_000.0, 0.0, True, 600.0)
+    taken = owner.take(_ask(BOUNDS.first_level(LIMIT, False) + 1_000.0), True, 600.0)
     assert taken is not None
     assert taken.wait_ms > 0.0
 
@@ -122,20 +134,66 @@
     assert connected.take(10.0, 100_100.0)
 
 
-def test_a_bucket_fills_by_less_for_each_node_that_is_not_heard() -> None:
+def test_a_node_that_is_not_heard_or_says_so_is_disconnected() -> None:
     nodes = Nodes()
-    nodes.heard("heard", False, 0.0)
+    nodes.heard("heard", True, 0.0)
     nodes.seen(("silent",), 0.0)
-    assert nodes.alone_share(0.0) == 0.5
-    nodes.heard("silent", True, 0.0)
-    assert nodes.alone_share(0.0) == 0.5
-    nodes.heard("silent", False, 0.0)
-    assert nodes.alone_share(CONTACT_MS) == 0.0
-    assert nodes.alone_share(CONTACT_MS + 1.0) == 1.0
+    assert nodes.disconnected(0.0) == ("silent",)
+    nodes.heard("heard", False, 0.0)
+    assert nodes.disconnected(0.0) == ("heard", "silent")
+    nodes.heard("heard", True, 0.0)
+    assert nodes.disconnected(CONTACT_MS) == ("silent",)
+    assert nodes.disconnected(CONTACT_MS + 1.0) == ("heard", "silent")
     nodes.forget(FORGET_MS + 1.0)
     assert nodes.names() == ()
 
 
+def _given(shares: TenantShares, held: dict[str, float], node: str, spent: float, now_ms: float) -> None:
+    shares.heard(node, held[node], False, now_ms)
+    held[node] = shares.give(node, spent, len(held), now_ms)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_shares_follow_use_and_never_add_up_to_more_than_one(seed: int) -> None:
+    rng = random.Random(seed)
+    shares = TenantShares(0.0, True)
+    held = dict.fromkeys("abcdef", 0.0)
+    busy = "a"
+    for step in range(600):
+        if step % 200 == 0:
+            busy = rng.choice("abcdef")
+        node = busy if rng.random() < 0.8 else rng.choice("abcdef")
+        _given(shares, held, node, rng.uniform(1.0, 100.0), 50.0 * step)
+        assert sum(held.values()) <= 1.0 + 1e-9
+    assert held[busy] == max(held.values())
+
+
+def test_what_an_earlier_owner_gave_counts_until_its_holder_was_heard() -> None:
+    shares = TenantShares(0.0, False)
+    held = {"a": 0.6, "b": 0.3}
+    assert shares.spent_elsewhere((), 0.0) == 1.0
+    _given(shares, held, "a", 10.0, 1.0)
+    assert held["a"] <= 0.6
+    assert shares.spent_elsewhere((), 1.0) == pytest.approx(0.4)
+    assert shares.spent_elsewhere(("a",), 1.0) == pytest.approx(1.0)
+    _given(shares, held, "b", 10.0, 2.0)
+    assert shares.spent_elsewhere((), 2.0) == pytest.approx(0.1)
+    assert shares.spent_elsewhere((), SHARE_KEPT_MS) == 0.0
+
+
+def test_a_share_is_given_again_only_after_it_has_ended_at_its_holder() -> None:
+    shares = TenantShares(0.0, True)
+    held = {"gone": 0.0, "here": 0.0}
+    _given(shares, held, "gone", 100.0, 0.0)
+    assert held["gone"] > 0.8
+    for now in range(0, int(SHARE_VALID_MS), 500):
+        _given(shares, held, "here", 100.0, float(now))
+        assert held["here"] <= 1.0 - held["gone"] + 1e-9
+    shares.forget(SHARE_KEPT_MS + 1.0)
+    _given(shares, held, "here", 100.0, SHARE_KEPT_MS + 1.0)
+    assert held["here"] > 0.8
+
+
 def test_without_a_lease_a_bucket_does_not_fill() -> None:
     owner = _owner(_owner_address())
     owner.settle(True, 0.0)
@@ -147,30 +205,30 @@
 
 def test_a_node_alone_spends_its_reserve_first_and_its_share_later() -> None:
     holder = QuotaHolder(BOUNDS)
-    fleet = Fleet(10, 0.0)
     most = BOUNDS.reserve_most(LIMIT) / 10.0
-    assert holder.wanted("tenant", LIMIT, fleet) == most
-    holder.drawn("tenant", LIMIT, 10.0 * most, fleet)
-    assert holder.wanted("tenant", LIMIT, fleet) == 0.0
-    holder.unanswered("owner", 0.0)
-    assert holder.spend_alone("owner", "tenant", LIMIT, most, fleet, 1.0) == 0.0
-    assert holder.spend_alone("owner", "tenant", LIMIT, 100.0, fleet, ALONE_AFTER_MS) > 0.0
-    later = ALONE_AFTER_MS + 10.0
-    assert holder.spend_alone("owner", "tenant", LIMIT, 100.0, fleet, later) == 0.0
-    assert holder.spend_alone("owner", "tenant", LIMIT, 100.0, fleet, later) > 0.0
-
-
-def test_a_node_that_hears_no_replica_for_long_spends_nothing() -> None:
+    assert holder.wanted("tenant", LIMIT, 0.0) == 0.0
+    holder.drawn("tenant", LIMIT, 10.0 * most, 0.1, 0.0, 0.0)
+    assert holder.wanted("tenant", LIMIT, 0.0) == 0.0
+    holder.unanswered("owner", "tenant", 0.0)
+    assert holder.spend_alone("tenant", LIMIT, most, 1.0) == 0.0
+    assert holder.wanted("tenant", LIMIT, 1.0) == most
+    assert holder.spend_alone("tenant", LIMIT, 100.0, ALONE_AFTER_MS) > 0.0
+    later = ALONE_AFTER_MS + 11.0
+    assert holder.spend_alone("tenant", LIMIT, 100.0, later) == 0.0
+    assert holder.spend_alone("tenant", LIMIT, 100.0, later) > 0.0
+
+
+def test_a_share_ends_on_its_holders_clock() -> None:
     holder = QuotaHolder(BOUNDS)
-    holder.unanswered("owner", 0.0)
-    fleet = Fleet(10, 0.0)
-    now, spent = 0.0, 0.0
+    holder.drawn("tenant", LIMIT, 0.0, 0.1, 0.0, 0.0)
+    holder.unanswered("owner", "tenant", 0.0)
+    now, last = 0.0, 0.0
     while now < 40_000.0:
         now += 20.0
-        if not holder.spend_alone("owner", "tenant", LIMIT, 500.0, fleet, now):
-            assert now < FORGET_MS
-            spent += 500.0
-    assert spent > 0.0
+        if not holder.spend_alone("tenant", LIMIT, 500.0, now):
+            last = now
+    assert SHARE_VALID_MS - 500.0 < last < SHARE_VALID_MS + 500.0
+    assert holder.held("tenant", SHARE_VALID_MS) == 0.0
 
 
 # Random troubles in the simulated world.
@@ -254,16 +312,32 @@
         _play(seed, limit, demand)
 
 
-def test_a_share_that_is_spent_at_once_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Nodes, "alone_share", lambda *_: 0.0)
+def test_shares_that_are_spent_beside_the_whole_rate_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(TenantShares, "spent_elsewhere", lambda *_: 0.0)
     with pytest.raises(Broken, match="were spent"):
         _broken_by(LARGE, 6.0)
 
 
+def _owners_are_lost_one_after_the_other() -> None:
+    cluster = QuotaCluster(3, BOUNDS, LARGE)
+    traffic(cluster, 6.0, (300.0, 9_190.0))
+    cluster.run(6_000.0)
+    for _ in range(6):
+        owner = _owner_address(cluster.seeds)
+        cluster.kill(owner)
+        cluster.run(1_700.0)
+        cluster.start(owner)
+        cluster.run(900.0)
+
+
+def test_owners_that_are_lost_one_after_the_other_stay_within_the_limit() -> None:
+    _owners_are_lost_one_after_the_other()
+
+
 def test_an_owner_that_begins_full_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(QuotaBounds, "first_level", lambda self, limit, _: self.bucket_most(limit))
     with pytest.raises(Broken, match="were spent"):
-        _broken_by(LARGE, 6.0)
+        _owners_are_lost_one_after_the_other()
 
 
 def test_a_node_that_goes_on_alone_at_the_whole_rate_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -285,22 +359,20 @@
         self.owner = _owner(_owner_address())
         self.reachable = True
         self.now = 0.0
-        self.alive: list[NodeAlive] = []
         replicas = Replicas(1, CHAIN, CHAIN, 10)
-        self.quotas = NodeQuotas(lambda: replicas, lambda: self.now, self._send, BOUNDS)
+        self.quotas = NodeQuotas(lambda: replicas, self._send, BOUNDS)
 
     def _send(self, address: str, message: Struct) -> bool:
-        if isinstance(message, NodeAlive):
-            self.alive.append(message)
-            return True
         assert isinstance(message, TakeQuota)
         if not self.reachable:
             return False
-        self.owner._nodes.heard("node", message.alone, self.now)
-        taken = self.owner.take(message.tenant, message.amount, message.reserve, True, self.now)
+        ask = QuotaAsk("node", message.tenant, message.amount, message.reserve, message.share, message.alone)
+        taken = self.owner.take(ask, True, self.now)
         assert taken is not None
         amount = 0.0 if taken.wait_ms else message.amount
-        self.quotas.on_granted(QuotaGranted(message.number, "tenant", amount, taken.reserve, taken.wait_ms))
+        self.quotas.on_granted(
+            QuotaGranted(message.number, "tenant", amount, taken.reserve, taken.share, taken.wait_ms)
+        )
         return True
 
 
@@ -308,15 +380,16 @@
     async def play() -> None:
         asked = _Asked()
         address = _owner_address()
-        assert await asked.quotas.pay("tenant", 100.0, LIMIT, 0.0) == Granted()
-        assert not asked.quotas.alone(address)
+        for _ in range(2):  # the first tells its share, the second fills the reserve
+            assert await asked.quotas.pay("tenant", 100.0, LIMIT, 0.0) == Granted()
+        assert asked.quotas.hears(address, 0.0)
         asked.reachable = False
         assert await asked.quotas.pay("tenant", 100.0, LIMIT, 10.0) == Granted()
-        assert asked.quotas.alone(address)
-        assert asked.alive == [NodeAlive(True)]
+        assert asked.quotas.hears(address, 10.0)
+        assert not asked.quotas.hears(address, 10.0 + TELL_AFTER_MS)
         asked.reachable = True
-        assert await asked.quotas.pay("tenant", 100.0, LIMIT, 20.0) == Granted()
-        assert not asked.quotas.alone(address)
+        assert await asked.quotas.pay("tenant", 100.0, LIMIT, 500.0) == Granted()
+        assert asked.quotas.hears(address, 500.0)
 
     asyncio.run(play())
 
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -21,7 +21,7 @@
         lambda: 0,
         tuple,
         lambda: True,
-        lambda _: False,
+        lambda *_: False,
     )
 
 
