--- a/dunlinloft/controlplane/disk.py
+++ b/dunlinloft/controlplane/disk.py
@@ -9,7 +9,7 @@
 
 from absl import logging
 
-from dunlinloft.controlplane.known_servers import KnownServers
+from dunlinloft.controlplane.known_members import Known, KnownMembers
 from dunlinloft.controlplane.store import Store
 from dunlinloft.coordination.messages import Durable, Record
 from dunlinloft.coordination.stream import ServerRecord
@@ -23,7 +23,7 @@
     def __init__(self, folder: Path | None) -> None:
         self._folder = folder
         self._store: Store | None = None
-        self._known = None if folder is None else KnownServers(folder)
+        self._known = None if folder is None else KnownMembers(folder)
         self._thread = ThreadPoolExecutor(1, "disk")
         self._waiting: list[tuple[int, Record]] = []
         self._wake = asyncio.Event()
@@ -42,18 +42,19 @@
             else:
                 return self._store.durable
 
-    async def known_servers(self) -> tuple[ServerRecord, ...]:
-        """The servers that were known before this start."""
+    async def known(self) -> Known:
+        """The servers and nodes that were known before this start."""
         if self._known is None:
-            return ()
+            return Known()
         return await asyncio.get_running_loop().run_in_executor(self._thread, self._known.read)
 
-    async def remember(self, records: tuple[ServerRecord, ...]) -> None:
-        """Write down the servers known now; a disk that refuses is no matter."""
+    async def remember(self, servers: tuple[ServerRecord, ...], nodes: tuple[str, ...]) -> None:
+        """Write down what is known now; a disk that refuses is no matter."""
         if self._known is None:
             return
+        loop, known = asyncio.get_running_loop(), Known(servers, nodes)
         try:
-            await asyncio.get_running_loop().run_in_executor(self._thread, self._known.write, records)
+            await loop.run_in_executor(self._thread, self._known.write, known)
         except OSError as error:
             logging.warning("event=disk_refused at=servers error=%s", error)
 
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -23,7 +23,7 @@
 from dunlinloft.coordination.messages import Document, Durable, Member, Order
 from dunlinloft.coordination.nodes import Nodes
 from dunlinloft.coordination.placement import PlacementRequest, Placements
-from dunlinloft.coordination.quotas import QuotaAsk, QuotaLimit, QuotaOwner
+from dunlinloft.coordination.quotas import NodeHoldings, QuotaAsk, QuotaLimit, QuotaOwner
 from dunlinloft.coordination.registry import Registry
 from dunlinloft.coordination.replica import FIRST_INCARNATION, Replica, first_view
 from dunlinloft.coordination.stream import (
@@ -31,7 +31,9 @@
     Beats,
     Fetch,
     Held,
+    HoldsShares,
     NodeAlive,
+    NodeSeen,
     NodesSeen,
     Place,
     PlaceBegan,
@@ -96,7 +98,9 @@
         first = FIRST_INCARNATION if settings.bootstrap else None
         durable = await self._disk.open(first)
         self._replica = self._make_replica(durable, counts)
-        self._registry.restore(await self._disk.known_servers(), now_ms())
+        known = await self._disk.known()
+        self._registry.restore(known.servers, now_ms())
+        self._nodes.seen((NodeSeen(node, 0.0) for node in known.nodes), now_ms())
         self._placements.follow(self._registry.records.values())
         begins = settings.bootstrap and counts and self._address in settings.seeds()
         self._perform(self._replica.begin(first_view(settings.seeds()) if begins else None))
@@ -202,7 +206,7 @@
             return
         addresses = tuple(member.address for member in view.roster)
         chain = tuple(member.address for member in view.chain)
-        self._quotas.set_chain(chain, now_ms())
+        self._quotas.set_chain(view.epoch, chain, now_ms())
         self._distribution.set_replicas(Replicas(view.epoch, addresses, chain, self._nodes.count()))
 
     # Streams from nodes and other replicas.
@@ -224,6 +228,8 @@
                     self._distribution.fetch(stream, message.held)
                 case Held() if stream is not None:
                     stream.held = message.version
+                case HoldsShares() if stream is not None:
+                    self._on_holdings(stream.node, message)
                 case NodeAlive() if stream is not None:
                     self._nodes.heard(stream.node, message.hears, now_ms())
                 case TakeQuota() if stream is not None:
@@ -256,11 +262,15 @@
         now = now_ms()
         self._quotas.node_seen(message.uptime_ms, now)
         self._nodes.heard(stream.node, False, now)
+        self._on_holdings(stream.node, message.shares)
         self._flush_servers()
         ranges = self._registry.digests.differing(message.digests)
         servers = Servers(self._registry.complete(now), ranges, self._registry.in_ranges(ranges))
         self._distribution.subscribe(stream, servers)
 
+    def _on_holdings(self, node: str, message: HoldsShares) -> None:
+        self._quotas.holds(node, NodeHoldings(message.epoch, message.shares), now_ms())
+
     def _take_quota(self, node: str, message: TakeQuota) -> QuotaGranted:
         now = now_ms()
         ask = QuotaAsk(node, message.tenant, message.amount, message.reserve, message.share, message.alone)
@@ -326,16 +336,17 @@
         known: set[str] = set()
         while True:
             await asyncio.sleep(REMEMBER_S)
-            if known != self._registry.records.keys():
-                known = set(self._registry.records)
-                await self._disk.remember(tuple(self._registry.records.values()))
+            names = {*self._registry.records, *self._nodes.names()}
+            if known != names:
+                known = names
+                await self._disk.remember(tuple(self._registry.records.values()), self._nodes.names())
 
     async def _node_words(self) -> None:
         while True:
             await asyncio.sleep(NODES_S)
             self._nodes.forget(now_ms())
             self._quotas.forget(now_ms())
-            line = lines.encoded(NodesSeen(tuple(stream.node for stream in self._distribution.streams)))
+            line = lines.encoded(NodesSeen(self._nodes.known(now_ms())))
             for address in self._replica.addresses():
                 self._links.send_line(address, line)
 
--- a/dunlinloft/coordination/nodes.py
+++ b/dunlinloft/coordination/nodes.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from dunlinloft.coordination.stream import NodeSeen
+
 CONTACT_MS = 450.0  # a node not heard for so long may be spending without its owner
 FORGET_MS = 20_000.0  # a node that nobody has heard for so long is gone
 
@@ -34,10 +36,16 @@
         contact.seen_ms = contact.heard_ms = now_ms
         contact.hears = hears
 
-    def seen(self, nodes: Iterable[str], now_ms: float) -> None:
-        """Somebody else heard these nodes."""
-        for node in nodes:
-            self._contacts.setdefault(node, Contact(now_ms)).seen_ms = now_ms
+    def seen(self, nodes: Iterable[NodeSeen], now_ms: float) -> None:
+        """What somebody else knows."""
+        for seen in nodes:
+            seen_ms = now_ms - seen.age_ms
+            contact = self._contacts.setdefault(seen.node, Contact(seen_ms))
+            contact.seen_ms = max(contact.seen_ms, seen_ms)
+
+    def known(self, now_ms: float) -> tuple[NodeSeen, ...]:
+        """All nodes, to be told to others or kept on disk."""
+        return tuple(NodeSeen(node, now_ms - contact.seen_ms) for node, contact in self._contacts.items())
 
     def forget(self, now_ms: float) -> None:
         """Drop those whom nobody has heard for long."""
--- a/dunlinloft/coordination/quota_holder.py
+++ b/dunlinloft/coordination/quota_holder.py
@@ -66,6 +66,11 @@
         """The share that is held now."""
         return self._reserve(tenant).share_at(now_ms)
 
+    def shares(self, now_ms: float) -> dict[str, float]:
+        """All shares that are held now, by tenant."""
+        held = {tenant: reserve.share_at(now_ms) for tenant, reserve in self._reserves.items()}
+        return {tenant: share for tenant, share in held.items() if share}
+
     def wanted(self, tenant: str, limit: QuotaLimit, now_ms: float) -> float:
         """How much more the reserve should hold."""
         reserve = self._reserve(tenant)
--- a/dunlinloft/coordination/quota_shares.py
+++ b/dunlinloft/coordination/quota_shares.py
@@ -3,7 +3,7 @@
 The shares that are out never add up to more than one. A share ends on its holder's clock
 `SHARE_VALID_MS` after the holder asked for what the owner last answered; the owner counts it as out for
 `SHARE_KEPT_MS` after it heard that. A share that shrinks counts with its old size until the holder tells
-the new one; what an earlier owner may have given counts until its holders have said what they hold. Shares
+the new one; what an earlier owner may have given counts until all nodes have said what they hold. Shares
 follow what nodes spend. Times are in milliseconds of a steady clock.
 """
 
@@ -52,18 +52,13 @@
 class TenantShares:
     """The shares of one tenant's quota, at its owner."""
 
-    def __init__(self, owned_since_ms: float, first: bool) -> None:
-        """`first` tells that no earlier owner gave shares that may still be out."""
+    def __init__(self) -> None:
         self._holders: dict[str, _Holder] = {}
         self._alone: set[str] = set()
         self._use = _Use()
         self._out = 0.0  # of all holders
         self._accounted = 0.0  # of an earlier owner's shares: those whose holders were heard
-        self._unknown_until_ms = 0.0 if first else owned_since_ms + SHARE_KEPT_MS
-
-    def not_first(self, now_ms: float) -> None:
-        """An earlier owner may have given shares after all."""
-        self._unknown_until_ms = max(self._unknown_until_ms, now_ms + SHARE_KEPT_MS)
+        self.complete = False  # all nodes have said what they hold: no more is out than is known
 
     def heard(self, node: str, held: float, alone: bool, now_ms: float) -> None:
         """A node said what it holds, and whether it spends that without this owner."""
@@ -83,7 +78,7 @@
         holder.use.count(spent, now_ms)
         self._use.count(spent, now_ms)
         before = holder.out
-        free = 1.0 - (self._out - before) - self._unknown(now_ms)
+        free = 1.0 - (self._out - before) - self._unknown()
         # What it holds already may stay: that is counted as out in any case.
         holder.told = max(0.0, min(self._wanted(holder, nodes, now_ms), max(free, holder.held)))
         self._out += holder.out - before
@@ -95,15 +90,15 @@
         by_use = holder.use.at(now_ms) / whole if whole else even
         return EVEN_PART * even + (1.0 - EVEN_PART) * by_use
 
-    def spent_elsewhere(self, disconnected: Iterable[str], now_ms: float) -> float:
+    def spent_elsewhere(self, disconnected: Iterable[str]) -> float:
         """The part of the rate that may be spent without the owner now, by these nodes and unknown ones."""
         holders = (self._holders.get(node) for node in self._alone.union(disconnected))
         out = sum(holder.out for holder in holders if holder is not None)
-        return min(1.0, out + self._unknown(now_ms))
+        return min(1.0, out + self._unknown())
 
-    def _unknown(self, now_ms: float) -> float:
+    def _unknown(self) -> float:
         """Shares of an earlier owner, at nodes that have not been heard yet."""
-        return max(0.0, 1.0 - self._accounted) if now_ms < self._unknown_until_ms else 0.0
+        return 0.0 if self.complete else max(0.0, 1.0 - self._accounted)
 
     def forget(self, now_ms: float) -> None:
         """Drop shares that have ended at their holders; to be called now and then."""
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -78,6 +78,14 @@
     alone: bool  # it spends that share now
 
 
+@dataclass(frozen=True, slots=True)
+class NodeHoldings:
+    """The shares that a node holds, by tenant, as it learned of an epoch or subscribed."""
+
+    epoch: int  # from then on it takes shares from that epoch's owners alone
+    shares: dict[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaTaken:
     """An owner's answer: the amount was taken where there is no wait."""
@@ -128,6 +136,9 @@
         self._began_ms = began_ms
         self._bounds = bounds
         self._nodes = nodes
+        self._epoch = 0
+        self._owned_since: dict[str, int] = {}  # by tenant: the epoch in which it came here
+        self._holdings: dict[str, NodeHoldings] = {}  # by node
         self._together = True  # owner and nodes began together: nothing was used while they were down
         self._limits: dict[str, QuotaLimit] = {}
         self._chain: tuple[str, ...] = ()
@@ -144,7 +155,6 @@
             self._together = False
             for tenant, bucket in self._buckets.items():
                 bucket.level = min(bucket.level, self._bounds.first_level(self._limits[tenant], False))
-                bucket.shares.not_first(now_ms)
 
     def set_limits(self, limits: dict[str, QuotaLimit]) -> None:
         """The tenants that have a limit."""
@@ -155,19 +165,43 @@
             bucket.most = self._bounds.bucket_most(limits[tenant])
             bucket.level = min(bucket.level, bucket.most)
 
-    def set_chain(self, chain: tuple[str, ...], now_ms: float) -> None:
+    def set_chain(self, epoch: int, chain: tuple[str, ...], now_ms: float) -> None:
         """The control planes among which quotas are sharded now; what comes over is waited for."""
-        old, self._chain = self._chain, chain
-        if not old or old == chain:
-            return  # a restart: in this epoch nobody but this replica could grant what is its own
+        if epoch == self._epoch:
+            return
+        began = not self._chain  # a restart: in this epoch nobody but this replica granted what is its own
+        old, self._chain, self._epoch = self._chain, chain, epoch
         for tenant in self._limits:
-            mine = owner_of(tenant, chain) == self._address
-            was_mine = owner_of(tenant, old) == self._address
-            if mine and not was_mine:
-                self._together = False
-                self._may_from_ms[tenant] = now_ms + HANDOVER_MS
-            if not mine:
+            if owner_of(tenant, chain) != self._address:
                 self._buckets.pop(tenant, None)
+                self._owned_since.pop(tenant, None)
+            elif owner_of(tenant, old) != self._address:
+                self._owned_since[tenant] = epoch
+                if not began:
+                    self._together = False
+                    self._may_from_ms[tenant] = now_ms + HANDOVER_MS
+
+    def holds(self, node: str, holdings: NodeHoldings, now_ms: float) -> None:
+        """A node said which shares it holds."""
+        known = self._holdings.get(node)
+        if known is not None and known.epoch > holdings.epoch:
+            return
+        self._holdings[node] = holdings
+        for tenant, bucket in self._buckets.items():
+            self._account(tenant, bucket, node, holdings, now_ms)
+
+    def _account(
+        self, tenant: str, bucket: QuotaBucket, node: str, holdings: NodeHoldings, now_ms: float
+    ) -> None:
+        if holdings.epoch >= self._owned_since.get(tenant, self._epoch):
+            bucket.shares.heard(node, holdings.shares.get(tenant, 0.0), False, now_ms)
+
+    def _told_since(self) -> int:
+        """The epoch since which all nodes have said what they hold."""
+        epochs = (
+            self._holdings[node].epoch if node in self._holdings else -1 for node in self._nodes.names()
+        )
+        return min(epochs, default=-1)
 
     def settle(self, leased: bool, now_ms: float) -> None:
         """Fill the buckets for the time since the last call; to be called often.
@@ -178,27 +212,34 @@
         if leased and self._leased:
             disconnected = self._nodes.disconnected(now_ms)
             for tenant, bucket in self._buckets.items():
-                share = 1.0 - bucket.shares.spent_elsewhere(disconnected, now_ms)
+                share = 1.0 - bucket.shares.spent_elsewhere(disconnected)
                 bucket.fill(self._limits[tenant].rate_per_s * share * passed_s)
         self._settled_ms = max(self._settled_ms, now_ms)
         self._leased = leased
         if leased:
             self._begin_buckets(now_ms)
+        told_since = self._told_since()
+        for tenant, bucket in self._buckets.items():
+            bucket.shares.complete = self._together or told_since >= self._owned_since.get(tenant, 0)
 
     def _begin_buckets(self, now_ms: float) -> None:
         for tenant, limit in self._limits.items():
             if tenant in self._buckets or not self._may_grant(tenant, now_ms):
                 continue
             level = self._bounds.first_level(limit, self._together)
-            shares = TenantShares(now_ms, self._together)
-            self._buckets[tenant] = QuotaBucket(self._bounds.bucket_most(limit), level, shares)
+            bucket = QuotaBucket(self._bounds.bucket_most(limit), level, TenantShares())
+            self._buckets[tenant] = bucket
+            for node, holdings in self._holdings.items():
+                self._account(tenant, bucket, node, holdings, now_ms)
 
     def _may_grant(self, tenant: str, now_ms: float) -> bool:
         mine = owner_of(tenant, self._chain) == self._address
         return mine and now_ms >= self._may_from_ms.get(tenant, 0.0)
 
     def forget(self, now_ms: float) -> None:
-        """Drop shares that have ended; to be called now and then."""
+        """Drop shares that have ended, and what gone nodes held; to be called now and then."""
+        names = set(self._nodes.names())
+        self._holdings = {node: held for node, held in self._holdings.items() if node in names}
         for bucket in self._buckets.values():
             bucket.shares.forget(now_ms)
 
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -29,6 +29,13 @@
         return self.state != "ready"
 
 
+class HoldsShares(Struct, frozen=True, tag="holds_shares"):
+    """Which standing shares of tenants' quotas a node holds; told at once when it learns of a new epoch."""
+
+    epoch: int  # from now on it takes shares from this epoch's owners alone
+    shares: dict[str, float]  # by tenant
+
+
 class Subscribe(Struct, frozen=True, tag="subscribe"):
     """The first line of a data-plane node."""
 
@@ -38,6 +45,7 @@
     uptime_ms: float  # since its process began
     wants_configurations: bool  # False: it is told of versions and fetches what it lacks
     digests: tuple[int, ...]  # of the servers that it knows, by range
+    shares: HoldsShares
 
 
 class Held(Struct, frozen=True, tag="held"):
@@ -169,7 +177,7 @@
     owner: bool = True  # False: the asked one isn't the owner now
 
 
-FromNode = Subscribe | Fetch | Held | NodeAlive | TakeQuota | Place | PlaceBegan | PlaceEnded
+FromNode = Subscribe | HoldsShares | Fetch | Held | NodeAlive | TakeQuota | Place | PlaceBegan | PlaceEnded
 ToNode = (
     Replicas
     | Whole
@@ -191,10 +199,17 @@
     gone: tuple[str, ...]
 
 
+class NodeSeen(Struct, frozen=True):
+    """A data-plane node that another control plane knows."""
+
+    node: str
+    age_ms: float  # since anybody heard it
+
+
 class NodesSeen(Struct, frozen=True, tag="nodes_seen"):
-    """Data-plane nodes that are subscribed at another control plane."""
+    """Data-plane nodes that another control plane knows."""
 
-    nodes: tuple[str, ...]
+    nodes: tuple[NodeSeen, ...]
 
 
 ToControl = ReplicaMessage | Beats | NodesSeen | FromNode
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -13,6 +13,7 @@
 from dunlinloft.coordination.stream import (
     Fetch,
     Held,
+    HoldsShares,
     NodeAlive,
     Replicas,
     Subscribe,
@@ -48,6 +49,7 @@
         digests: Callable[[], tuple[int, ...]],
         has_servers: Callable[[], bool],
         hears: Callable[[str, float], bool],
+        shares: Callable[[float], dict[str, float]],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -58,6 +60,7 @@
         self._digests = digests
         self._has_servers = has_servers
         self._hears = hears
+        self._shares = shares
         self._node_counts: dict[str, int] = {}  # as each replica that is heard tells
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._writers: dict[str, lines.LineWriter] = {}
@@ -137,7 +140,8 @@
                 await self._wait_for_servers()
             uptime_ms = now_ms() - self._began_ms
             held, digests = self._held(), self._digests()
-            writer.send(Subscribe(self._node, self._zone, held, uptime_ms, wants, digests))
+            holdings = self._holdings()
+            writer.send(Subscribe(self._node, self._zone, held, uptime_ms, wants, digests, holdings))
             try:
                 reason = await lines.read_messages(reader, _decoder, lambda m: self._on(address, m), SILENT_S)
             finally:
@@ -162,7 +166,16 @@
     def _on_replicas(self, address: str, message: Replicas) -> None:
         """Take the newest view, and as many nodes as any replica knows: one that just started knows few."""
         self._node_counts[address] = message.nodes
-        if self.replicas is not None and message.epoch < self.replicas.epoch:
+        epoch = 0 if self.replicas is None else self.replicas.epoch
+        if message.epoch < epoch:
             return
         self.replicas = msgspec.structs.replace(message, nodes=max(self._node_counts.values()))
         self._named = message.addresses
+        if message.epoch > epoch:
+            holdings = self._holdings()
+            for writer in self._writers.values():
+                writer.send(holdings)
+
+    def _holdings(self) -> HoldsShares:
+        epoch = 0 if self.replicas is None else self.replicas.epoch
+        return HoldsShares(epoch, self._shares(now_ms()))
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -75,6 +75,7 @@
             self._servers.digests,
             lambda: self._servers.complete,
             lambda address, now: self._quotas.hears(address, now),
+            lambda now: self._quotas.shares(now),
         )
         self._quotas = NodeQuotas(
             lambda: self._subscriptions.replicas,
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -55,6 +55,10 @@
         """Whether an owner answers this node."""
         return self._holder.hears(owner, now_ms)
 
+    def shares(self, now_ms: float) -> dict[str, float]:
+        """The shares of tenants' rates that this node holds."""
+        return self._holder.shares(now_ms)
+
     def on_granted(self, message: QuotaGranted) -> None:
         """An owner's answer; one that comes too late was paid for nothing."""
         future = self._waiting.pop(message.number, None)
@@ -69,7 +73,7 @@
         replicas = self._replicas()
         owner = None if replicas is None else owner_of(tenant, replicas.chain)
         answer = await self._ask(owner, tenant, amount, limit, now_ms)
-        if owner is None or answer is None or not answer.owner:
+        if owner is None or answer is None or not answer.owner or not self._is_owner(owner, tenant):
             wait_ms = self._holder.spend_alone(tenant, limit, amount, now_ms)
             return OverQuota(wait_ms) if wait_ms else Granted()
         self._holder.answered(owner, tenant)
@@ -79,6 +83,11 @@
             return OverQuota(answer.wait_ms)
         return Granted()
 
+    def _is_owner(self, address: str, tenant: str) -> bool:
+        """Whether who answered still is the owner: this node has told the next one what it holds."""
+        replicas = self._replicas()
+        return replicas is not None and owner_of(tenant, replicas.chain) == address
+
     async def _ask(
         self, owner: str | None, tenant: str, amount: float, limit: QuotaLimit, now_ms: float
     ) -> QuotaGranted | None:
--- a/dunlinloft/statecli.py
+++ b/dunlinloft/statecli.py
@@ -10,7 +10,7 @@
 from rich.console import Console
 
 from dunlinloft.controlplane import store
-from dunlinloft.controlplane.known_servers import KnownServers
+from dunlinloft.controlplane.known_members import KnownMembers
 from dunlinloft.controlplane.store import StoreError
 from dunlinloft.coordination.messages import Durable
 
@@ -69,7 +69,7 @@
         "routes": len(state.document.get("routes", ())),
         "orders_remembered": len(state.taken),
         "log_records": dict(Counter(type(record).__name__ for record in log)),
-        "servers_known": len(KnownServers(folder).read()),
+        "servers_known": len(KnownMembers(folder).read().servers),
     }
 
 
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -22,6 +22,7 @@
         tuple,
         lambda: True,
         lambda *_: False,
+        lambda _: {},
     )
 
 
