Bound what one unknown share may be, and tell replicas that a node's process ends

Change: a share is three times the even part at most, so that k unknown nodes hold 3k/N at most; a node that ends says so; nodes' ages are kept on disk.

--- a/dunlinloft/controlplane/disk.py
+++ b/dunlinloft/controlplane/disk.py
@@ -12,7 +12,7 @@
 from dunlinloft.controlplane.known_members import Known, KnownMembers
 from dunlinloft.controlplane.store import Store
 from dunlinloft.coordination.messages import Durable, Record
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.stream import NodeSeen, ServerRecord
 
 RETRY_S = 0.2  # after a write that the disk refused
 
@@ -48,7 +48,7 @@
             return Known()
         return await asyncio.get_running_loop().run_in_executor(self._thread, self._known.read)
 
-    async def remember(self, servers: tuple[ServerRecord, ...], nodes: tuple[str, ...]) -> None:
+    async def remember(self, servers: tuple[ServerRecord, ...], nodes: tuple[NodeSeen, ...]) -> None:
         """Write down what is known now; a disk that refuses is no matter."""
         if self._known is None:
             return
--- a/dunlinloft/controlplane/known_members.py
+++ b/dunlinloft/controlplane/known_members.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Struct
 
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.stream import NodeSeen, ServerRecord
 
 FORMAT = 2
 
@@ -21,7 +21,7 @@
     """What is kept."""
 
     servers: tuple[ServerRecord, ...] = ()
-    nodes: tuple[str, ...] = ()
+    nodes: tuple[NodeSeen, ...] = ()
 
 
 class _Body(Struct, frozen=True):
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -33,7 +33,7 @@
     Held,
     HoldsShares,
     NodeAlive,
-    NodeSeen,
+    NodeEnds,
     NodesSeen,
     Place,
     PlaceBegan,
@@ -100,7 +100,7 @@
         self._replica = self._make_replica(durable, counts)
         known = await self._disk.known()
         self._registry.restore(known.servers, now_ms())
-        self._nodes.seen((NodeSeen(node, 0.0) for node in known.nodes), now_ms())
+        self._nodes.seen(known.nodes, now_ms())
         self._placements.follow(self._registry.records.values())
         begins = settings.bootstrap and counts and self._address in settings.seeds()
         self._perform(self._replica.begin(first_view(settings.seeds()) if begins else None))
@@ -230,6 +230,8 @@
                     stream.held = message.version
                 case HoldsShares() if stream is not None:
                     self._on_holdings(stream.node, message)
+                case NodeEnds() if stream is not None:
+                    self._nodes.ended(stream.node, now_ms())
                 case NodeAlive() if stream is not None:
                     self._nodes.heard(stream.node, message.hears, now_ms())
                 case TakeQuota() if stream is not None:
@@ -339,7 +341,8 @@
             names = {*self._registry.records, *self._nodes.names()}
             if known != names:
                 known = names
-                await self._disk.remember(tuple(self._registry.records.values()), self._nodes.names())
+                servers = tuple(self._registry.records.values())
+                await self._disk.remember(servers, self._nodes.known(now_ms()))
 
     async def _node_words(self) -> None:
         while True:
--- a/dunlinloft/coordination/quota_shares.py
+++ b/dunlinloft/coordination/quota_shares.py
@@ -16,6 +16,7 @@
 SHARE_VALID_MS = 15_000.0
 SHARE_KEPT_MS = 20_000.0  # longer: a message may be on its way for long, and clocks differ
 EVEN_PART = 0.25  # of the rate that is shared evenly, so that a node whose traffic begins has something
+MOST_X = 3.0  # times the even part that a share is at most, so that one unknown share is bounded
 USED_MS = 4_000.0  # time constant of what nodes spent of late
 
 
@@ -58,7 +59,7 @@
         self._use = _Use()
         self._out = 0.0  # of all holders
         self._accounted = 0.0  # of an earlier owner's shares: those whose holders were heard
-        self.complete = False  # all nodes have said what they hold: no more is out than is known
+        self.unknown_most = 1.0  # of what an earlier owner gave to nodes that have not said what they hold
 
     def heard(self, node: str, held: float, alone: bool, now_ms: float) -> None:
         """A node said what it holds, and whether it spends that without this owner."""
@@ -88,7 +89,7 @@
         whole = self._use.at(now_ms)
         even = 1.0 / nodes
         by_use = holder.use.at(now_ms) / whole if whole else even
-        return EVEN_PART * even + (1.0 - EVEN_PART) * by_use
+        return min(MOST_X * even, EVEN_PART * even + (1.0 - EVEN_PART) * by_use)
 
     def spent_elsewhere(self, disconnected: Iterable[str]) -> float:
         """The part of the rate that may be spent without the owner now, by these nodes and unknown ones."""
@@ -98,7 +99,7 @@
 
     def _unknown(self) -> float:
         """Shares of an earlier owner, at nodes that have not been heard yet."""
-        return 0.0 if self.complete else max(0.0, 1.0 - self._accounted)
+        return max(0.0, min(self.unknown_most, 1.0 - self._accounted))
 
     def forget(self, now_ms: float) -> None:
         """Drop shares that have ended at their holders; to be called now and then."""
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 
 from dunlinloft.coordination.nodes import Nodes
-from dunlinloft.coordination.quota_shares import TenantShares
+from dunlinloft.coordination.quota_shares import MOST_X, TenantShares
 from fleet.rendezvous import rank
 
 HANDOVER_MS = 750.0  # a new owner waits so long; the old one stops `LEASE_MS` after it was last confirmed
@@ -196,12 +196,14 @@
         if holdings.epoch >= self._owned_since.get(tenant, self._epoch):
             bucket.shares.heard(node, holdings.shares.get(tenant, 0.0), False, now_ms)
 
-    def _told_since(self) -> int:
-        """The epoch since which all nodes have said what they hold."""
-        epochs = (
-            self._holdings[node].epoch if node in self._holdings else -1 for node in self._nodes.names()
-        )
-        return min(epochs, default=-1)
+    def _follow_unknown(self) -> None:
+        """How much those nodes may hold that have not told since a tenant's quota came here."""
+        nodes = self._nodes.names()
+        told = [self._holdings[node].epoch if node in self._holdings else -1 for node in nodes]
+        for tenant, bucket in self._buckets.items():
+            since = self._owned_since.get(tenant, 0)
+            untold = 0 if self._together else sum(epoch < since for epoch in told)
+            bucket.shares.unknown_most = min(1.0, MOST_X * untold / max(1, len(nodes)))
 
     def settle(self, leased: bool, now_ms: float) -> None:
         """Fill the buckets for the time since the last call; to be called often.
@@ -218,9 +220,7 @@
         self._leased = leased
         if leased:
             self._begin_buckets(now_ms)
-        told_since = self._told_since()
-        for tenant, bucket in self._buckets.items():
-            bucket.shares.complete = self._together or told_since >= self._owned_since.get(tenant, 0)
+        self._follow_unknown()
 
     def _begin_buckets(self, now_ms: float) -> None:
         for tenant, limit in self._limits.items():
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -76,6 +76,10 @@
     hears: bool  # whether it gets the answers of the replica that it says this to
 
 
+class NodeEnds(Struct, frozen=True, tag="node_ends"):
+    """A node's last word: its process ends."""
+
+
 class TakeQuota(Struct, frozen=True, tag="take_quota"):
     """Ask for a part of a tenant's quota."""
 
@@ -177,7 +181,18 @@
     owner: bool = True  # False: the asked one isn't the owner now
 
 
-FromNode = Subscribe | HoldsShares | Fetch | Held | NodeAlive | TakeQuota | Place | PlaceBegan | PlaceEnded
+FromNode = (
+    Subscribe
+    | HoldsShares
+    | Fetch
+    | Held
+    | NodeAlive
+    | NodeEnds
+    | TakeQuota
+    | Place
+    | PlaceBegan
+    | PlaceEnded
+)
 ToNode = (
     Replicas
     | Whole
@@ -204,6 +219,7 @@
 
     node: str
     age_ms: float  # since anybody heard it
+    left: bool = False  # its process said that it ends
 
 
 class NodesSeen(Struct, frozen=True, tag="nodes_seen"):
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -15,6 +15,7 @@
     Held,
     HoldsShares,
     NodeAlive,
+    NodeEnds,
     Replicas,
     Subscribe,
     ToNode,
@@ -61,6 +62,7 @@
         self._has_servers = has_servers
         self._hears = hears
         self._shares = shares
+        self._ended = False
         self._node_counts: dict[str, int] = {}  # as each replica that is heard tells
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._writers: dict[str, lines.LineWriter] = {}
@@ -71,7 +73,7 @@
 
     async def run(self) -> None:
         """The loop that turns the wanted streams into those that are."""
-        while True:
+        while not self._ended:
             wanted = self._wanted()
             for address in wanted - self._tasks.keys():
                 self._tasks[address] = asyncio.create_task(self._keep(address))
@@ -110,6 +112,12 @@
         if self._held() < version:
             self.send(address, Fetch(self._held()))
 
+    def end(self) -> None:
+        """Tell all replicas that this process ends."""
+        self._ended = True
+        for writer in self._writers.values():
+            writer.send(NodeEnds())
+
     def held(self, version: int) -> None:
         """Acknowledge a version to all."""
         for writer in self._writers.values():
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -47,6 +47,7 @@
 TICK_S = 0.2
 REREAD_MS = 2_000.0  # between looks at the settings while seeds are needed
 NOTICE_S = 2.6  # after SIGTERM, for the platform to send no more connections: it asks each second, twice
+LAST_WORD_S = 0.05  # for the last word to leave this process
 END_S = 0.6  # before the end of the grace period, what still runs is given up
 KEPT_INTERVALS = 4.0  # heartbeat intervals that a lost stream's servers are kept
 
@@ -122,6 +123,8 @@
         listening.close()
         while self._frontend.inflight and loop.time() < ends_s:
             await asyncio.sleep(0.05)
+        self._subscriptions.end()
+        await asyncio.sleep(LAST_WORD_S)
         for task in tasks:
             task.cancel()
 
--- a/lab/control/quota_cluster.py
+++ b/lab/control/quota_cluster.py
@@ -97,7 +97,7 @@
         self.window = QuotaWindow(bounds, limit)
         self.sides: dict[str, OwnerSide] = {}
         self.nodes: dict[str, QuotaNode] = {}
-        self._remembered: dict[str, tuple[str, ...]] = {}  # nodes, on each machine's disk
+        self._remembered: dict[str, tuple[NodeSeen, ...]] = {}  # on each machine's disk
         super().__init__(seed, size)
         for number in range(nodes):
             self.start_node(f"node-{number}")
@@ -106,7 +106,7 @@
     def start(self, address: str, bootstrap: bool = False) -> None:
         """Start a replica's process, and its side of quotas."""
         nodes = Nodes()
-        nodes.seen((NodeSeen(name, 0.0) for name in self._remembered.get(address, ())), self.now)
+        nodes.seen(self._remembered.get(address, ()), self.now)
         owner = QuotaOwner(address, self.now, self.bounds, nodes)
         owner.set_limits({TENANT: self.limit})
         super().start(address, bootstrap)
@@ -161,8 +161,7 @@
             if machine.replica is None or machine.frozen:
                 continue
             nodes = self.sides[source].nodes
-            self._remembered[source] = nodes.names()
-            known = nodes.known(self.now)
+            known = self._remembered[source] = nodes.known(self.now)
             for target in self.machines:
                 self._to_replica(source, target, lambda side, known=known: side.nodes.seen(known, self.now))  # type: ignore[misc]
         self.after(GOSSIP_MS, self._gossip)
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -12,7 +12,7 @@
 from dunlinloft.coordination import quota_holder, quotas
 from dunlinloft.coordination.nodes import CONTACT_MS, FORGET_MS, Nodes
 from dunlinloft.coordination.quota_holder import ALONE_AFTER_MS, TELL_AFTER_MS, QuotaHolder
-from dunlinloft.coordination.quota_shares import SHARE_KEPT_MS, SHARE_VALID_MS, TenantShares
+from dunlinloft.coordination.quota_shares import MOST_X, SHARE_KEPT_MS, SHARE_VALID_MS, TenantShares
 from dunlinloft.coordination.quotas import (
     HANDOVER_MS,
     NodeHoldings,
@@ -152,7 +152,7 @@
 
 def _shares(complete: bool) -> TenantShares:
     shares = TenantShares()
-    shares.complete = complete
+    shares.unknown_most = 0.0 if complete else 1.0
     return shares
 
 
@@ -186,7 +186,7 @@
     assert shares.spent_elsewhere(("a",)) == pytest.approx(1.0)
     _given(shares, held, "b", 10.0, 2.0)
     assert shares.spent_elsewhere(()) == pytest.approx(0.1)
-    shares.complete = True
+    shares.unknown_most = 0.0
     assert shares.spent_elsewhere(()) == 0.0
 
 
@@ -194,7 +194,7 @@
     shares = _shares(True)
     held = {"gone": 0.0, "here": 0.0}
     _given(shares, held, "gone", 100.0, 0.0)
-    assert held["gone"] > 0.8
+    assert held["gone"] > 0.8  # of two nodes, three times the even part is more than all
     for now in range(0, int(SHARE_VALID_MS), 500):
         _given(shares, held, "here", 100.0, float(now))
         assert held["here"] <= 1.0 - held["gone"] + 1e-9
@@ -240,6 +240,27 @@
     assert holder.held("tenant", SHARE_VALID_MS) == 0.0
 
 
+def test_a_share_is_a_few_times_the_even_part_at_most() -> None:
+    shares = _shares(True)
+    held = dict.fromkeys("abcdefghij", 0.0)
+    _given(shares, held, "a", 100.0, 0.0)
+    assert held["a"] == pytest.approx(MOST_X / 10.0)
+
+
+def test_a_node_that_ended_no_longer_counts_until_it_is_heard_again() -> None:
+    nodes = Nodes()
+    nodes.heard("node", True, 0.0)
+    nodes.ended("node", 10.0)
+    assert nodes.names() == ()
+    other = Nodes()
+    other.seen((NodeSeen("node", 5.0),), 10.0)
+    other.seen(nodes.known(20.0), 20.0)
+    assert other.names() == ()
+    nodes.heard("node", True, 30.0)
+    other.seen(nodes.known(40.0), 40.0)
+    assert other.names() == ("node",)
+
+
 # Random troubles in the simulated world.
 
 
