--- a/dunlinloft/controlplane/api.py
+++ b/dunlinloft/controlplane/api.py
@@ -67,8 +67,8 @@
     def __init__(
         self,
         call: Callable[[Order | None], Awaitable[Reply]],
-        beat: Callable[[ServerRecord], None],
-        leave: Callable[[str], None],
+        beat: Callable[[ServerRecord], Awaitable[bool]],
+        leave: Callable[[str], Awaitable[bool]],
     ) -> None:
         self._call = call
         self._beat = beat
@@ -85,18 +85,17 @@
         steps = request.path.strip("/").split("/")
         match (request.method, steps):
             case ("POST", ["instances", server_id, "heartbeat"]):
-                return self._on_beat(server_id, await read_whole(request, MOST_BEAT))
+                return await self._on_beat(server_id, await read_whole(request, MOST_BEAT))
             case ("POST", ["instances", server_id, "deregister"]):
                 await read_whole(request, MOST_BEAT)
-                self._leave(server_id)
-                return answer(200)
+                return _acknowledgement(await self._leave(server_id))
             case ("POST", ["configuration", ("replace" | "update") as kind]):
                 return await self._on_order(request, kind)
             case ("GET", ["configuration", "describe"]):
                 return await self._on_describe()
         return answer(404, "no such call")
 
-    def _on_beat(self, server_id: str, body: bytes) -> StreamResponse:
+    async def _on_beat(self, server_id: str, body: bytes) -> StreamResponse:
         try:
             beat = _heartbeat.decode(body)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -113,8 +112,7 @@
             beat.phase,
             tuple(beat.model_list),
         )
-        self._beat(record)
-        return answer(200)
+        return _acknowledgement(await self._beat(record))
 
     async def _on_order(self, request: BaseRequest, kind: str) -> StreamResponse:
         data = await read_whole(request, MOST_BODY)
@@ -138,6 +136,11 @@
         return Response(status=200, body=body, content_type="application/json")
 
 
+def _acknowledgement(taken: bool) -> Response:
+    """The answer to a server: one that can't be acknowledged here asks another control plane."""
+    return answer(200) if taken else answer(503, "this control plane can't pass it on now")
+
+
 def read_body(data: bytes) -> Document | Invalid:
     """A body as an object."""
     try:
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -18,6 +18,7 @@
 from dunlinloft.controlplane.disk import Disk
 from dunlinloft.controlplane.distribution import Distribution, NodeStream
 from dunlinloft.controlplane.links import Links
+from dunlinloft.controlplane.server_list import ServerList
 from dunlinloft.coordination.actions import Action, Commit, Persist, Reply, Send
 from dunlinloft.coordination.calls import Invalid, Valid
 from dunlinloft.coordination.messages import Document, Durable, Member, Order
@@ -29,6 +30,7 @@
 from dunlinloft.coordination.stream import (
     Alive,
     Beats,
+    BeatsTaken,
     Fetch,
     Held,
     HoldsShares,
@@ -41,7 +43,6 @@
     PlaceEnded,
     QuotaGranted,
     Replicas,
-    ServerRecord,
     Servers,
     Subscribe,
     TakeQuota,
@@ -59,7 +60,8 @@
 NODES_S = 1.0
 REMEMBER_S = 1.0  # between looks at whether other servers are known than those on disk
 SILENT_S = 2.0  # a peer's stream that is silent for so long is ended
-LEAVE_S = 2.0  # after SIGTERM, for the chain to go on without this replica
+LEAVE_SHARE = 0.8  # of the grace period, for others to go on without this replica
+LEAVE_LOOK_S = 0.01
 BACKLOG = 512
 FULL_WAIT_MS = 30.0  # a patient request asks again after so long where no place was free
 
@@ -103,6 +105,15 @@
         self._nodes.seen(known.nodes, now_ms())
         self._placements.follow(self._registry.records.values())
         begins = settings.bootstrap and counts and self._address in settings.seeds()
+        self._server_list = ServerList(
+            self._address,
+            self._registry,
+            self._distribution,
+            self._placements,
+            lambda: self._replica.contact(now_ms()),
+            self._replica.addresses,
+            self._links.send,
+        )
         self._perform(self._replica.begin(first_view(settings.seeds()) if begins else None))
         host, port = host_port(self._address)
         internal = await asyncio.start_server(
@@ -134,7 +145,7 @@
 
         assert self._settings.listeners_config.control_plane is not None
         host, port = host_port(self._settings.listeners_config.control_plane)
-        api = Server(Api(self._call, self._beat, self._leave).handle, access_log=None)
+        api = Server(Api(self._call, self._server_list.beat, self._server_list.leave).handle, access_log=None)
         await asyncio.get_running_loop().create_server(api, host, port, backlog=BACKLOG)
 
     def _make_replica(self, durable: Durable, counts: bool) -> Replica:
@@ -194,7 +205,7 @@
             self._tell_replicas()
             self._quotas.settle(self._replica.leased(now_ms()), now_ms())
             self._registry.expire(now_ms())
-            self._flush_servers()
+            self._server_list.flush()
             if not self._told_complete and self._registry.complete(now_ms()):
                 self._told_complete = True
                 self._distribution.servers_complete()
@@ -244,7 +255,9 @@
                     placement = self._placements.service(message.service)
                     placement.ended((number, message.number), message.failed, now_ms())
                 case Beats():
-                    self._on_beats(message)
+                    self._server_list.on_beats(message)
+                case BeatsTaken():
+                    self._server_list.on_taken(message)
                 case NodesSeen():
                     self._nodes.seen(message.nodes, now_ms())
                 case _:
@@ -265,7 +278,7 @@
         self._quotas.node_seen(message.uptime_ms, now)
         self._nodes.heard(stream.node, False, now)
         self._on_holdings(stream.node, message.shares)
-        self._flush_servers()
+        self._server_list.flush()
         ranges = self._registry.digests.differing(message.digests)
         servers = Servers(self._registry.complete(now), ranges, self._registry.in_ranges(ranges))
         self._distribution.subscribe(stream, servers)
@@ -290,42 +303,10 @@
         wait_ms = FULL_WAIT_MS if server_id is None and message.patient else 0.0
         return Placed(message.number, message.service, server_id or "", wait_ms)
 
-    # Servers.
-
-    def _beat(self, record: ServerRecord) -> None:
-        self._registry.beat(record, now_ms())
-        self._flush_servers()
-
-    def _leave(self, server_id: str) -> None:
-        self._registry.leave(server_id, now_ms())
-        self._flush_servers()
-
-    def _on_beats(self, message: Beats) -> None:
-        now = now_ms()
-        for record in message.records:
-            self._registry.beat(record, now, relayed=True)
-        for server_id in message.gone:
-            self._registry.leave(server_id, now, relayed=True)
-        self._flush_servers()
-
-    def _flush_servers(self) -> None:
-        changed, gone = self._registry.take_news()
-        if changed or gone:
-            self._distribution.server_news(changed, gone)
-            self._placements.follow(self._registry.records.values())
-            self._relay()
-
-    def _relay(self) -> None:
-        records, gone = self._registry.take_beats()
-        if records or gone:
-            line = lines.encoded(Beats(records, gone))
-            for address in self._replica.addresses():
-                self._links.send_line(address, line)
-
     async def _relays(self) -> None:
         while True:
             await asyncio.sleep(RELAY_S)
-            self._relay()
+            self._server_list.relay()
             self._links.forget()
 
     async def _alives(self) -> None:
@@ -366,14 +347,11 @@
             self._calls.pop(token, None)
 
     async def _leave_chain(self) -> None:
-        """Step out of the chain before the end, so that nothing waits for a suspicion."""
-        self._replica.leaving = True
-        ends_s = time.monotonic() + LEAVE_S
-        while time.monotonic() < ends_s:
-            view = self._replica.view
-            if view is None or view.place(self._replica.me.id) is None:
-                break
-            await asyncio.sleep(TICK_S)
+        """Step out before the end, so that nothing waits for a suspicion and no copy goes too early."""
+        self._perform(self._replica.leave(now_ms()))
+        ends_s = time.monotonic() + LEAVE_SHARE * self._settings.timing_bounds.grace_period_s
+        while time.monotonic() < ends_s and not self._replica.may_end():
+            await asyncio.sleep(LEAVE_LOOK_S)
 
 
 def _memory(services: tuple[Service, ...]) -> dict[str, int]:
--- a/dunlinloft/coordination/calls.py
+++ b/dunlinloft/coordination/calls.py
@@ -7,10 +7,13 @@
 
 from __future__ import annotations
 
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from boltons.cacheutils import LRU
+
 from dunlinloft.coordination.actions import Action, Reply
 from dunlinloft.coordination.agreement import majority_of
 from dunlinloft.coordination.chain import ChainLink
@@ -31,6 +34,8 @@
 ASK_AGAIN_MS = 250.0  # a call passed on is sent again, as it or its answer may be lost
 CONFIRM_AGAIN_MS = 100.0
 QUEUE_MOST = 64  # orders that wait at the head
+REFUSED_MOST = 1_024  # refused orders that the head remembers
+NONCE_BITS = 48
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +65,14 @@
     target: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Why an order was refused; it stays so."""
+
+    status: int
+    reason: str
+
+
 @dataclass(slots=True)
 class _Work:
     """An order at the head, or a read at the tail."""
@@ -68,7 +81,7 @@
     began_ms: float
     askers: list[tuple[Member, str]]
     sequence: int = 0  # the entry that it waits for
-    refusal: tuple[int, str] | None = None
+    refusal: _Refusal | None = None
     nonce: int = 0  # of the confirmation that it waits for
     confirmed_by: set[str] = field(default_factory=set)
     confirm_sent_ms: float = 0.0
@@ -81,14 +94,13 @@
         self,
         me: Member,
         chain: ChainLink,
-        tolerance: int,
         validate: Validate,
         emit: Callable[[Action], None],
         send: Callable[[str, ReplicaMessage], None],
+        rng: random.Random,
     ) -> None:
         self._me = me
         self._chain = chain
-        self._tolerance = tolerance
         self._validate = validate
         self._emit = emit
         self._send = send
@@ -96,7 +108,8 @@
         self._queue: deque[_Work] = deque()
         self._working: _Work | None = None
         self._reads: dict[str, _Work] = {}
-        self._nonce = 0
+        self._nonce = rng.getrandbits(NONCE_BITS)  # no answer to a former life's question counts in this one
+        self._refused: LRU[str, _Refusal] = LRU(REFUSED_MOST)
         self._view: View | None = None
         self._now = 0.0
 
@@ -181,14 +194,17 @@
 
     def _start_next(self, view: View) -> bool:
         """Judge the next order, where the state is settled; whether one was begun."""
-        if not self._queue or not self._chain.settled or len(view.chain) <= self._tolerance:
+        if not self._queue or not self._chain.settled:
             return False
         work = self._queue.popleft()
         self._working = work
         assert work.order is not None
         state = self._chain.state
+        refused = self._refused.get(work.order.digest)
         if any(taken.digest == work.order.digest for taken in state.taken):
             work.sequence = state.sequence
+        elif refused is not None:
+            work.refusal = refused
         elif work.order.base != state.version:
             self._refuse(work, 412, f"version {state.version} is current")
         else:
@@ -203,7 +219,7 @@
         return True
 
     def _refuse(self, work: _Work, status: int, reason: str) -> None:
-        work.refusal = (status, reason)
+        work.refusal = _Refusal(status, reason)
 
     def _finished(self, work: _Work, view: View) -> bool:
         """Whether an order is through; it is answered then."""
@@ -211,7 +227,10 @@
         if work.refusal is not None:
             if not self._confirmed(work, view):
                 return False
-            self._answer(work, *work.refusal, version, None)
+            assert work.order is not None
+            # For good: a late copy of it may find its base current.
+            self._refused[work.order.digest] = work.refusal
+            self._answer(work, work.refusal.status, work.refusal.reason, version, None)
             return True
         if self._chain.committed.sequence < work.sequence:
             return False
--- a/dunlinloft/coordination/chain.py
+++ b/dunlinloft/coordination/chain.py
@@ -1,4 +1,9 @@
-"""Chain replication within one epoch: the head appends, the tail commits, offers let a successor catch up."""
+"""Chain replication within one epoch: the head appends, the tail commits, offers let a successor catch up.
+
+What is committed is on as many disks as `copies` says: a tail commits only where so many members of this
+epoch, itself included, are known to be equal. Members before a synced tail hold what it holds, so its place
+in the chain is that number. A chain's length says nothing: its last members may still be catching up.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +11,7 @@
 from collections.abc import Callable
 
 from dunlinloft.coordination.actions import Action, Commit, Send
-from dunlinloft.coordination.durable import after_entry
+from dunlinloft.coordination.durable import after_entry, continues
 from dunlinloft.coordination.messages import (
     Append,
     ChainState,
@@ -40,17 +45,22 @@
         durable: Durable,
         emit: Callable[[Action], None],
         persist: PersistThen,
+        copies: int,
     ) -> None:
+        """`copies` is on how many disks something has to be before it counts as committed."""
+        self._copies = copies
+        self._place: int | None = None
         self._me = me
         self._emit = emit
         self._persist = persist
         self.state = durable.state  # all that is on disk here
-        known = durable.committed == durable.state.sequence
+        known = durable.committed_digest == durable.state.chain_digest
         self.committed = durable.state if known else ChainState()
         self.epoch = 0
         self.synced = False  # equal to the predecessor in this epoch, or head
         self.synced_epoch = durable.synced_epoch  # the last in which it was found equal, as is on disk
         self._storing = False
+        self._epoch_committed = -1  # the sequence up to which this epoch's tail has committed
         self._uncommitted: dict[int, ChainState] = {}
         self._recent: deque[Entry] = deque(maxlen=RECENT_MOST)
         self._predecessor: Member | None = None
@@ -61,13 +71,14 @@
 
     def enter(self, view: View) -> None:
         """Take the place that a view gives; the view is on disk."""
-        place = view.place(self._me.id)
+        place = self._place = view.place(self._me.id)
         self.epoch = view.epoch
         self.synced = place == 0
         self._predecessor = self._successor = None
         self._successor_at = -1
         self._successor_synced = False
         self._offered_ms = 0.0
+        self._epoch_committed = -1
         if place is None:
             return
         if place > 0:
@@ -80,17 +91,19 @@
         """Take part in no epoch until the next view is on disk."""
         self.epoch = 0
         self.synced = False
+        self._epoch_committed = -1
         self._predecessor = self._successor = None
 
     @property
     def settled(self) -> bool:
-        """Whether all that is held is committed in this epoch."""
-        return self.synced and self.committed.sequence == self.state.sequence and not self._storing
+        """Whether all that is held was committed by this epoch's tail."""
+        return self.synced and self._epoch_committed == self.state.sequence and not self._storing
 
     @property
     def is_tail(self) -> bool:
-        """Whether it commits and answers reads."""
-        return self.synced and self._successor is None
+        """Whether it commits and answers reads: the last member, behind enough others that are equal."""
+        enough = self._place is not None and self._place + 1 >= self._copies
+        return self.synced and self._successor is None and enough
 
     def append(self, entry: Entry) -> None:
         """Append an entry here; as the head, or as what the predecessor sent."""
@@ -118,7 +131,7 @@
             return
         if self._predecessor is not None:
             self._tell_have()
-        if self._successor is None:
+        if self.is_tail:
             self._commit(self.state.sequence)
 
     def _tell_have(self) -> None:
@@ -128,16 +141,17 @@
 
     def _commit(self, sequence: int) -> None:
         state = self.state if sequence == self.state.sequence else self._uncommitted.get(sequence)
+        self._epoch_committed = max(self._epoch_committed, sequence)
         if state is not None and state.sequence > self.committed.sequence:
             self.committed = state
             self._emit(Commit(state))
             # So that after a restart it is told at once, before the chain has met again.
-            self._persist(CommittedRecord(state.sequence), lambda: None)
+            self._persist(CommittedRecord(state.chain_digest), lambda: None)
         self._uncommitted = {n: s for n, s in self._uncommitted.items() if n > sequence}
         self._tell_committed()
 
     def _tell_committed(self) -> None:
-        if self._predecessor is not None:
+        if self._predecessor is not None and self._epoch_committed >= 0:
             told = Committed(self._me, self.epoch, self.committed.sequence)
             self._emit(Send(self._predecessor.address, told))
 
@@ -146,7 +160,7 @@
         if not self.synced or self._successor is None or now_ms - self._offered_ms < OFFER_MS:
             return
         behind = self._successor_at != self.state.sequence or not self._successor_synced
-        if behind or self.committed.sequence != self.state.sequence:
+        if behind or self._epoch_committed != self.state.sequence:
             self._offered_ms = now_ms
             self._offer()
 
@@ -217,6 +231,9 @@
 
     def _append_all(self, entries: list[Entry], epoch: int) -> None:
         first, rest = entries[0], entries[1:]
+        if not continues(self.state, first):
+            self._tell_have()
+            return
         self._storing = True
 
         def appended() -> None:
--- a/dunlinloft/coordination/durable.py
+++ b/dunlinloft/coordination/durable.py
@@ -64,6 +64,11 @@
     return Entry(sequence, hashlib.blake2b(text.encode(), digest_size=16).hexdigest(), version, order)
 
 
+def continues(state: ChainState, entry: Entry) -> bool:
+    """Whether an entry is the one after this state's history, and of no other history."""
+    return next_entry(state, entry.version, entry.order) == entry
+
+
 def after_entry(state: ChainState, entry: Entry) -> ChainState:
     """The state once an entry is appended."""
     taken = (*state.taken[-(TAKEN_MOST - 1) :], Taken(entry.order.digest, entry.version))
@@ -89,4 +94,4 @@
         case SyncedRecord():
             durable.synced_epoch = record.epoch
         case CommittedRecord():
-            durable.committed = record.sequence
+            durable.committed_digest = record.chain_digest
--- a/dunlinloft/coordination/liveness.py
+++ b/dunlinloft/coordination/liveness.py
@@ -10,6 +10,7 @@
 SUSPECT_MS = 600.0  # without a heartbeat, a replica counts as down
 STEADY_MS = 300.0  # so long must one be heard before it is let into the chain
 LEASE_MS = 600.0  # so long after a majority confirmed an epoch, its roles may be used
+CONTACT_MS = 1_000.0  # so long after a majority heard it, a replica counts as in contact
 FORGET_MS = 60_000.0  # a replica that was not heard for so long is forgotten
 
 
@@ -66,6 +67,18 @@
                 fresh += now_ms - peer.ping.echoes.get(self._me.id, -LEASE_MS) < LEASE_MS
         return fresh >= majority_of(view)
 
+    def in_contact(self, view: View, now_ms: float) -> bool:
+        """Whether a majority of the roster heard this replica a moment ago, whatever epoch each is in.
+
+        Counted from when this replica sent what they echo, as for a lease.
+        """
+        heard = 0
+        for member in view.roster:
+            peer = self.peers.get(member.id)
+            sent_ms = None if peer is None else peer.ping.echoes.get(self._me.id)
+            heard += member.id == self._me.id or (sent_ms is not None and now_ms - sent_ms < CONTACT_MS)
+        return heard >= majority_of(view)
+
     def steady(self, member_id: str, now_ms: float) -> bool:
         """Whether one has been heard for long enough to be let in."""
         if member_id == self._me.id:
--- a/dunlinloft/coordination/membership.py
+++ b/dunlinloft/coordination/membership.py
@@ -1,44 +1,72 @@
-"""Which view is wanted: the difference between it and the view in force is what gets proposed."""
+"""Which view is wanted: the difference between it and the view in force is what gets proposed.
+
+The roster (who votes) changes by exchange: a newcomer takes the place of a member that is leaving, that is
+gone, or that was its own address's former disk. It grows and shrinks so that its size stays odd: an even
+roster bears no more losses than the odd one below it, and stops at the second loss once one member is gone.
+The chain (who holds the state) is the largest group of roster members that hear one another.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from dunlinloft.coordination.liveness import Liveness
 from dunlinloft.coordination.messages import Member, Ping, View
 
 REPLACE_AFTER_MS = 1_000.0  # silent for so long, a roster member gives its place to a newcomer
-SHRINK_AFTER_MS = 3_000.0  # and one too many leaves the roster
+SHRINK_AFTER_MS = 3_000.0  # and where there are too many, leaves the roster without one
 
 
-def wanted_view(
-    view: View, me: Member, mine: Ping, liveness: Liveness, tolerance: int, entered_ms: float, now_ms: float
-) -> View | None:
-    """The view that should follow; None where nothing is to change, or nothing can be done.
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """What one replica knows when it plans the next view."""
 
-    `tolerance` is how many replicas may be lost at once; `entered_ms` is when the view in force was learned.
-    """
-    pings = {member_id: peer.ping for member_id, peer in liveness.peers.items()}
-    pings[me.id] = mine
-    complete = {member.id for member in view.chain[: view.complete]}
-    complete |= {m.id for m in view.chain if m.id in pings and pings[m.id].synced_epoch == view.epoch}
-    survivors = [member for member in view.chain if member.id in complete]
-    newcomers = _newcomers(view, pings, liveness, now_ms)
-    behind = [member for member in view.chain if member.id not in complete]
-    behind += [member for member in view.roster if view.place(member.id) is None]
-
-    def fit(member: Member) -> bool:
-        in_chain = view.place(member.id) is not None
-        steady = liveness.hears(member.id, now_ms) if in_chain else liveness.steady(member.id, now_ms)
-        return steady and member.id in pings and pings[member.id].healthy
-
-    able = [member for member in [*survivors, *behind, *newcomers] if fit(member)]
-    chain = _largest_clique(able, complete, liveness, now_ms)
+    view: View
+    me: Member
+    pings: dict[str, Ping]  # by member, its own included
+    liveness: Liveness
+    tolerance: int  # how many replicas may be lost at once
+    entered_ms: float  # when the view in force was learned
+    now_ms: float
+
+    @property
+    def least(self) -> int:
+        """The smallest roster that bears the losses promised."""
+        return 2 * self.tolerance + 1
+
+    def leaving(self, member: Member) -> bool:
+        """Whether a member says that its process ends."""
+        return member.id in self.pings and self.pings[member.id].leaving
+
+    def healthy(self, member: Member) -> bool:
+        """Whether a member's disk answers."""
+        return member.id in self.pings and self.pings[member.id].healthy
+
+    def silent_ms(self, member: Member) -> float:
+        """How long a member has been heard by nobody who is heard here."""
+        if self.liveness.reachable(member.id, self.now_ms):
+            return 0.0
+        return self.liveness.silent_ms(member.id, self.now_ms, self.entered_ms)
+
+    def complete(self) -> frozenset[str]:
+        """Those who hold all that was acknowledged: since before this view, or found equal in it."""
+        first = {member.id for member in self.view.chain[: self.view.complete]}
+        found = {m.id for m in self.view.chain if self._synced(m)}
+        return frozenset(first | found)
+
+    def _synced(self, member: Member) -> bool:
+        return member.id in self.pings and self.pings[member.id].synced_epoch == self.view.epoch
+
+
+def wanted_view(seen: Observation) -> View | None:
+    """The view that should follow; None where nothing is to change, or nothing can be done."""
+    view = seen.view
+    roster = _roster(seen)
+    complete = seen.complete()
+    chain = _chain(seen, roster, complete)
     if not chain:
         return None
-    joined = [member for member in newcomers if member in chain]
-    roster = _roster(view, joined, liveness, tolerance, entered_ms, now_ms)
-    chain = [member for member in chain if member in roster]
     first_behind = next((n for n, m in enumerate(chain) if m.id not in complete), len(chain))
     if first_behind == 0:
         return None
@@ -47,53 +75,131 @@
     return View(view.epoch + 1, tuple(roster), tuple(chain), first_behind)
 
 
-def _newcomers(view: View, pings: dict[str, Ping], liveness: Liveness, now_ms: float) -> list[Member]:
-    roster = view.voters()
+# The roster.
+
+
+def _roster(seen: Observation) -> list[Member]:
+    newcomers = _newcomers(seen)
+    addresses = {member.address for member in newcomers}
+    returned = {member.address for member in seen.view.roster} & addresses
+    roster = [member for member in seen.view.roster if member.address not in returned]
+    roster += [member for member in newcomers if member.address in returned]
+    others = [member for member in newcomers if member.address not in returned]
+    roster, others = _exchanged(seen, roster, others)
+    roster += others[: _growth(len(roster), len(others), seen.least)]
+    return _shrunk(seen, roster)
+
+
+def _newcomers(seen: Observation) -> list[Member]:
+    voters = seen.view.voters()
     found = [
         ping.sender
-        for member_id, ping in pings.items()
-        if member_id not in roster and ping.counts and liveness.steady(member_id, now_ms)
+        for member_id, ping in seen.pings.items()
+        if member_id not in voters
+        and ping.counts
+        and ping.healthy
+        and not ping.leaving
+        and seen.liveness.steady(member_id, seen.now_ms)
     ]
     return sorted(found, key=lambda member: member.id)
 
 
-def _largest_clique(
-    able: Sequence[Member], complete: set[str], liveness: Liveness, now_ms: float
+def _going(seen: Observation, roster: Sequence[Member], silent_ms: float) -> list[Member]:
+    """Members that are leaving, or were silent for so long; who is gone for longest first."""
+    going = [m for m in roster if seen.leaving(m) or seen.silent_ms(m) > silent_ms]
+    return sorted(going, key=lambda m: (-seen.silent_ms(m), m.id))
+
+
+def _exchanged(
+    seen: Observation, roster: list[Member], newcomers: list[Member]
+) -> tuple[list[Member], list[Member]]:
+    """The roster with newcomers in the places of those who go; and the newcomers that are left."""
+    going = _going(seen, roster, REPLACE_AFTER_MS)[: len(newcomers)]
+    kept = [member for member in roster if member not in going]
+    return kept + newcomers[: len(going)], newcomers[len(going) :]
+
+
+def _growth(size: int, newcomers: int, least: int) -> int:
+    """How many newcomers join: all while there are too few, else so that the size is odd."""
+    missing = min(newcomers, max(0, least - size))
+    size += missing
+    further = newcomers - missing
+    return missing + (further if (size + further) % 2 else max(0, further - 1))
+
+
+def _shrunk(seen: Observation, roster: list[Member]) -> list[Member]:
+    """The roster without those who go, as long as enough are left and the size is odd."""
+    going = _going(seen, roster, SHRINK_AFTER_MS)
+    most = min(len(going), max(0, len(roster) - seen.least))
+    number = next((n for n in range(most, 0, -1) if (len(roster) - n) % 2), 0)
+    gone = going[:number]
+    return [member for member in roster if member not in gone]
+
+
+# The chain.
+
+
+def _chain(seen: Observation, roster: list[Member], complete: frozenset[str]) -> list[Member]:
+    """The chain: of those who stay and are well; of others only where too few hold what was acknowledged."""
+    candidates = _candidates(seen, roster, complete)
+    staying = _clique(seen, candidates, complete, lambda m: seen.healthy(m) and not seen.leaving(m))
+    if _copies(staying, complete) > seen.tolerance:
+        return staying
+    with_leaving = _clique(seen, candidates, complete, seen.healthy)
+    best = max(staying, with_leaving, key=lambda chain: _copies(chain, complete))
+    return best or _clique(seen, candidates, complete, lambda _: True)
+
+
+def _copies(chain: list[Member], complete: frozenset[str]) -> int:
+    return sum(member.id in complete for member in chain)
+
+
+def _candidates(seen: Observation, roster: list[Member], complete: frozenset[str]) -> list[Member]:
+    """Members that are heard: the complete ones in their order, then those behind, then newcomers.
+
+    A leaver that the roster lets go may stay in the chain until others hold what it holds.
+    """
+    members = [m for m in seen.view.chain if m in roster or seen.leaving(m)]
+    members += [m for m in roster if m not in members]
+    heard = [m for m in members if _heard(seen, m)]
+    return [m for m in heard if m.id in complete] + [m for m in heard if m.id not in complete]
+
+
+def _heard(seen: Observation, member: Member) -> bool:
+    in_chain = seen.view.place(member.id) is not None
+    test = seen.liveness.hears if in_chain else seen.liveness.steady
+    return member.id in seen.pings and test(member.id, seen.now_ms)
+
+
+def _clique(
+    seen: Observation, members: list[Member], complete: frozenset[str], fit: Callable[[Member], bool]
 ) -> list[Member]:
     """Members that all hear one another, the first of them complete; of equal ones, the earliest stays."""
+    able = [member for member in members if fit(member)]
+    links = {member.id: _links(seen, member, able) for member in able}
     best: list[Member] = []
     for start in able:
         if start.id not in complete:
             continue
-        clique = [start]
-        for member in able:
-            if member is not start and all(liveness.linked(member.id, c.id, now_ms) for c in clique):
-                clique.append(member)
+        clique = _grown(start, able, links)
         if len(clique) > len(best):
-            best = [member for member in able if member in clique]
+            best = [member for member in able if member.id in clique]
+        if len(best) == len(able):
+            break
     return best
 
 
-def _roster(
-    view: View,
-    joined: list[Member],
-    liveness: Liveness,
-    tolerance: int,
-    entered_ms: float,
-    now_ms: float,
-) -> list[Member]:
-    """The roster with those who join; a former life at their address leaves, and the dead over the least."""
-    least = 2 * tolerance + 1
-    addresses = {member.address for member in joined}
-    roster = [member for member in view.roster if member.address not in addresses] + joined
-    limit = REPLACE_AFTER_MS if joined else SHRINK_AFTER_MS
-    dead = sorted(
-        (liveness.silent_ms(member.id, now_ms, entered_ms), member.id)
-        for member in roster
-        if member not in joined
-    )
-    for silent_ms, member_id in reversed(dead):
-        if len(roster) <= least or silent_ms <= limit or liveness.reachable(member_id, now_ms):
-            break
-        roster = [member for member in roster if member.id != member_id]
-    return roster
+def _links(seen: Observation, one: Member, others: list[Member]) -> set[str]:
+    """Who hears a member and is heard by it."""
+    return {other.id for other in others if seen.liveness.linked(one.id, other.id, seen.now_ms)}
+
+
+def _grown(start: Member, able: list[Member], links: dict[str, set[str]]) -> set[str]:
+    """Members that all hear one another, from one on, the earlier ones first."""
+    clique = {start.id}
+    allowed = links[start.id]
+    for member in able:
+        if member.id in allowed and member.id not in clique:
+            clique.add(member.id)
+            allowed = allowed & links[member.id]
+    return clique
--- a/dunlinloft/coordination/messages.py
+++ b/dunlinloft/coordination/messages.py
@@ -125,9 +125,9 @@
 
 
 class CommittedRecord(Struct, frozen=True, tag="committed"):
-    """Everything up to this sequence can't be lost any more."""
+    """All of this history can't be lost any more."""
 
-    sequence: int
+    chain_digest: str
 
 
 Record = (
@@ -144,7 +144,7 @@
     accepted: tuple[Ballot, View] | None = None
     state: ChainState = msgspec.field(default_factory=ChainState)
     synced_epoch: int = 0
-    committed: int = 0  # the sequence up to which it is known that nothing can be lost
+    committed_digest: str = ""  # the history of which it is known that nothing can be lost
 
 
 # What travels between replicas. Each carries its sender, so that a reply finds its way.
@@ -155,8 +155,9 @@
 
     sender: Member
     counts: bool  # whether its loss is counted, so that it may vote
-    healthy: bool  # its disk answers and it isn't leaving
-    epoch: int
+    healthy: bool  # its disk answers
+    leaving: bool  # its process ends as soon as others can do without it
+    epoch: int  # of the view that it has on disk
     synced_epoch: int
     lease_epoch: int  # the epoch, or 0 where it has accepted a view after it
     stamp_ms: float  # the sender's clock
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -14,7 +14,7 @@
 from dunlinloft.coordination.calls import Calls, Validate
 from dunlinloft.coordination.chain import ChainLink
 from dunlinloft.coordination.liveness import Liveness
-from dunlinloft.coordination.membership import wanted_view
+from dunlinloft.coordination.membership import Observation, wanted_view
 from dunlinloft.coordination.messages import (
     Accept,
     Accepted,
@@ -82,6 +82,7 @@
         self._seeds = seeds
         self._tolerance = tolerance
         self._rng = rng
+        self._life = f"{rng.getrandbits(32):08x}"
         self._actions: list[Action] = []
         self._waiting: dict[int, tuple[float, Callable[[], None]]] = {}
         self._token = 0
@@ -96,9 +97,10 @@
         self._quiet_until_ms = 0.0
         self._differs_since_ms: float | None = None
         self._pinged_ms = -PING_MS
-        self.leaving = False
-        self.chain = ChainLink(me, durable, self._actions_append, self._persist)
-        self.calls = Calls(me, self.chain, tolerance, validate, self._actions_append, self._send)
+        self._leaving = False
+        self._epoch_on_disk = 0 if durable.view is None else durable.view.epoch
+        self.chain = ChainLink(me, durable, self._actions_append, self._persist, tolerance + 1)
+        self.calls = Calls(me, self.chain, validate, self._actions_append, self._send, rng)
         if self.view is not None:
             self.chain.enter(self.view)
 
@@ -149,10 +151,38 @@
         """Whether roles of the epoch may be used here: no later view was agreed a moment ago."""
         return self.view is not None and self._voter() and self.liveness.leased(self.view, now_ms)
 
+    def contact(self, now_ms: float) -> View | None:
+        """The view, while a majority of its roster hears this replica; it need not vote itself."""
+        if self.view is None or not self.liveness.in_contact(self.view, now_ms):
+            return None
+        return self.view
+
     def healthy(self, now_ms: float) -> bool:
-        """Whether the disk answers and it isn't leaving."""
+        """Whether the disk answers."""
         slow = any(now_ms - since_ms > DISK_MS for since_ms, _ in self._waiting.values())
-        return self._counts and not slow and not self.leaving
+        return self._counts and not slow
+
+    def leave(self, now_ms: float) -> list[Action]:
+        """This process is to end: others take its place by agreement, in the next view."""
+        self._now = now_ms
+        self._leaving = True
+        self._ping_all()
+        return self._done()
+
+    def may_end(self) -> bool:
+        """Whether others can do without it: it is in no chain, and enough have the view that says so on disk.
+
+        So many that one of them is left after the losses that may come at once.
+        """
+        view = self.view
+        if view is None or not self._counts:
+            return True
+        if view.place(self.me.id) is not None:
+            return False
+        others = [member for member in view.roster if member.id != self.me.id]
+        peers = self.liveness.peers
+        told = sum(m.id in peers and peers[m.id].ping.epoch >= view.epoch for m in others)
+        return told >= min(self._tolerance + 1, len(others))
 
     def addresses(self) -> set[str]:
         """All replicas worth a heartbeat."""
@@ -232,7 +262,8 @@
             self.me,
             self._counts,
             healthy,
-            epoch,
+            self._leaving,
+            self._epoch_on_disk,
             self.chain.synced_epoch,
             lease_epoch,
             self._now,
@@ -319,15 +350,7 @@
         heard = sum(self.liveness.hears(member.id, self._now) for member in self.view.roster)
         wanted = None
         if heard >= majority_of(self.view):
-            wanted = wanted_view(
-                self.view,
-                self.me,
-                self._my_ping(),
-                self.liveness,
-                self._tolerance,
-                self._entered_ms,
-                self._now,
-            )
+            wanted = wanted_view(self._observation(self.view))
         if wanted is None:
             self._differs_since_ms = None
             return
@@ -337,6 +360,11 @@
         if self._now - self._differs_since_ms >= patience_ms:
             self._propose(self.view, wanted)
 
+    def _observation(self, view: View) -> Observation:
+        pings = {member_id: peer.ping for member_id, peer in self.liveness.peers.items()}
+        pings[self.me.id] = self._my_ping()
+        return Observation(view, self.me, pings, self.liveness, self._tolerance, self._entered_ms, self._now)
+
     def _turn(self, view: View) -> int:
         """How many before this replica are alive to propose."""
         order = [*view.chain, *(member for member in view.roster if view.place(member.id) is None)]
@@ -349,7 +377,8 @@
 
     def _propose(self, view: View, wanted: View) -> None:
         number = 1 if self._promised is None else self._promised.number + 1
-        ballot = Ballot(number, self.me.id)
+        # Of this life alone: a restart may have forgotten a ballot whose promise was not on disk yet.
+        ballot = Ballot(number, f"{self.me.id}/{self._life}")
         self._proposal = Proposal(wanted.epoch, ballot, wanted, self._now)
         for member in view.roster:
             self._send(member.address, Prepare(self.me, view, ballot))
@@ -406,6 +435,7 @@
         self.calls.moved()
 
         def entered() -> None:
+            self._epoch_on_disk = view.epoch
             if self.view is view:
                 self.chain.enter(view)
 
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -212,6 +212,15 @@
 
     records: tuple[ServerRecord, ...]
     gone: tuple[str, ...]
+    sender: str = ""  # where it is to be told that these were taken,
+    number: int = 0  # under this number; 0: nowhere
+
+
+class BeatsTaken(Struct, frozen=True, tag="beats_taken"):
+    """The sender has in memory what was announced under a number."""
+
+    sender: str
+    number: int
 
 
 class NodeSeen(Struct, frozen=True):
@@ -228,4 +237,4 @@
     nodes: tuple[NodeSeen, ...]
 
 
-ToControl = ReplicaMessage | Beats | NodesSeen | FromNode
+ToControl = ReplicaMessage | Beats | BeatsTaken | NodesSeen | FromNode
--- a/dunlinloft/statecli.py
+++ b/dunlinloft/statecli.py
@@ -64,7 +64,7 @@
         "promised": None if durable.promised is None else msgspec.to_builtins(durable.promised),
         "accepted_epoch": None if durable.accepted is None else durable.accepted[1].epoch,
         "sequence": state.sequence,
-        "committed": durable.committed,
+        "committed": durable.committed_digest == durable.state.chain_digest,
         "version": state.version,
         "routes": len(state.document.get("routes", ())),
         "orders_remembered": len(state.taken),
--- a/lab/control/cluster.py
+++ b/lab/control/cluster.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -31,6 +32,7 @@
     """One machine: its disk outlives its process."""
 
     address: str
+    counts: bool = True  # its loss is counted: it has a disk, votes and holds state
     durable: Durable | None = None  # what is on its disk; None: nothing
     replica: Replica | None = None  # None: its process is down
     life: int = 0  # of its process
@@ -55,7 +57,16 @@
 class Cluster:
     """Machines, the network between them, and operators."""
 
-    def __init__(self, seed: int, size: int = 3, tolerance: int = 1, loss: float = 0.0) -> None:
+    def __init__(
+        self,
+        seed: int,
+        size: int = 3,
+        tolerance: int = 1,
+        loss: float = 0.0,
+        further: int = 0,
+        diskless: int = 0,
+    ) -> None:
+        """`size` seeds form the first view; `further` machines count too, `diskless` ones pass calls on."""
         self.rng = random.Random(seed)
         self.now = 0.0
         self.loss = loss
@@ -66,12 +77,16 @@
         self.machines: dict[str, Machine] = {}
         self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, size + 1))
         self.told = self.seeds  # the seeds that processes find in their settings when they start
-        self.cuts: set[tuple[str, str]] = set()  # from, to
+        self.cuts: Counter[tuple[str, str]] = Counter()  # from, to: how many troubles cut it
         self._replies: dict[str, Callable[[Reply], None]] = {}
         self._tokens = itertools.count(1)
         for address in self.seeds:
             self.machines[address] = Machine(address)
             self.start(address, bootstrap=True)
+        for n in range(size + 1, size + further + diskless + 1):
+            address = f"10.0.0.{n}:7000"
+            self.machines[address] = Machine(address, counts=n <= size + further)
+            self.start(address, bootstrap=True)
 
     # Time.
 
@@ -100,14 +115,26 @@
             incarnation = FIRST_INCARNATION if bootstrap else f"{self.rng.getrandbits(64):016x}"
             machine.durable = Durable(incarnation)
         durable = _copied(machine.durable)
+        if not machine.counts:
+            durable = Durable(f"{self.rng.getrandbits(64):016x}")
         me = Member(address, durable.incarnation)
         rng = random.Random(self.rng.getrandbits(64))
-        machine.replica = Replica(me, True, durable, self.told, self.tolerance, judge, rng, self.now)
+        machine.replica = Replica(
+            me, machine.counts, durable, self.told, self.tolerance, judge, rng, self.now
+        )
         life = machine.life
         first = first_view(self.seeds) if bootstrap and address in self.seeds else None
         self._perform(machine, machine.replica.begin(first))
         self.after(self.rng.uniform(0.0, TICK_MS), lambda: self._tick(machine, life))
 
+    def power_off(self, address: str) -> None:
+        """End a process; of what its disk was writing, some may be there."""
+        machine = self.machines[address]
+        if machine.durable is not None and machine.replica is not None and not machine.stalled:
+            for _, record in machine.queue[: self.rng.randint(0, len(machine.queue))]:
+                durables.apply(machine.durable, record)
+        self.kill(address)
+
     def add(self, address: str) -> None:
         """A new machine with an empty disk."""
         self.machines[address] = Machine(address)
@@ -143,9 +170,42 @@
 
     def cut(self, one: str, other: str, both: bool = True) -> None:
         """No messages from one to the other."""
-        self.cuts.add((one, other))
+        self.cuts[one, other] += 1
         if both:
-            self.cuts.add((other, one))
+            self.cuts[other, one] += 1
+
+    def uncut(self, one: str, other: str, both: bool = True) -> None:
+        """One trouble less that cuts them off."""
+        for pair in ((one, other), (other, one))[: 1 + both]:
+            self.cuts[pair] -= 1
+            if self.cuts[pair] <= 0:
+                del self.cuts[pair]
+
+    def leave(self, address: str, grace_ms: float) -> None:
+        """SIGTERM: the process ends once it may, or at the end of the grace period."""
+        machine = self.machines[address]
+        if machine.replica is None:
+            return
+        life = machine.life
+        self._guarded(machine, life, lambda: self._perform(machine, self._replica(machine).leave(self.now)))
+        self.after(grace_ms, lambda: self._end(machine, life))
+        self._look_to_end(machine, life)
+
+    def _look_to_end(self, machine: Machine, life: int) -> None:
+        if machine.replica is None or machine.life != life:
+            return
+        if not machine.frozen and machine.replica.may_end():
+            self.kill(machine.address)
+        else:
+            self.after(TICK_MS, lambda: self._look_to_end(machine, life))
+
+    def _end(self, machine: Machine, life: int) -> None:
+        if machine.life == life:
+            self.kill(machine.address)
+
+    def _replica(self, machine: Machine) -> Replica:
+        assert machine.replica is not None
+        return machine.replica
 
     def heal(self) -> None:
         """All links work again."""
@@ -187,7 +247,7 @@
                     if taker is not None:
                         taker(action)
                 case Commit():
-                    self.rules.committed(action.state, machine)
+                    self.rules.committed(action.state, machine, self.machines)
 
     def _send(self, source: str, target: str, message: ReplicaMessage) -> None:
         if target not in self.machines or (source, target) in self.cuts or self.rng.random() < self.loss:
--- a/lab/control/rules.py
+++ b/lab/control/rules.py
@@ -44,8 +44,12 @@
             if known is not view and known != view:
                 raise Broken(f"two views in epoch {view.epoch}: {known} and {view}")
 
-    def committed(self, state: ChainState, machine: Machine) -> None:
-        """A replica holds a state for committed."""
+    def committed(self, state: ChainState, machine: Machine, machines: Mapping[str, Machine]) -> None:
+        """A replica holds a state for committed: when the first does, it is on enough disks."""
+        if state.sequence and state.sequence not in self._history:
+            held = self.copies(machines, state.taken[-1].digest)
+            if held <= self._tolerance:
+                raise Broken(f"sequence {state.sequence} was committed with {held} copies")
         known = self._history.setdefault(state.sequence, state.chain_digest)
         if known != state.chain_digest:
             raise Broken(f"two histories at sequence {state.sequence}")
@@ -82,10 +86,12 @@
 
     def holders(self, machines: Mapping[str, Machine], order: Order) -> int:
         """On how many disks an order is."""
+        return self.copies(machines, order.digest)
+
+    def copies(self, machines: Mapping[str, Machine], digest: str) -> int:
+        """On how many disks the order with a digest is."""
         disks = (machine.durable for machine in machines.values())
-        return sum(
-            disk is not None and any(t.digest == order.digest for t in disk.state.taken) for disk in disks
-        )
+        return sum(disk is not None and any(t.digest == digest for t in disk.state.taken) for disk in disks)
 
     def durable(self, machines: Mapping[str, Machine], order: Order) -> None:
         """What was just acknowledged is on more disks than may be lost."""
--- a/tests/test_control_replicas.py
+++ b/tests/test_control_replicas.py
@@ -7,73 +7,9 @@
 import pytest
 
 from dunlinloft.coordination.actions import Reply
-from dunlinloft.coordination.messages import Order
 from dunlinloft.coordination.replica import first_view
 from lab.control.cluster import Cluster
-
-
-def _order(version: int, base: int, text: str = "", kind: str = "replace") -> Order:
-    body = {"version": version, "routes": [], "services": [], "note": text}
-    return Order(kind, base, f"{kind}/{base}/{version}/{text}", body)
-
-
-class Operator:
-    """Sends changes one after the other, each on the newest acknowledged version."""
-
-    def __init__(self, cluster: Cluster) -> None:
-        self.cluster = cluster
-        self.version = 0
-        self.acked = self.refused = self.unclear = 0
-        self.worst_ms = 0.0
-
-    def change(self) -> None:
-        """One change, and the next one some time after it has ended."""
-        cluster = self.cluster
-        order = _order(self.version + cluster.rng.randint(1, 3), self.version, f"{cluster.rng.random()}")
-        began = cluster.now
-
-        def ended(status: int) -> None:
-            if status == 200:
-                self.acked += 1
-                self.version = order.body["version"]
-                cluster.rules.durable(cluster.machines, order)
-                self.worst_ms = max(self.worst_ms, cluster.now - began)
-            elif status:
-                self.refused += 1
-            else:
-                self.unclear += 1
-            go_on = self.change if status == 200 else self.look
-            cluster.after(50.0 + 300.0 * cluster.rng.random(), go_on)
-
-        cluster.order(order, ended)
-
-    def look(self) -> None:
-        """Read which version is current: somebody else changed it, or nothing clear came back."""
-        cluster = self.cluster
-
-        def taker(reply: Reply | None) -> None:
-            if reply is not None and reply.status == 200:
-                self.version = reply.version
-                self.change()
-            else:
-                cluster.after(100.0, self.look)
-
-        up = [m.address for m in cluster.machines.values() if not m.gone]
-        cluster.call(up[cluster.rng.randrange(len(up))], None, taker)
-
-    def read(self) -> None:
-        """Reads now and then; none may be older than what was acknowledged before it began."""
-        cluster = self.cluster
-        up = [m.address for m in cluster.machines.values() if m.replica is not None]
-        acked = cluster.rules.newest_acked
-
-        def taker(reply: Reply | None) -> None:
-            if reply is not None and reply.status == 200:
-                cluster.rules.read(reply.version, acked)
-
-        if up:
-            cluster.call(up[cluster.rng.randrange(len(up))], None, taker)
-        cluster.after(200.0, self.read)
+from lab.control.operators import Operator
 
 
 def _settled(cluster: Cluster, operator: Operator) -> None:
--- /dev/null
+++ b/tests/test_control_world.py
@@ -0,0 +1,437 @@
+"""The operators' worst days for the control side, each brought about in the simulated world."""
+
+from __future__ import annotations
+
+import os
+import random
+
+import pytest
+
+from dunlinloft.coordination.actions import Action, Reply, Send
+from dunlinloft.coordination.calls import Calls
+from dunlinloft.coordination.chain import ChainLink
+from dunlinloft.coordination.durable import after_entry, continues, next_entry
+from dunlinloft.coordination.messages import (
+    Accepted,
+    Append,
+    ChainState,
+    Durable,
+    Member,
+    Offer,
+    Prepare,
+    Promise,
+    View,
+)
+from dunlinloft.coordination.replica import Replica, first_view
+from dunlinloft.validation import judge
+from lab.control.cluster import Cluster
+from lab.control.operators import Operator, small_order
+from lab.control.rules import Broken
+from lab.control.troubles import Trouble, Troubles
+from lab.control.world import deployment_of, play, played
+
+SEEDS = int(os.environ.get("WORLD_SEEDS", "28"))  # `dunlinloft explore control` plays thousands
+ACK_MS = 4_000.0  # `ack_timeout_ms`
+SYNC_MS = 4_000.0  # `sync_timeout_s`
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_no_schedule_breaks_a_rule(seed: int) -> None:
+    assert play(seed) > 0
+
+
+def _running(seed: int, size: int = 3, operators: int = 1) -> tuple[Cluster, list[Operator]]:
+    cluster = Cluster(seed, size)
+    working = [Operator(cluster) for _ in range(operators)]
+    for operator in working:
+        cluster.after(300.0, operator.change)
+        operator.read()
+    cluster.run(2_000.0)
+    return cluster, working
+
+
+def _acked(operators: list[Operator]) -> int:
+    return sum(operator.acked for operator in operators)
+
+
+def _goes_on(cluster: Cluster, operators: list[Operator], within_ms: float = ACK_MS) -> None:
+    before = _acked(operators)
+    cluster.run(within_ms)
+    assert _acked(operators) > before, "no order was acknowledged"
+
+
+# 1. A control machine is cut off for some twenty seconds.
+
+
+@pytest.mark.parametrize("place", [0, 1, 2])
+def test_a_machine_that_is_cut_off_for_twenty_seconds_answers_nothing_old_and_takes_nothing(
+    place: int,
+) -> None:
+    cluster, operators = _running(21 + place)
+    address = cluster.seeds[place]
+    for other in cluster.seeds:
+        if other != address:
+            cluster.cut(address, other)
+    cluster.run(3_000.0)
+    statuses: list[int] = []
+
+    def taker(reply: Reply | None) -> None:
+        if reply is not None:
+            statuses.append(reply.status)
+
+    for number in range(14):
+        cluster.call(address, None, taker)
+        cluster.call(address, small_order(9_000 + number, operators[0].version, "at the one cut off"), taker)
+        cluster.run(1_200.0)
+        contact = cluster.machines[address].replica
+        assert contact is not None
+        assert contact.contact(cluster.now) is None, "it acknowledges no heartbeat"
+    assert set(statuses) == {503}
+    assert len(statuses) == 28
+    cluster.heal()
+    _goes_on(cluster, operators)
+
+
+def test_orders_go_on_elsewhere_while_the_head_is_cut_off() -> None:
+    cluster, operators = _running(31)
+    for other in cluster.seeds[1:]:
+        cluster.cut(cluster.seeds[0], other)
+    before = _acked(operators)
+    cluster.run(20_000.0)
+    assert _acked(operators) - before > 20
+    assert operators[0].worst_ms < ACK_MS
+
+
+# 2. Two operators under one number; an order sent again after a lost answer.
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_of_two_orders_on_one_version_one_wins_and_it_is_acknowledged_again_wherever_it_is_sent(
+    seed: int,
+) -> None:
+    cluster = Cluster(seed)
+    cluster.run(500.0)
+    answers: dict[str, list[int]] = {"one": [], "other": []}
+    orders = {name: small_order(5, 0, name) for name in answers}
+    for name, order in orders.items():
+        cluster.order(order, answers[name].append)
+    cluster.run(2_000.0)
+    assert sorted(status for (status,) in answers.values()) == [200, 412]
+    winner = next(name for name, (status,) in answers.items() if status == 200)
+    cluster.kill(cluster.seeds[0])
+    cluster.run(2_000.0)
+    for name, order in orders.items():
+        cluster.order(order, answers[name].append)
+    cluster.run(3_000.0)
+    assert answers[winner] == [200, 200]
+    assert [a for name, a in answers.items() if name != winner] == [[412, 412]]
+
+
+def test_what_was_refused_stays_refused_when_its_base_becomes_current() -> None:
+    cluster = Cluster(5)
+    cluster.run(500.0)
+    early = small_order(9, 4, "early")
+    statuses: list[int] = []
+    cluster.order(early, statuses.append)
+    cluster.run(500.0)
+    cluster.order(small_order(4, 0), lambda _: None)
+    cluster.run(500.0)
+    cluster.order(early, statuses.append)  # a copy that comes late
+    cluster.run(500.0)
+    assert statuses == [412, 412]
+
+
+# 3. A second loss right after a repair or a replacement; a leaver with the only copy.
+
+
+@pytest.mark.parametrize("slow", [False, True])
+@pytest.mark.parametrize("planned", [False, True])
+@pytest.mark.parametrize("seed", range(5))
+def test_a_disk_that_is_lost_after_a_replacement_leaves_a_majority(
+    seed: int, planned: bool, slow: bool
+) -> None:
+    cluster, operators = _running(40 + seed)
+    rng = random.Random(seed)
+    first, gone, second = rng.sample(cluster.seeds, 3)
+    if slow:
+        cluster.machines[first].sync_x = 60.0
+    newcomer = "10.0.1.1:7000"
+    if planned:
+        cluster.add(newcomer)
+        cluster.run(2_000.0)
+        cluster.leave(gone, 8_000.0)
+        cluster.run(rng.uniform(300.0, 1_000.0))
+        cluster.remove(gone)
+    else:
+        cluster.remove(gone)
+        cluster.run(2_000.0)
+        cluster.add(newcomer)
+    cluster.run(rng.uniform(4_000.0, 5_000.0))
+    view = _view(cluster)
+    assert {member.address for member in view.roster} == {first, second, newcomer}
+    cluster.wipe(second)
+    _goes_on(cluster, operators)
+    cluster.start(second)
+    cluster.run(SYNC_MS)
+    cluster.machines[first].sync_x = 1.0
+    cluster.kill(first)
+    _goes_on(cluster, operators)
+
+
+def _view(cluster: Cluster) -> View:
+    views = [m.replica.view for m in cluster.machines.values() if m.replica is not None]
+    return max((view for view in views if view is not None), key=lambda view: view.epoch)
+
+
+def test_a_replacement_is_one_view_and_the_roster_stays_odd() -> None:
+    cluster, operators = _running(51)
+    cluster.add("10.0.1.1:7000")
+    cluster.run(2_000.0)
+    before = _view(cluster)
+    assert len(before.roster) == 3, "a newcomer waits until somebody goes"
+    cluster.leave(cluster.seeds[1], 8_000.0)
+    cluster.run(300.0)
+    after = _view(cluster)
+    assert after.epoch == before.epoch + 1
+    assert {member.address for member in after.roster} == {
+        cluster.seeds[0],
+        cluster.seeds[2],
+        "10.0.1.1:7000",
+    }
+    assert cluster.machines[cluster.seeds[1]].replica is None, "it has ended"
+    _goes_on(cluster, operators)
+
+
+def test_a_leaver_with_the_only_copy_stays_until_others_hold_it() -> None:
+    cluster, operators = _running(52)
+    head, second, third = cluster.seeds
+    cluster.kill(third)
+    cluster.run(1_500.0)
+    cluster.wipe(second)  # one loss too many: the head is alone with what was acknowledged
+    cluster.leave(head, 60_000.0)
+    cluster.run(3_000.0)
+    assert cluster.machines[head].replica is not None, "it stays"
+    cluster.start(third)
+    cluster.start(second)
+    cluster.run(SYNC_MS)
+    assert cluster.machines[head].replica is None, "others hold it: it has ended"
+    assert cluster.rules.newest_acked == operators[0].version
+    _goes_on(cluster, operators)
+
+
+def test_the_roster_grows_and_shrinks_so_that_its_size_stays_odd() -> None:
+    for further, size in ((1, 3), (2, 5), (3, 5), (5, 7)):
+        cluster = Cluster(60 + further, 3, further=further)
+        cluster.run(3_000.0)
+        assert len(_view(cluster).roster) == size
+    cluster = Cluster(70, 3, further=2)
+    cluster.run(3_000.0)
+    for gone in cluster.seeds[:2]:
+        cluster.remove(gone)
+        cluster.run(4_000.0)
+    assert len(_view(cluster).roster) == 3
+
+
+# 4. Hundreds of changes; a member that was away.
+
+
+@pytest.mark.parametrize("how", ["kill", "cut", "freeze"])
+def test_a_member_that_missed_hundreds_of_changes_catches_up_and_never_leads_with_old_state(how: str) -> None:
+    cluster = Cluster(80)
+    cluster.run(500.0)
+    away, others = cluster.seeds[0], cluster.seeds[1:]
+    version, taken = 0, 0
+
+    def changes(number: int) -> None:
+        nonlocal version, taken
+        for _ in range(number):
+            statuses: list[int] = []
+            cluster.order(small_order(version + 1, version), statuses.append)
+            cluster.run(60.0)
+            while not statuses:
+                cluster.run(20.0)
+            assert statuses == [200]
+            version, taken = version + 1, taken + 1
+
+    changes(20)
+    for other in others:
+        cluster.cut(away, other)
+    if how == "kill":
+        cluster.kill(away)
+    elif how == "freeze":
+        cluster.freeze(away)
+    changes(380)
+    cluster.heal()
+    if how == "kill":
+        cluster.start(away)
+    elif how == "freeze":
+        cluster.thaw(away)
+    cluster.run(SYNC_MS)
+    disk = cluster.machines[away].durable
+    assert disk is not None
+    assert disk.state.version == version
+    for other in others:  # relieved at once: the one that was away has to lead
+        cluster.kill(other)
+    cluster.run(900.0)
+    cluster.start(others[1])
+    cluster.run(2_000.0)
+    changes(5)
+
+
+# What the review found in the code.
+
+
+def _held(link_view: View, me: Member, state: ChainState) -> tuple[ChainLink, list[Action]]:
+    """A chain link whose disk answers at once."""
+    actions: list[Action] = []
+    durable = Durable(me.incarnation, state=state, committed_digest=state.chain_digest)
+    link = ChainLink(me, durable, actions.append, lambda _, then: then(), 2)
+    link.enter(link_view)
+    return link, actions
+
+
+def test_a_head_alone_commits_nothing_and_is_not_settled_by_the_length_of_its_chain() -> None:
+    view = first_view(("10.0.0.1:1", "10.0.0.2:1"))
+    head = view.chain[0]
+    link, _ = _held(View(2, view.roster, (head,), 1), head, ChainState())
+    assert not link.settled
+    assert not link.is_tail
+    link.append(next_entry(ChainState(), 1, small_order(1, 0)))
+    assert link.committed.sequence == 0
+    # A longer chain, whose second member has still to catch up, changes nothing.
+    link.enter(View(3, view.roster, view.chain, 1))
+    assert not link.settled
+
+
+def test_an_entry_that_continues_another_history_is_not_taken() -> None:
+    view = first_view(("10.0.0.1:1", "10.0.0.2:1"))
+    head, tail = view.chain
+    ours = after_entry(ChainState(), next_entry(ChainState(), 1, small_order(1, 0, "ours")))
+    theirs = after_entry(ChainState(), next_entry(ChainState(), 1, small_order(1, 0, "theirs")))
+    link, actions = _held(view, tail, ours)
+    entry = next_entry(theirs, 2, small_order(2, 1))
+    assert not continues(ours, entry)
+    link.on_append(Append(head, 1, (entry,)))
+    assert link.state == ours
+    assert any(isinstance(action, Send) for action in actions), "it says what it holds"
+
+
+def test_a_ballot_of_a_former_life_is_not_used_again() -> None:
+    view = first_view(("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"))
+    me, second, third = view.roster
+    ballots = set()
+    for life in range(2):
+        # The disk has not taken the promise: after the restart it is unknown.
+        durable = Durable(me.incarnation, view=view)
+        replica = Replica(me, True, durable, (), 1, judge, random.Random(life), 0.0)
+        replica.begin(None)
+        replica._propose(view, View(2, view.roster, (me, second), 2))
+        prepares = [a.message for a in replica._actions if isinstance(a, Send)]
+        ballots |= {message.ballot for message in prepares if isinstance(message, Prepare)}
+        assert third.address in {a.address for a in replica._actions if isinstance(a, Send)}
+    assert len(ballots) == 2
+
+
+def test_an_acceptance_of_a_former_lifes_ballot_decides_nothing() -> None:
+    view = first_view(("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"))
+    me, second, third = view.roster
+    replica = Replica(me, True, Durable(me.incarnation, view=view), (), 1, judge, random.Random(1), 0.0)
+    replica.begin(None)
+    wanted = View(2, view.roster, (me, second), 2)
+    replica._propose(view, wanted)
+    assert replica._proposal is not None
+    ballot = replica._proposal.ballot
+    for voter in (second, third):
+        replica.handle(Promise(voter, 2, ballot, None), 1.0)
+    former = type(ballot)(ballot.number, f"{me.id}/another life")
+    for voter in (second, third):
+        replica.handle(Accepted(voter, 2, former), 2.0)
+    assert replica.view == view
+    for voter in (second, third):
+        replica.handle(Accepted(voter, 2, ballot), 3.0)
+    assert replica.view == wanted
+
+
+def test_a_late_confirmation_for_a_former_life_confirms_nothing() -> None:
+    nonces = set()
+    for life in range(2):
+        view = first_view(("10.0.0.1:1", "10.0.0.2:1"))
+        link, _ = _held(view, view.chain[1], ChainState())
+        calls = Calls(view.chain[1], link, judge, lambda _: None, lambda *_: None, random.Random(life))
+        nonces.add(calls._nonce)
+    assert len(nonces) == 2
+
+
+# Planted faults: each checker of the world catches its own.
+
+
+def _caught(message: str, seeds: range) -> None:
+    for seed in seeds:
+        try:
+            play(seed)
+        except Broken as broken:
+            if message in str(broken):
+                return
+    pytest.fail(f"not caught: {message}")
+
+
+def _order_at_a_head_alone() -> None:
+    """One is down, another's disk has stalled: the two left agree on a chain of one."""
+    cluster = Cluster(90)
+    cluster.run(500.0)
+    head, second, third = cluster.seeds
+    cluster.kill(third)
+    cluster.run(1_500.0)
+    cluster.stall(second, True)
+    for number in range(80):
+        for version in range(1, 9):
+            cluster.call(head, small_order(version, version - 1), lambda _: None)
+        cluster.run(20.0)
+        if number == 35:
+            cluster.stall(second, False)  # it votes for the chain without it, and is well again
+
+
+def test_a_head_alone_acknowledges_nothing() -> None:
+    _order_at_a_head_alone()
+
+
+def test_a_chain_whose_length_stands_for_copies_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    def alone(self: ChainLink) -> bool:
+        return self.synced and self._successor is None
+
+    monkeypatch.setattr(ChainLink, "is_tail", property(alone))
+    with pytest.raises(Broken, match="committed with 1 copies"):
+        _order_at_a_head_alone()
+
+
+def test_a_chain_that_never_catches_up_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ChainLink, "on_install", lambda *_: None)
+    _caught("although nothing fails any more", range(0, 40))
+
+
+def test_the_shortest_schedule_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    def forgetful(self: ChainLink, offer: Offer) -> None:
+        """Nobody finds itself equal: after the first loss there is no tail."""
+
+    monkeypatch.setattr(ChainLink, "on_offer", forgetful)
+    result = played(1)
+    assert "although nothing fails any more" in result.broken
+    assert len(result.schedule) <= 1
+
+
+def test_a_schedule_repeats() -> None:
+    schedule = (Trouble(3_000.0, "wipe", 700.0, 1), Trouble(3_300.0, "split", 9_000.0, 0))
+    assert play(8, schedule) == play(8, schedule)
+    assert deployment_of(8) == deployment_of(1)
+
+
+def test_no_more_disks_are_lost_than_may_be() -> None:
+    cluster = Cluster(1)
+    troubles = Troubles(cluster, 1)
+    for place in range(3):
+        troubles.begin(Trouble(0.0, "wipe", 100.0, place))
+    assert sum(machine.durable is None for machine in cluster.machines.values()) == 1
+    cluster.run(300.0)
+    cluster.run(SYNC_MS + 500.0)
+    troubles.begin(Trouble(0.0, "wipe", 100.0, 2))
+    assert cluster.machines[cluster.seeds[2]].durable is None
--- /dev/null
+++ b/tests/test_server_list.py
@@ -0,0 +1,139 @@
+"""Control planes answer servers 503 where they can't pass it on, and to leaving once a majority has it."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+from msgspec import Struct
+
+from dunlinloft.controlplane.distribution import Distribution
+from dunlinloft.controlplane.server_list import ANNOUNCE_S, ServerList
+from dunlinloft.coordination.liveness import CONTACT_MS, Liveness
+from dunlinloft.coordination.messages import Member, Ping, View
+from dunlinloft.coordination.placement import Placements
+from dunlinloft.coordination.registry import Registry
+from dunlinloft.coordination.replica import first_view
+from dunlinloft.coordination.stream import Beats, BeatsTaken, ServerRecord
+from tests.virtual_time import VirtualLoop
+
+ADDRESSES = ("10.0.0.1:7680", "10.0.0.2:7680", "10.0.0.3:7680")
+VIEW = first_view(ADDRESSES)
+
+
+def _record(sequence: int, state: str = "ready") -> ServerRecord:
+    return ServerRecord("i-1", "pool", "10.0.9.1:80", "a", 4, state, sequence)
+
+
+class _Others:
+    """The other control planes: those that answer take what is announced, after so many messages."""
+
+    def __init__(self, answering: tuple[str, ...], deaf_for: int = 0, me: str = ADDRESSES[0]) -> None:
+        self.answering = answering
+        self.deaf_for = deaf_for
+        self.view: View | None = VIEW
+        self.announced: list[str] = []
+        rng: Any = None
+        self.registry = Registry(1_000.0, 0.0)
+        self.list = ServerList(
+            me,
+            self.registry,
+            Distribution(),
+            Placements(rng, 3_000.0),
+            lambda: self.view,
+            lambda: set(ADDRESSES) - {me},
+            self._send,
+        )
+
+    def _send(self, address: str, message: Struct) -> None:
+        assert isinstance(message, Beats)
+        if not message.number:
+            return
+        self.announced.append(address)
+        if address in self.answering and len(self.announced) > self.deaf_for:
+            self.list.on_taken(BeatsTaken(address, message.number))
+
+
+def _run(coroutine: Coroutine[Any, Any, None]) -> float:
+    loop = VirtualLoop()
+    try:
+        loop.run_until_complete(coroutine)
+        return loop.time()
+    finally:
+        loop.close()
+
+
+def test_a_heartbeat_is_acknowledged_only_in_contact_with_a_majority() -> None:
+    async def play() -> None:
+        others = _Others(ADDRESSES)
+        assert await others.list.beat(_record(1))
+        others.view = None
+        assert not await others.list.beat(_record(2))
+        assert not await others.list.beat(_record(3, "draining"))
+        assert not await others.list.leave("i-1")
+
+    _run(play())
+
+
+def test_leaving_is_acknowledged_once_a_majority_has_it() -> None:
+    async def play() -> None:
+        others = _Others((ADDRESSES[2],))
+        assert await others.list.beat(_record(1, "draining"))
+        told = len(others.announced)
+        assert await others.list.beat(_record(2, "draining"))
+        assert len(others.announced) == told, "a majority knows it already"
+
+    assert _run(play()) == 0.0
+
+
+def test_what_was_lost_is_announced_again() -> None:
+    async def play() -> None:
+        assert await _Others(ADDRESSES, deaf_for=3).list.leave("i-1")
+
+    assert 0.0 < _run(play()) < ANNOUNCE_S
+
+
+@pytest.mark.parametrize("answering", [(), ("10.9.9.9:7680",)])
+def test_leaving_that_nobody_else_has_is_not_acknowledged(answering: tuple[str, ...]) -> None:
+    async def play() -> None:
+        assert not await _Others(answering).list.beat(_record(1, "draining"))
+
+    assert _run(play()) == pytest.approx(ANNOUNCE_S, abs=0.05)
+
+
+def test_a_replica_without_a_vote_needs_a_majority_of_those_who_have_one() -> None:
+    async def play(answering: tuple[str, ...]) -> bool:
+        return await _Others(answering, me="10.0.0.9:7680").list.leave("i-1")
+
+    async def both() -> None:
+        assert not await play(ADDRESSES[:1])
+        assert await play(ADDRESSES[:2])
+
+    _run(both())
+
+
+def test_who_hears_an_announcement_says_so_and_knows_it() -> None:
+    sent: list[tuple[str, Struct]] = []
+    others = _Others(())
+    others.list._send = lambda address, message: sent.append((address, message))
+    others.list.on_beats(Beats((_record(1, "draining"),), (), ADDRESSES[1], 7))
+    assert (ADDRESSES[1], BeatsTaken(ADDRESSES[0], 7)) in sent
+    assert others.registry.records["i-1"].draining
+
+
+def _ping(sender: Member, echoes: dict[str, float]) -> Ping:
+    return Ping(sender, True, True, False, 1, 1, 1, 0.0, echoes, ())
+
+
+def test_contact_is_counted_from_when_a_stamp_was_sent() -> None:
+    me, second, third = VIEW.roster
+    liveness = Liveness(me)
+    assert not liveness.in_contact(VIEW, 0.0)
+    liveness.heard(_ping(second, {me.id: 1_000.0}), 1_900.0)
+    assert liveness.in_contact(VIEW, 1_900.0)
+    assert not liveness.in_contact(VIEW, 1_000.0 + CONTACT_MS)
+    liveness.heard(_ping(third, {me.id: 2_000.0}), 2_100.0)
+    assert liveness.in_contact(VIEW, 2_900.0)
+    # Frozen for long, and awake again: it has heard nobody since.
+    assert not liveness.in_contact(VIEW, 30_000.0)
--- a/tests/test_statecli.py
+++ b/tests/test_statecli.py
@@ -24,7 +24,9 @@
     store = Store(tmp_path, "0")
     order = Order("replace", 0, "digest", {"version": 7, "routes": [{"name": "r"}], "services": []})
     entry = next_entry(store.durable.state, 7, order)
-    store.append([ViewRecord(first_view(("10.0.0.1:7000",))), EntryRecord(entry), CommittedRecord(1)])
+    store.append(
+        [ViewRecord(first_view(("10.0.0.1:7000",))), EntryRecord(entry), CommittedRecord(entry.chain_digest)]
+    )
     store.close()
     server = ServerRecord("i-1", "pool", "10.0.0.9:80", "a", 4, "ready", 1)
     KnownMembers(tmp_path).write(Known((server,)))
@@ -45,7 +47,7 @@
     status, said = _said("inspect", str(folder), "--json")
     assert status == 0
     found = json.loads(said)
-    assert (found["version"], found["sequence"], found["committed"]) == (7, 1, 1)
+    assert (found["version"], found["sequence"], found["committed"]) == (7, 1, True)
     assert (found["epoch"], found["chain"], found["routes"]) == (1, ["10.0.0.1:7000/0"], 1)
     assert found["log_records"] == {"ViewRecord": 1, "EntryRecord": 1, "CommittedRecord": 1}
     assert found["servers_known"] == 1
