--- a/dunlinloft/dataplane/exchange.py
+++ b/dunlinloft/dataplane/exchange.py
@@ -10,6 +10,7 @@
 
 from dunlinloft.dataplane.attempts import Attempts, Opened, Serving
 from dunlinloft.dataplane.client_request import ClientRequest
+from dunlinloft.dataplane.closing import Closing
 from dunlinloft.dataplane.events import EventCutter
 from dunlinloft.dataplane.upstream import next_bytes, passed_headers
 from dunlinloft.dataplane.verdict import Failure, Verdict
@@ -28,7 +29,7 @@
 class Exchange:
     """Has a request sent, and passes the answer on."""
 
-    def __init__(self, client_request: ClientRequest, serving: Serving, closing: bool) -> None:
+    def __init__(self, client_request: ClientRequest, serving: Serving, closing: Closing) -> None:
         self._request = client_request
         self._attempts = Attempts(client_request, serving)
         self._closing = closing
@@ -70,7 +71,7 @@
 
     def _head(self, response: aiohttp.ClientResponse) -> CIMultiDict[str]:
         headers = passed_headers(CIMultiDict(response.headers))
-        if self._closing:
+        if self._closing.begun:
             headers["Connection"] = "close"
         return headers
 
--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -13,6 +13,7 @@
 from dunlinloft.configuration import Limits, Tenant
 from dunlinloft.coordination.quotas import QuotaLimit
 from dunlinloft.dataplane.client_request import DEADLINE_HEADER, ClientRequest
+from dunlinloft.dataplane.closing import Closing
 from dunlinloft.dataplane.exchange import Exchange, refusal
 from dunlinloft.dataplane.lateness import Lateness
 from dunlinloft.dataplane.quota import NodeQuotas, OverQuota
@@ -21,6 +22,7 @@
 
 BODY_S = 20.0  # for a whole body
 STARTING_RETRY_S = 0.3
+CLOSING_RETRY_S = 0.01  # another node takes it at once
 HOLD_S = 0.6  # a node that has just started holds a request so long until it can serve it,
 HOLD_SHARE = 0.25  # or this share of its deadline
 CHUNK = 65_536
@@ -44,7 +46,7 @@
         table: Callable[[], RoutingTable | None],
         quotas: NodeQuotas,
         make_exchange: MakeExchange,
-        closing: Callable[[], bool],
+        closing: Closing,
         serving: asyncio.Event,
     ) -> None:
         self._table = table
@@ -64,7 +66,7 @@
             answer = refused.answer
         finally:
             self.inflight -= 1
-        if self._closing() and not answer.prepared:
+        if self._closing.begun:
             answer.force_close()
         return answer
 
@@ -82,6 +84,8 @@
         active, tenant = self._match(table, request)
         deadline_ms = _deadline_ms(request)
         ends_ms = arrived_ms + min(deadline_ms, active.route.timeout_ms)
+        if self._closing.refuses(ends_ms, now_ms()):
+            return refusal(503, "this node ends", CLOSING_RETRY_S)
         waited_ms = 0.0
         if deadline_ms < math.inf:
             waited_ms = self._lateness.waited_ms(active.route.name, deadline_ms)
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -30,6 +30,7 @@
 from dunlinloft.dataplane.attempts import Serving
 from dunlinloft.dataplane.budget import RetryBudget
 from dunlinloft.dataplane.client_request import ClientRequest
+from dunlinloft.dataplane.closing import Closing
 from dunlinloft.dataplane.control import Subscriptions
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.frontend import Frontend
@@ -46,9 +47,7 @@
 BACKLOG = 1_024
 TICK_S = 0.2
 REREAD_MS = 2_000.0  # between looks at the settings while seeds are needed
-NOTICE_S = 2.6  # after SIGTERM, for the platform to send no more connections: it asks each second, twice
 LAST_WORD_S = 0.05  # for the last word to leave this process
-END_S = 0.6  # before the end of the grace period, what still runs is given up
 KEPT_INTERVALS = 4.0  # heartbeat intervals that a lost stream's servers are kept
 
 
@@ -63,7 +62,7 @@
         self._servers = ServerTable(self._rng)
         self._upstreams: dict[str, Upstream] = {}
         self._budgets: dict[str, RetryBudget] = {}
-        self._closing = False
+        self._closing = Closing(1_000.0 * settings.timing_bounds.grace_period_s)
         self._read_ms = now_ms()
         self._serving = asyncio.Event()  # once it has what a start needs
         self._subscriptions = Subscriptions(
@@ -85,7 +84,7 @@
         )
         self._advice = Advice(lambda: self._subscriptions.replicas, self._subscriptions.send)
         self._frontend = Frontend(
-            lambda: self._table, self._quotas, self._exchange, lambda: self._closing, self._serving
+            lambda: self._table, self._quotas, self._exchange, self._closing, self._serving
         )
 
     async def run(self) -> None:
@@ -115,13 +114,13 @@
         loops = (self._subscriptions.run(), self._ticks())
         tasks = [asyncio.create_task(guarded(each, node)) for each in loops]
         await stop.wait()
-        self._closing = True
+        self._closing.begin(now_ms())
         logging.info("event=closing node=%s", self._settings.node_name)
-        grace_s = self._settings.timing_bounds.grace_period_s - END_S
-        ends_s = loop.time() + grace_s
-        await asyncio.sleep(min(NOTICE_S, grace_s / 2.0))
+        await asyncio.sleep(self._closing.notice_ms / 1_000.0)
         listening.close()
-        while self._frontend.inflight and loop.time() < ends_s:
+        for connection in front.connections:
+            connection.close()  # at once where it rests, else after its answer
+        while self._frontend.inflight and now_ms() < self._closing.ends_ms:
             await asyncio.sleep(0.05)
         self._subscriptions.end()
         await asyncio.sleep(LAST_WORD_S)
@@ -196,7 +195,7 @@
 
     def ready(self) -> bool:
         """Whether it should get connections."""
-        return not self._closing and self._serving.is_set()
+        return not self._closing.begun and self._serving.is_set()
 
     def _follow_start(self) -> None:
         """Begin to serve with a configuration in force and servers for its routes, or all that there are."""
--- /dev/null
+++ b/lab/router/bare_node.py
@@ -0,0 +1,69 @@
+"""A data plane's request path alone, in this process: no control plane, servers as given."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from aiohttp.web_server import Server
+
+from dunlinloft.configuration import typed
+from dunlinloft.coordination.quotas import QuotaBounds
+from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.dataplane.advice import Advice
+from dunlinloft.dataplane.attempts import Serving
+from dunlinloft.dataplane.budget import RetryBudget
+from dunlinloft.dataplane.client_request import ClientRequest
+from dunlinloft.dataplane.closing import Closing
+from dunlinloft.dataplane.exchange import Exchange
+from dunlinloft.dataplane.frontend import Frontend
+from dunlinloft.dataplane.quota import NodeQuotas
+from dunlinloft.dataplane.routing import RoutingTable
+from dunlinloft.dataplane.servers import ServicePool
+from dunlinloft.dataplane.upstream import Upstream
+
+SERVICE = "pool"
+GRACE_MS = 8_000.0
+
+
+class BareNode:
+    """Takes clients' requests on loopback, and sends them to these servers."""
+
+    def __init__(self, routes: list[dict[str, Any]], addresses: list[str]) -> None:
+        rng = random.Random(1)
+        document = {"version": 1, "routes": routes, "services": [{"name": SERVICE}]}
+        table = RoutingTable(typed(document), rng)
+        pool = ServicePool(rng)
+        for number, address in enumerate(addresses):
+            pool.put(ServerRecord(f"i-{number}", SERVICE, address, "a", 8, "ready", 1))
+        self.closing = Closing(GRACE_MS)
+        self.upstream = Upstream(16)
+        budget = RetryBudget(0.2, 10.0, 1_000.0)
+        advice = Advice(lambda: None, lambda *_: False)
+        serving = Serving(SERVICE, pool, advice, self.upstream, budget, 1, rng)
+        quotas = NodeQuotas(lambda: None, lambda *_: False, QuotaBounds(8.0, 0.1, 0.0))
+        started = asyncio.Event()
+        started.set()
+
+        def exchange(request: ClientRequest) -> Exchange:
+            return Exchange(request, serving, self.closing)
+
+        self.frontend = Frontend(lambda: table, quotas, exchange, self.closing, started)
+        self.server = Server(self.frontend.handle, handler_cancellation=True, access_log=None)
+        self.url = ""
+        self._listening: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._listening = await loop.create_server(self.server, "127.0.0.1", 0)
+        host, port = self._listening.sockets[0].getsockname()
+        self.url = f"http://{host}:{port}"
+
+    async def stop(self) -> None:
+        """End all."""
+        assert self._listening is not None
+        self._listening.close()
+        await self.server.shutdown(0.0)
+        await self.upstream.close()
