Take an answer without a length that is reset for broken, and no connection with bytes that belong to no request

Cause: found by the data plane's new tests against raw sockets: the library takes the reset of an answer without Content-Length for its proper end, so that a client got half an answer as a whole one. It also uses a kept connection again on which an answer too many lies: the next request failed (502) though its server ran it.

Change: connections of our own kind. Tests count runs and check the owner of each byte: mute, reset before, within and after the head, close, a kept connection that ends under a request, an answer too many, a late one, one to another request, no length, early answers under a long body, a client that leaves; four kinds of route, three methods. The library's own retry is planted and caught.

--- a/dunlinloft/dataplane/upstream.py
+++ b/dunlinloft/dataplane/upstream.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import functools
 import socket
 from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -63,9 +66,28 @@
     context.trace_request_ctx.reused = True
 
 
+class _Connection(ResponseHandler):
+    """One connection. It leans on names of the library; tests/test_raw_servers.py would see them change."""
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """An answer without a length that is reset on the way isn't whole, as the library takes it to be."""
+        if exc is not None and self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(aiohttp.ClientPayloadError(f"reset on the way: {exc!r}"))
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Whether it may be used for another request: not where bytes came that belong to none."""
+        return super().is_connected() and not self.should_close
+
+
 class _Connector(aiohttp.TCPConnector):
     """Connections whose time to rest may change."""
 
+    def __init__(self, **more: Any) -> None:
+        super().__init__(**more)
+        handler: type[ResponseHandler] = _Connection
+        self._factory = functools.partial(handler, loop=asyncio.get_running_loop())
+
     def set_idle(self, seconds: float) -> None:
         """How long a connection may rest and be used again; read by the library at each use."""
         self._keepalive_timeout = seconds
