Keep servers that answer though their heartbeats stop, and end a lease with one's own acceptance of a later view

Causes: servers that reported to a control machine that was cut off were dropped by all nodes though they served well; and a replica that had accepted a later view kept its lease on others' echoes: its own acceptance may have made up the majority that decided the later view, so that two owned a quota.

Change: nodes are told which servers went without a word, and keep these while they answer (2 s at most since the last answer); a lease ends with one's own acceptance.

--- a/dunlinloft/controlplane/distribution.py
+++ b/dunlinloft/controlplane/distribution.py
@@ -9,7 +9,6 @@
     Delta,
     Replicas,
     ServerNews,
-    ServerRecord,
     Servers,
     ServersComplete,
     Version,
@@ -90,10 +89,10 @@
             return Delta(base, self._state.version, self._update.order.body)
         return Whole(self._state.version, self._state.document)
 
-    def server_news(self, changed: tuple[ServerRecord, ...], gone: tuple[str, ...]) -> None:
+    def server_news(self, news: ServerNews) -> None:
         """Tell all of servers that came, changed or went."""
-        if changed or gone:
-            self.to_all(lines.encoded(ServerNews(changed, gone)))
+        if news.changed or news.gone:
+            self.to_all(lines.encoded(news))
 
     def set_replicas(self, replicas: Replicas) -> None:
         """Tell all how the control plane is now."""
--- a/dunlinloft/controlplane/server_list.py
+++ b/dunlinloft/controlplane/server_list.py
@@ -19,7 +19,7 @@
 from dunlinloft.coordination.messages import View
 from dunlinloft.coordination.placement import Placements
 from dunlinloft.coordination.registry import Registry
-from dunlinloft.coordination.stream import Beats, BeatsTaken, ServerRecord
+from dunlinloft.coordination.stream import Beats, BeatsTaken, ServerNews, ServerRecord
 from dunlinloft.transport.clock import now_ms
 
 ANNOUNCE_S = 0.8  # for others to take what a server said; it waits a second
@@ -137,7 +137,7 @@
         changed, gone = self._registry.take_news()
         if changed or gone:
             self._announced &= self._registry.records.keys()
-            self._distribution.server_news(changed, gone)
+            self._distribution.server_news(ServerNews(changed, gone, self._registry.take_silent()))
             self._placements.follow(self._registry.records.values())
             self.relay()
 
--- a/dunlinloft/coordination/registry.py
+++ b/dunlinloft/coordination/registry.py
@@ -27,6 +27,7 @@
         self._left: dict[str, None] = {}
         self._beats: dict[str, None] = {}
         self._told_gone: dict[str, None] = {}
+        self._silent: set[str] = set()
 
     def complete(self, now_ms: float) -> bool:
         """Whether every server that lives has had the time to be heard."""
@@ -92,6 +93,7 @@
             self._heard_ms = {i: heard + stood_still_ms for i, heard in self._heard_ms.items()}
         for server_id in [i for i, heard in self._heard_ms.items() if now_ms - heard > self._expire_ms]:
             self._drop(server_id)
+            self._silent.add(server_id)
         for server_id in [i for i, gone in self._gone_ms.items() if now_ms - gone > GONE_KEPT_MS]:
             del self._gone_ms[server_id]
 
@@ -103,6 +105,12 @@
         self._left.clear()
         return changed, left
 
+    def take_silent(self) -> tuple[str, ...]:
+        """Those of the last news that went without a word: nobody said that they end."""
+        silent = tuple(sorted(self._silent))
+        self._silent.clear()
+        return silent
+
     def take_beats(self) -> tuple[tuple[ServerRecord, ...], tuple[str, ...]]:
         """What was heard here since the last call: for other control planes."""
         beats = tuple(self.records[i] for i in self._beats if i in self.records)
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -148,8 +148,13 @@
         return self._done()
 
     def leased(self, now_ms: float) -> bool:
-        """Whether roles of the epoch may be used here: no later view was agreed a moment ago."""
-        return self.view is not None and self._voter() and self.liveness.leased(self.view, now_ms)
+        """Whether roles of the epoch may be used here: no later view was agreed a moment ago.
+
+        Its own acceptance of a later view ends its lease: that may be what made up the later view's majority.
+        """
+        if self.view is None or self._accepted is not None or not self._voter():
+            return False
+        return self.liveness.leased(self.view, now_ms)
 
     def contact(self, now_ms: float) -> View | None:
         """The view, while a majority of its roster hears this replica; it need not vote itself."""
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -167,6 +167,7 @@
 
     changed: tuple[ServerRecord, ...]
     gone: tuple[str, ...]
+    silent: tuple[str, ...] = ()  # of these: they said nothing of it, their heartbeats stopped
 
 
 class QuotaGranted(Struct, frozen=True, tag="quota_granted"):
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -162,7 +162,7 @@
             case ServersComplete():
                 self._servers.now_complete(source)
             case ServerNews():
-                self._servers.news(source, message.changed, message.gone)
+                self._servers.news(source, message, now_ms())
             case Placed():
                 self._advice.on_placed(source, message)
             case QuotaGranted():
@@ -189,6 +189,7 @@
         kept_ms = KEPT_INTERVALS * self._settings.heartbeat_interval_ms
         while True:
             await asyncio.sleep(TICK_S)
+            self._servers.forget_unlisted(now_ms())
             self._servers.forget_lost(kept_ms, now_ms())
 
     # Serving.
--- a/dunlinloft/dataplane/servers.py
+++ b/dunlinloft/dataplane/servers.py
@@ -9,7 +9,7 @@
 from boltons.cacheutils import LRU
 
 from dunlinloft.coordination.digests import RangeDigests, range_of
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.stream import ServerNews, ServerRecord
 from fleet.rendezvous import rank
 from nickelbridge.logic import DelayController, Rotation
 
@@ -20,6 +20,7 @@
 AFFINE_TOKENS = 256  # a shared part of so many tokens is worth going to where it was read
 AFFINE_OVER = 1.5  # times the mean of what is out, and
 AFFINE_MORE = 4.0  # so many requests more, that a part's home may hold before others share it
+ANSWERED_MS = 2_000.0  # an answer so young keeps a server whose heartbeats have stopped
 ORDERS_MOST = 8_192  # remembered orders of servers by shared part
 
 
@@ -163,6 +164,7 @@
         self._listed: dict[str, dict[str, ServerRecord]] = {}  # by control plane
         self._unconfirmed: dict[str, dict[str, ServerRecord]] = {}  # listed before its restart, not since
         self._lost_ms: dict[str, float] = {}  # streams that ended, and when
+        self._unlisted: dict[str, str] = {}  # kept as they answer, by id: their service
         self.complete = False
 
     def pool(self, service: str) -> ServicePool:
@@ -204,23 +206,39 @@
             self._listed[source].pop(server_id, None)
             self._drop(server_id, record.service)
 
-    def news(self, source: str, changed: tuple[ServerRecord, ...], gone: tuple[str, ...]) -> None:
+    def news(self, source: str, news: ServerNews, now_ms: float) -> None:
         """What changed at one control plane."""
         listed = self._listed.setdefault(source, {})
         unconfirmed = self._unconfirmed.get(source, {})
-        for record in changed:
+        for record in news.changed:
             listed[record.id] = record
             unconfirmed.pop(record.id, None)
             self._put(record)
-        for server_id in gone:
-            record_gone = listed.pop(server_id, None)
-            if record_gone is not None:
-                self._drop(server_id, record_gone.service)
+        for server_id in news.gone:
+            listing = listed.pop(server_id, None)
+            service = self._unlisted.get(server_id) if listing is None else listing.service
+            if service is None:
+                continue
+            if server_id in news.silent and self._answers(server_id, service, now_ms):
+                self._unlisted[server_id] = service
+            else:
+                self._drop(server_id, service)
 
     def lost(self, source: str, now_ms: float) -> None:
         """A control plane's stream ended: what it listed stands until others have been heard for long."""
         self._lost_ms.setdefault(source, now_ms)
 
+    def _answers(self, server_id: str, service: str, now_ms: float) -> bool:
+        """Whether a server has answered this node a moment ago."""
+        server = self.pool(service).servers.get(server_id)
+        return server is not None and server.heard_ms > 0.0 and now_ms - server.heard_ms <= ANSWERED_MS
+
+    def forget_unlisted(self, now_ms: float) -> None:
+        """Drop servers whose heartbeats stopped, once they answer no more; to be called often."""
+        for server_id, service in list(self._unlisted.items()):
+            if not self._answers(server_id, service, now_ms):
+                self._drop(server_id, service)
+
     def forget_lost(self, kept_ms: float, now_ms: float) -> None:
         """Drop what only lost streams list, once another has been up all the while."""
         if len(self._lost_ms) >= len(self._listed):
@@ -232,9 +250,11 @@
 
     def _put(self, record: ServerRecord) -> None:
         known = self.pool(record.service).servers.get(record.id)
+        self._unlisted.pop(record.id, None)
         if known is None or record.sequence > known.record.sequence:
             self.pool(record.service).put(record)
 
     def _drop(self, server_id: str, service: str) -> None:
+        self._unlisted.pop(server_id, None)
         if not any(server_id in listed for listed in self._listed.values()):
             self.pool(service).remove(server_id)
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -12,8 +12,10 @@
 from dunlinloft.coordination.chain import ChainLink
 from dunlinloft.coordination.durable import after_entry, continues, next_entry
 from dunlinloft.coordination.messages import (
+    Accept,
     Accepted,
     Append,
+    Ballot,
     ChainState,
     Durable,
     Member,
@@ -332,6 +334,20 @@
     assert len(ballots) == 2
 
 
+def test_a_replica_that_accepted_a_later_view_has_no_lease_in_this_one() -> None:
+    cluster = Cluster(91)
+    cluster.run(1_000.0)
+    me, second, _ = (cluster.machines[address].replica for address in cluster.seeds)
+    assert me is not None
+    assert second is not None
+    assert me.view is not None
+    assert me.leased(cluster.now)
+    later = View(2, me.view.roster, me.view.chain[1:], 2)
+    me.handle(Accept(second.me, Ballot(9, "second"), later), cluster.now)
+    # The third still echoes what it hears, in this epoch; with the second it decided the later view.
+    assert not me.leased(cluster.now)
+
+
 def test_an_acceptance_of_a_former_lifes_ballot_decides_nothing() -> None:
     view = first_view(("10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"))
     me, second, third = view.roster
--- a/tests/test_dataplane_parts.py
+++ b/tests/test_dataplane_parts.py
@@ -11,12 +11,12 @@
 
 from dunlinloft.configuration import Backend, Configuration, Route, Service, Tenant
 from dunlinloft.coordination.digests import RANGES, RangeDigests, range_of
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.stream import ServerNews, ServerRecord
 from dunlinloft.dataplane.budget import RetryBudget, gate_allows
 from dunlinloft.dataplane.events import EventCutter
 from dunlinloft.dataplane.lateness import Lateness, priority_of
 from dunlinloft.dataplane.routing import RoutingTable, cost_of
-from dunlinloft.dataplane.servers import ServerNeeds, ServerTable, ServicePool
+from dunlinloft.dataplane.servers import ANSWERED_MS, ServerNeeds, ServerTable, ServicePool
 from dunlinloft.dataplane.upstream import stated_idle_s
 from dunlinloft.dataplane.verdict import Verdict, verdict_of_answer, verdict_of_break
 from nickelbridge.logic import DelayController
@@ -180,9 +180,39 @@
     table = ServerTable(random.Random(1))
     table.whole("one", True, ALL, (_record(1), _record(2)))
     table.whole("other", True, ALL, (_record(1),))
-    table.news("one", (), ("i-1", "i-2"))
+    table.news("one", ServerNews((), ("i-1", "i-2")), 0.0)
     assert set(table.pool("pool").servers) == {"i-1"}
-    table.news("other", (), ("i-1",))
+    table.news("other", ServerNews((), ("i-1",)), 0.0)
+    assert not table.pool("pool").servers
+
+
+def test_a_server_whose_heartbeats_stop_is_kept_as_long_as_it_answers() -> None:
+    table = ServerTable(random.Random(1))
+    table.whole("one", True, ALL, (_record(1), _record(2), _record(3)))
+    servers = table.pool("pool").servers
+    for server in servers.values():
+        server.sent("a", 900.0)
+    servers["i-1"].heard("a", 1_000.0)
+    servers["i-3"].heard("a", 1_000.0)
+    # The third says that it ends; the second answers nothing.
+    table.news("one", ServerNews((), ("i-1", "i-2", "i-3"), ("i-1", "i-2")), 1_500.0)
+    assert set(servers) == {"i-1"}
+    servers["i-1"].heard("b", 2_000.0)
+    table.forget_unlisted(2_000.0 + ANSWERED_MS)
+    assert set(servers) == {"i-1"}
+    table.forget_unlisted(2_001.0 + ANSWERED_MS)
+    assert not servers
+
+
+def test_a_kept_server_that_is_heard_of_again_is_listed_as_before() -> None:
+    table = ServerTable(random.Random(1))
+    table.whole("one", True, ALL, (_record(1),))
+    table.pool("pool").servers["i-1"].heard("a", 1_000.0)
+    table.news("one", ServerNews((), ("i-1",), ("i-1",)), 1_500.0)
+    table.news("other", ServerNews((_record(1, 9),), ()), 1_600.0)
+    table.forget_unlisted(60_000.0)
+    assert set(table.pool("pool").servers) == {"i-1"}
+    table.news("other", ServerNews((), ("i-1",)), 61_000.0)
     assert not table.pool("pool").servers
 
 
@@ -217,7 +247,7 @@
     told = tuple(r for r in [*records[1:], _record(500)] if range_of(r.id) in ranges)
     assert len(told) < 20
     here.whole("other", True, ranges, told)
-    here.news("one", (), tuple(record.id for record in records))
+    here.news("one", ServerNews((), tuple(record.id for record in records)), 0.0)
     assert set(here.pool("pool").servers) == {r.id for r in [*records[1:], _record(500)]}
     assert there.differing(here.digests()) == ()
     assert len(there.differing(())) == RANGES
@@ -228,7 +258,7 @@
     table.whole("one", True, ALL, (_record(1), _record(2), _record(3)))
     table.lost("one", 0.0)
     table.whole("one", False, ALL, (_record(1),))
-    table.news("one", (_record(2, 9),), ())
+    table.news("one", ServerNews((_record(2, 9),), ()), 0.0)
     table.now_complete("one")
     assert set(table.pool("pool").servers) == {"i-1", "i-2"}
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -46,7 +46,9 @@
     assert registry.records
     _pass_time(registry, 3_000.0, 4_000.0)
     assert not registry.records
-    registry.take_news()
+    assert registry.take_news() == ((), ("i-1",))
+    assert registry.take_silent() == ("i-1",)
+    assert registry.take_silent() == ()
     registry.beat(_record(2), 5_000.0)
     assert registry.take_news() == ((_record(2),), ())
 
@@ -68,6 +70,7 @@
     registry.beat(_record(2), 200.0, relayed=True)
     assert not registry.records
     assert registry.take_news() == ((), ("i-1",))
+    assert registry.take_silent() == ()
 
 
 def test_two_registries_come_to_the_same_list() -> None:
