End a process whose streams are cancelled as a line comes: no wait_for around reads

Cause: before Python 3.12 asyncio.wait_for drops a cancellation that meets its result. A stream that read a line at that moment went on, and the process hung until SIGKILL (seen once: test_a_node_that_is_stopped_finishes_what_it_took timed out after 8 s).

Change: asyncio.timeout. The raw-socket tests run on the programs' event loop now.

--- a/dunlinloft/transport/lines.py
+++ b/dunlinloft/transport/lines.py
@@ -63,7 +63,9 @@
     """Hand over messages until the connection ends; the reason for the end."""
     while True:
         try:
-            line = await asyncio.wait_for(reader.readline(), silent_s)
+            # Not `wait_for`: before Python 3.12 it drops a cancellation that meets a line, and the end hangs.
+            async with asyncio.timeout(silent_s):
+                line = await reader.readline()
         except TimeoutError:
             return "silent"
         except (ConnectionError, OSError):
@@ -82,7 +84,7 @@
 async def connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """A connection to host:port. Raises `OSError` or `TimeoutError`."""
     host, port = address.rsplit(":", 1)
-    opened = asyncio.open_connection(host, int(port), limit=MOST_LINE)
-    reader, writer = await asyncio.wait_for(opened, CONNECT_S)
+    async with asyncio.timeout(CONNECT_S):
+        reader, writer = await asyncio.open_connection(host, int(port), limit=MOST_LINE)
     tune(writer)
     return reader, writer
--- a/tests/test_raw_servers.py
+++ b/tests/test_raw_servers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 from aiohttp.client import ClientSession
 
 from dunlinloft.dataplane.closing import END_MS, NOTICE_MS, Closing
@@ -93,7 +94,7 @@
                 server.stop()
             await node.stop()
 
-    asyncio.run(main())
+    uvloop.run(main())  # the loop that the programs run on
 
 
 def _whole(arrival: Arrival) -> bytes:
