Know a configuration by its number and its history, and say whether a majority confirms it

Cause: streams and nodes knew a configuration by its number alone. A number may be chosen twice; where one change is lost, a node that has it took the other for the same and applied changes of the other history to it.

What is in force is a module of its own.

--- a/dunlinloft/controlplane/distribution.py
+++ b/dunlinloft/controlplane/distribution.py
@@ -6,6 +6,7 @@
 
 from dunlinloft.coordination.messages import ChainState, Entry
 from dunlinloft.coordination.stream import (
+    ConfigurationId,
     Delta,
     Replicas,
     ServerNews,
@@ -23,8 +24,8 @@
 
     node: str
     writer: lines.LineWriter
-    sent: int  # the version last sent
-    held: int  # the version last acknowledged
+    sent: ConfigurationId  # last sent
+    held: ConfigurationId  # last acknowledged
     wants_configurations: bool  # else versions alone
 
 
@@ -34,8 +35,11 @@
     def __init__(self) -> None:
         self.streams: set[NodeStream] = set()
         self._state = ChainState()
-        self._lines: dict[int, bytes] = {}  # by the version they build on; 0: the whole
+        self._id = ConfigurationId()
+        self._base = ConfigurationId()  # what `_update` changed
         self._update: Entry | None = None
+        self._confirmed = False
+        self._lines: dict[bool, bytes] = {}  # of the state: as a change of `_base`, or whole
         self._replicas: Replicas | None = None
 
     def subscribe(self, stream: NodeStream, servers: Servers) -> None:
@@ -46,8 +50,8 @@
         stream.writer.send(servers)
         if stream.wants_configurations:
             self._send_state(stream)
-        elif self._state.version:
-            stream.writer.send(Version(self._state.version))
+        elif self._id.version:
+            stream.writer.send(Version(self._id))
 
     def end(self, stream: NodeStream) -> None:
         """A node's stream ended."""
@@ -57,37 +61,54 @@
         """A state was committed; `entry` is what made it of the one before, where that is known."""
         if state.sequence <= self._state.sequence:
             return
+        follows = state.sequence == self._state.sequence + 1
+        is_update = entry is not None and entry.order.kind == "update" and follows
+        self._update = entry if is_update else None
+        self._base = self._id
         self._state = state
+        self._id = ConfigurationId(state.version, state.chain_digest)
         self._lines = {}
-        self._update = entry if entry is not None and entry.order.kind == "update" else None
-        notice = lines.encoded(Version(state.version))
+        self._tell_state()
+
+    def set_confirmed(self, confirmed: bool) -> None:
+        """Whether a majority confirms what is held here: told to nodes that wait for one that is."""
+        if confirmed == self._confirmed:
+            return
+        self._confirmed = confirmed
+        self._lines = {}
+        if confirmed and self._id.version:
+            for stream in self.streams:
+                if stream.wants_configurations and stream.held != self._id:
+                    stream.sent = stream.held
+            self._tell_state()
+
+    def _tell_state(self) -> None:
+        notice = lines.encoded(Version(self._id))
         for stream in self.streams:
             if stream.wants_configurations:
                 self._send_state(stream)
             else:
                 stream.writer.send_line(notice)
 
-    def fetch(self, stream: NodeStream, held: int) -> None:
-        """A node lacks a version that it was told of."""
+    def fetch(self, stream: NodeStream, held: ConfigurationId) -> None:
+        """A node lacks a configuration that it was told of."""
         stream.sent = held
         self._send_state(stream)
 
     def _send_state(self, stream: NodeStream) -> None:
-        if not self._state.version or stream.sent >= self._state.version:
+        if not self._id.version or not self._id.replaces(stream.sent, self._confirmed):
             return
-        base = 0
-        if self._update is not None and self._update.order.base == stream.sent:
-            base = stream.sent
-        line = self._lines.get(base)
+        as_change = self._update is not None and self._base == stream.sent
+        line = self._lines.get(as_change)
         if line is None:
-            line = self._lines[base] = lines.encoded(self._message(base))
-        stream.sent = self._state.version
+            line = self._lines[as_change] = lines.encoded(self._message(as_change))
+        stream.sent = self._id
         stream.writer.send_line(line)
 
-    def _message(self, base: int) -> Delta | Whole:
-        if base and self._update is not None:
-            return Delta(base, self._state.version, self._update.order.body)
-        return Whole(self._state.version, self._state.document)
+    def _message(self, as_change: bool) -> Delta | Whole:
+        if as_change and self._update is not None:
+            return Delta(self._base, self._id, self._confirmed, self._update.order.body)
+        return Whole(self._id, self._confirmed, self._state.document)
 
     def server_news(self, news: ServerNews) -> None:
         """Tell all of servers that came, changed or went."""
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -203,6 +203,7 @@
         while True:
             self._perform(self._replica.tick(now_ms()))
             self._tell_replicas()
+            self._distribution.set_confirmed(self._replica.confirmed(now_ms()))
             self._quotas.settle(self._replica.leased(now_ms()), now_ms())
             self._registry.expire(now_ms())
             self._server_list.flush()
@@ -238,7 +239,7 @@
                 case Fetch() if stream is not None:
                     self._distribution.fetch(stream, message.held)
                 case Held() if stream is not None:
-                    stream.held = message.version
+                    stream.held = message.id
                 case HoldsShares() if stream is not None:
                     self._on_holdings(stream.node, message)
                 case NodeEnds() if stream is not None:
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -162,6 +162,10 @@
             return None
         return self.view
 
+    def confirmed(self, now_ms: float) -> bool:
+        """Whether what is committed here is as new as a majority knows: to be told to nodes."""
+        return self.chain.synced and self.contact(now_ms) is not None
+
     def healthy(self, now_ms: float) -> bool:
         """Whether the disk answers."""
         slow = any(now_ms - since_ms > DISK_MS for since_ms, _ in self._waiting.values())
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -29,6 +29,19 @@
         return self.state != "ready"
 
 
+class ConfigurationId(Struct, frozen=True):
+    """Which configuration it is: a number may be chosen twice, and one of the two changes may be lost."""
+
+    version: int = 0  # 0 for none
+    history: str = ""  # digest of all changes up to it
+
+    def replaces(self, held: ConfigurationId, confirmed: bool) -> bool:
+        """Whether it takes the place of what is held: newer, or the one of that number that was taken."""
+        if self.version != held.version:
+            return self.version > held.version
+        return confirmed and self.history != held.history
+
+
 class HoldsShares(Struct, frozen=True, tag="holds_shares"):
     """Which standing shares of tenants' quotas a node holds; told at once when it learns of a new epoch."""
 
@@ -41,7 +54,7 @@
 
     node: str
     zone: str
-    held: int  # the version that it has in force; 0 for none
+    held: ConfigurationId  # what it has in force
     uptime_ms: float  # since its process began
     wants_configurations: bool  # False: it is told of versions and fetches what it lacks
     digests: tuple[int, ...]  # of the servers that it knows, by range
@@ -49,21 +62,21 @@
 
 
 class Held(Struct, frozen=True, tag="held"):
-    """The node has this version in force."""
+    """The node has this in force."""
 
-    version: int
+    id: ConfigurationId
 
 
 class Fetch(Struct, frozen=True, tag="fetch"):
-    """The node lacks a version that it was told of."""
+    """The node lacks a configuration that it was told of."""
 
-    held: int
+    held: ConfigurationId
 
 
 class Version(Struct, frozen=True, tag="version"):
-    """A configuration of this version was committed."""
+    """This configuration was committed."""
 
-    version: int
+    id: ConfigurationId
 
 
 class Alive(Struct, frozen=True, tag="alive"):
@@ -138,15 +151,17 @@
 class Whole(Struct, frozen=True, tag="whole"):
     """A committed configuration."""
 
-    version: int
+    id: ConfigurationId
+    confirmed: bool  # the sender is in contact with a majority, and equal to its predecessor in the epoch
     document: Document
 
 
 class Delta(Struct, frozen=True, tag="delta"):
-    """A committed change of the version that the node holds."""
+    """A committed change of what the node holds."""
 
-    base: int
-    version: int
+    base: ConfigurationId
+    id: ConfigurationId
+    confirmed: bool
     body: Document  # as the operator sent it
 
 
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from dunlinloft.coordination.stream import (
+    ConfigurationId,
     Fetch,
     Held,
     HoldsShares,
@@ -46,7 +47,7 @@
         seeds: Callable[[], tuple[str, ...]],
         take: Callable[[str, Any], None],
         lost: Callable[[str], None],
-        held: Callable[[], int],
+        held: Callable[[], ConfigurationId],
         digests: Callable[[], tuple[int, ...]],
         has_servers: Callable[[], bool],
         hears: Callable[[str, float], bool],
@@ -107,9 +108,9 @@
         while not self._has_servers() and now_ms() < ends_ms:
             await asyncio.sleep(OTHERS_FIRST_MS / 10_000.0)
 
-    async def _fetch(self, address: str, version: int) -> None:
+    async def _fetch(self, address: str, told: ConfigurationId) -> None:
         await asyncio.sleep(FETCH_AFTER_S)
-        if self._held() < version:
+        if told.replaces(self._held(), True):
             self.send(address, Fetch(self._held()))
 
     def end(self) -> None:
@@ -118,10 +119,10 @@
         for writer in self._writers.values():
             writer.send(NodeEnds())
 
-    def held(self, version: int) -> None:
-        """Acknowledge a version to all."""
+    def held(self) -> None:
+        """Acknowledge to all what is in force."""
         for writer in self._writers.values():
-            writer.send(Held(version))
+            writer.send(Held(self._held()))
 
     def send(self, address: str, message: msgspec.Struct) -> bool:
         """Send to one replica; whether there is a stream to it."""
@@ -164,8 +165,8 @@
         if isinstance(message, Replicas):
             self._on_replicas(address, message)
         elif isinstance(message, Version):
-            if message.version > self._held():
-                task = asyncio.create_task(self._fetch(address, message.version))
+            if message.id.replaces(self._held(), True):
+                task = asyncio.create_task(self._fetch(address, message.id))
                 self._fetches.add(task)
                 task.add_done_callback(self._fetches.discard)
         else:
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -13,9 +13,6 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
-from dunlinloft.configuration import NotTyped, typed
-from dunlinloft.coordination.durable import changed
-from dunlinloft.coordination.messages import Document, Order
 from dunlinloft.coordination.stream import (
     Alive,
     Delta,
@@ -34,8 +31,8 @@
 from dunlinloft.dataplane.control import Subscriptions
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.frontend import Frontend
+from dunlinloft.dataplane.in_force import InForce
 from dunlinloft.dataplane.quota import NodeQuotas
-from dunlinloft.dataplane.routing import RoutingTable
 from dunlinloft.dataplane.servers import ServerTable
 from dunlinloft.dataplane.upstream import Upstream
 from dunlinloft.settings import Settings, SettingsError, host_port, read_settings
@@ -45,7 +42,7 @@
 IDLE_S = 75.0  # clients' connections that rest longer are closed
 MOST_HEADER = 65_536
 BACKLOG = 1_024
-TICK_S = 0.2
+TICK_S = 0.1
 REREAD_MS = 2_000.0  # between looks at the settings while seeds are needed
 LAST_WORD_S = 0.05  # for the last word to leave this process
 KEPT_INTERVALS = 4.0  # heartbeat intervals that a lost stream's servers are kept
@@ -57,8 +54,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self._rng = random.Random(secrets.randbits(64))
-        self._table: RoutingTable | None = None
-        self._document: Document = {}
+        self._in_force = InForce(self._rng)
         self._servers = ServerTable(self._rng)
         self._upstreams: dict[str, Upstream] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -71,7 +67,7 @@
             self._seeds,
             self._take,
             lambda source: self._servers.lost(source, now_ms()),
-            lambda: 0 if self._table is None else self._table.version,
+            lambda: self._in_force.id,
             self._servers.digests,
             lambda: self._servers.complete,
             lambda address, now: self._quotas.hears(address, now),
@@ -84,7 +80,7 @@
         )
         self._advice = Advice(lambda: self._subscriptions.replicas, self._subscriptions.send)
         self._frontend = Frontend(
-            lambda: self._table, self._quotas, self._exchange, self._closing, self._serving
+            lambda: self._in_force.table, self._quotas, self._exchange, self._closing, self._serving
         )
 
     async def run(self) -> None:
@@ -152,11 +148,11 @@
     def _take(self, source: str, message: Any) -> None:
         match message:
             case Whole():
-                self._put_in_force(message.document)
+                self._in_force.whole(message, now_ms())
+                self._acknowledge()
             case Delta():
-                if self._table is not None and self._table.version == message.base:
-                    order = Order("update", message.base, "", message.body)
-                    self._put_in_force(changed(self._document, order))
+                self._in_force.delta(message)
+                self._acknowledge()
             case Servers():
                 self._servers.whole(source, message.complete, message.ranges, message.records)
             case ServersComplete():
@@ -171,24 +167,17 @@
                 pass
         self._follow_start()
 
-    def _put_in_force(self, document: Document) -> None:
-        """Build the table of a configuration aside, and swap it in; never back within a life."""
-        version = document.get("version", 0)
-        if self._table is None or version > self._table.version:
-            try:
-                configuration = typed(document)
-            except NotTyped as error:
-                logging.error("event=configuration_refused version=%s error=%s", version, error)
-                return
-            self._table = RoutingTable(configuration, self._rng)
-            self._document = document
-            logging.info("event=in_force version=%d", version)
-        self._subscriptions.held(self._table.version)
+    def _acknowledge(self) -> None:
+        if self._in_force.table is not None:
+            self._subscriptions.held()
 
     async def _ticks(self) -> None:
         kept_ms = KEPT_INTERVALS * self._settings.heartbeat_interval_ms
         while True:
             await asyncio.sleep(TICK_S)
+            if self._in_force.tick(now_ms()):
+                self._acknowledge()
+                self._follow_start()
             self._servers.forget_unlisted(now_ms())
             self._servers.forget_lost(kept_ms, now_ms())
 
@@ -200,11 +189,10 @@
 
     def _follow_start(self) -> None:
         """Begin to serve with a configuration in force and servers for its routes, or all that there are."""
-        if self._serving.is_set() or self._table is None:
+        table = self._in_force.table
+        if self._serving.is_set() or table is None:
             return
-        services = {
-            branch.service for route in self._table.configuration.routes for branch in route.targets()
-        }
+        services = {branch.service for route in table.configuration.routes for branch in route.targets()}
         if self._servers.complete or all(self._servers.pool(service).servers for service in services):
             self._serving.set()
 
@@ -219,8 +207,8 @@
         service = client_request.active_route.service()
         upstream = self._upstreams.get(service)
         if upstream is None:
-            assert self._table is not None
-            known = self._table.services.get(service)
+            assert self._in_force.table is not None
+            known = self._in_force.table.services.get(service)
             most = 64 if known is None else known.max_connections
             upstream = self._upstreams[service] = Upstream(max(2, most // max(1, self._nodes())))
         budget = self._budgets.get(service)
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -4,9 +4,12 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
+from dunlinloft.coordination.stream import Alive, ConfigurationId
 from dunlinloft.dataplane.control import Subscriptions
+from dunlinloft.transport.lines import encoded, read_messages
 from dunlinloft.transport.tasks import guarded
 
 
@@ -18,7 +21,7 @@
         lambda: seeds,
         lambda *_: None,
         lambda _: None,
-        lambda: 0,
+        ConfigurationId,
         tuple,
         lambda: True,
         lambda *_: False,
@@ -26,6 +29,27 @@
     )
 
 
+@pytest.mark.parametrize("first", ["line", "cancel"])
+def test_a_cancellation_that_meets_a_line_ends_the_reading(first: str) -> None:
+    async def main() -> None:
+        reader = asyncio.StreamReader()
+        decoder = msgspec.json.Decoder(Alive)
+        reading = asyncio.create_task(read_messages(reader, decoder, lambda _: None, 60.0))
+        await asyncio.sleep(0)  # it waits for a line now
+        line = encoded(Alive())
+        if first == "line":
+            reader.feed_data(line)
+            reading.cancel()
+        else:
+            reading.cancel()
+            reader.feed_data(line)
+        with pytest.raises(asyncio.CancelledError):
+            async with asyncio.timeout(5.0):
+                await reading
+
+    asyncio.run(main())
+
+
 def test_a_stream_that_failed_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
     begun: list[str] = []
     again = asyncio.Event()
