Close resting connections after SIGTERM for good, and plant the commit checker's fault

Two planted tests met the new commit checker first: they run without it now, and it has its own.

Change: resting connections are closed by force, busy ones after their answer; a test over sockets sees both.

--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
+from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 
@@ -56,16 +57,30 @@
         self._serving = serving
         self._lateness = Lateness()
         self.inflight = 0
+        self._busy: set[RequestHandler] = set()  # connections with a request under way
+
+    def give_back(self, connections: Iterable[RequestHandler]) -> None:
+        """Close connections: at once where they rest, else after their answer.
+
+        The library's `close` leaves a resting one open and drops what comes on it.
+        """
+        for connection in connections:
+            if connection in self._busy:
+                connection.close()
+            else:
+                connection.force_close()
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request."""
         self.inflight += 1
+        self._busy.add(request.protocol)
         try:
             answer = await self._serve(request)
         except Refused as refused:
             answer = refused.answer
         finally:
             self.inflight -= 1
+            self._busy.discard(request.protocol)
         if self._closing.begun:
             answer.force_close()
         return answer
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -114,8 +114,7 @@
         logging.info("event=closing node=%s", self._settings.node_name)
         await asyncio.sleep(self._closing.notice_ms / 1_000.0)
         listening.close()
-        for connection in front.connections:
-            connection.close()  # at once where it rests, else after its answer
+        self._frontend.give_back(front.connections)
         while self._frontend.inflight and now_ms() < self._closing.ends_ms:
             await asyncio.sleep(0.05)
         self._subscriptions.end()
--- a/lab/control/rules.py
+++ b/lab/control/rules.py
@@ -47,9 +47,7 @@
     def committed(self, state: ChainState, machine: Machine, machines: Mapping[str, Machine]) -> None:
         """A replica holds a state for committed: when the first does, it is on enough disks."""
         if state.sequence and state.sequence not in self._history:
-            held = self.copies(machines, state.taken[-1].digest)
-            if held <= self._tolerance:
-                raise Broken(f"sequence {state.sequence} was committed with {held} copies")
+            self.first_committed(state, machines)
         known = self._history.setdefault(state.sequence, state.chain_digest)
         if known != state.chain_digest:
             raise Broken(f"two histories at sequence {state.sequence}")
@@ -62,6 +60,12 @@
             if taken.digest in self._refused:
                 raise Broken(f"the refused order {taken.digest} is in force")
 
+    def first_committed(self, state: ChainState, machines: Mapping[str, Machine]) -> None:
+        """What nobody held for committed before is on more disks than may be lost."""
+        held = self.copies(machines, state.taken[-1].digest)
+        if held <= self._tolerance:
+            raise Broken(f"sequence {state.sequence} was committed with {held} copies")
+
     def replied(self, reply: Reply, machine: Machine) -> None:
         """An answer leaves a machine."""
 
--- a/tests/test_control_planted.py
+++ b/tests/test_control_planted.py
@@ -11,7 +11,7 @@
 from dunlinloft.coordination.chain import ChainLink
 from dunlinloft.coordination.messages import Ask, ChainState, Order
 from lab.control.cluster import Cluster
-from lab.control.rules import Broken
+from lab.control.rules import Broken, Rules
 
 
 def _order(version: int, base: int, text: str = "") -> Order:
@@ -112,13 +112,26 @@
     SCENES[name]()
 
 
+def test_a_commit_with_too_few_copies_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ChainLink, "_on_progress", _commit_at_once)
+    with pytest.raises(Broken, match="committed with 1 copies"):
+        _acknowledged_on_one_disk()
+
+
+def _without_the_first_checker(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A commit with too few copies is caught before anything follows from it: the later checkers alone."""
+    monkeypatch.setattr(Rules, "first_committed", lambda *_: None)
+
+
 def test_a_head_that_commits_alone_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    _without_the_first_checker(monkeypatch)
     monkeypatch.setattr(ChainLink, "_on_progress", _commit_at_once)
     with pytest.raises(Broken, match="acknowledged with 1 copies"):
         _acknowledged_on_one_disk()
 
 
 def test_two_histories_are_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    _without_the_first_checker(monkeypatch)
     monkeypatch.setattr(ChainLink, "_on_progress", _commit_at_once)
     with pytest.raises(Broken, match="two histories"):
         _loss_of_the_one_that_acknowledged()
--- a/tests/test_raw_servers.py
+++ b/tests/test_raw_servers.py
@@ -365,6 +365,40 @@
     assert closing.notice_ms == (4_000.0 - END_MS) / 2.0
 
 
+def test_resting_connections_are_given_back_and_busy_ones_after_their_answer() -> None:
+    begun, go_on = asyncio.Event(), asyncio.Event()
+
+    async def waiting(connection: Connection, arrival: Arrival) -> None:
+        if arrival.attempt == "try-2":
+            begun.set()
+            await go_on.wait()
+        connection.send(_whole(arrival))
+
+    async def open_one(scene: Scene, attempt: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = scene.node.url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            f"POST /unsafe/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+        )
+        writer.write(head.encode())
+        return reader, writer
+
+    async def scene(scene: Scene) -> None:
+        resting, resting_writer = await open_one(scene, "try-1")
+        assert b"200 OK" in await resting.readuntil(b"for try-1")
+        busy, busy_writer = await open_one(scene, "try-2")
+        await begun.wait()
+        scene.node.closing.begin(asyncio.get_running_loop().time() * 1_000.0)
+        scene.node.frontend.give_back(scene.node.server.connections)
+        assert await resting.read() == b"", "it is closed at once"
+        go_on.set()
+        assert (await busy.read()).endswith(b"for try-2"), "it has its answer, and is closed"
+        resting_writer.close()
+        busy_writer.close()
+
+    _play(waiting, scene)
+
+
 def test_a_request_on_a_kept_connection_after_sigterm_is_promised_not_to_run() -> None:
     async def whole(connection: Connection, arrival: Arrival) -> None:
         connection.send(_whole(arrival))
