--- a/dunlinloft/cli.py
+++ b/dunlinloft/cli.py
@@ -434,7 +434,7 @@
 
 @main.group()
 def state() -> None:
-    """Look at a control plane's data directory; nothing in it is changed."""
+    """Look at control planes' data directories; only `begin` changes one."""
 
 
 @state.command("inspect")
@@ -454,3 +454,43 @@
     from dunlinloft import statecli
 
     sys.exit(statecli.verify(Path(folder)))
+
+
+@state.command("newest")
+@click.argument("folders", nargs=-1, required=True, type=click.Path(exists=True, file_okay=False))
+def state_newest(folders: tuple[str, ...]) -> None:
+    """Say which of these data directories holds the newest state. Exit status: 2 where none can be read."""
+    from dunlinloft import statecli
+
+    sys.exit(statecli.newest([Path(folder) for folder in folders]))
+
+
+@state.command("begin")
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+@click.option("--address", required=True, help="host:port of this replica's internal listener.")
+@click.option(
+    "--after-epoch", required=True, type=click.IntRange(0), help="The highest epoch in any directory."
+)
+@click.option("--i-know-what-is-lost", "known", is_flag=True, help="Without it, nothing is changed.")
+def state_begin(folder: str, address: str, after_epoch: int, known: bool) -> None:
+    """Begin a new epoch from the state in FOLDER, after more disks were lost than may be.
+
+    The process must not run. All other control planes start with empty directories, and copy this state.
+    """
+    from dunlinloft import statecli
+
+    sys.exit(statecli.begin(Path(folder), address, after_epoch, known))
+
+
+@main.command("world")
+@click.option("--seeds", type=click.IntRange(1), default=10_000, show_default=True, help="So many.")
+@click.option("--first", type=click.IntRange(0), default=0, show_default=True, help="The first one.")
+@click.option("--jobs", type=click.IntRange(1), default=1, show_default=True, help="Processes.")
+def world(seeds: int, first: int, jobs: int) -> None:
+    """Play the control plane under overlapping troubles in virtual time, by seed.
+
+    Prints the shortest schedule of each seed that breaks a rule. Exit status: 0 where none does, 1 else.
+    """
+    from dunlinloft import worldcli
+
+    sys.exit(worldcli.play(range(first, first + seeds), jobs))
--- a/dunlinloft/controlplane/store.py
+++ b/dunlinloft/controlplane/store.py
@@ -19,9 +19,10 @@
 from msgspec import Struct
 
 from dunlinloft.coordination import durable as durables
-from dunlinloft.coordination.messages import Durable, Record
+from dunlinloft.coordination.messages import Durable, Member, Record, View
 
 FORMAT = 1
+BEGUN = "begun-anew.log"  # each new epoch that an operator began from this directory
 LOG_MOST = 4 * 1024 * 1024  # bytes; a longer log is folded into the other slot
 _HEADER = struct.Struct("<II")  # length of the body, and its CRC-32
 
@@ -135,6 +136,29 @@
     return slot.durable, which, slot.generation
 
 
+def begin_anew(folder: Path, address: str, epoch: int) -> Member:
+    """Make a data directory the first member of a new epoch, in a life that promised nothing; who it is.
+
+    For an operator, after more disks were lost than may be: what the others held alone is lost.
+    """
+    incarnation = secrets.token_hex(8)
+    member = Member(address, incarnation)
+    opened = Store(folder, None)
+    durable = opened.durable
+    durable.incarnation = incarnation
+    durable.view = View(epoch, (member,), (member,), 1)
+    durable.promised = durable.accepted = None
+    durable.synced_epoch = 0
+    durable.committed_digest = durable.state.chain_digest
+    opened.rewrite()
+    opened.close()
+    with (folder / BEGUN).open("a") as log:
+        log.write(f"epoch {epoch} begun from version {durable.state.version} as {member.id}\n")
+        log.flush()
+        os.fsync(log.fileno())
+    return member
+
+
 class Store:
     """A data directory in use. Its calls wait for the disk: call them from a thread of their own."""
 
@@ -155,6 +179,10 @@
         self._length = 0
         self._turn()
 
+    def rewrite(self) -> None:
+        """Write the state whole, as it is now. Raises `OSError`."""
+        self._turn()
+
     def _turn(self) -> None:
         """Write the state to the other slot, and begin its log anew."""
         which, generation = 1 - self._which, self._generation + 1
--- a/dunlinloft/statecli.py
+++ b/dunlinloft/statecli.py
@@ -1,4 +1,4 @@
-"""`dunlinloft state`: what a replica's data directory holds. Nothing in it is changed."""
+"""`dunlinloft state`: what replicas' data directories hold, and a new epoch after too great a loss."""
 
 from __future__ import annotations
 
@@ -113,3 +113,67 @@
     durable, which, generation = recovered
     out.print(f"recovers to version {durable.state.version} from slot-{which}, generation {generation}")
     return TORN if any(report.torn for report in found) else SUCCESS
+
+
+def newest(folders: list[Path]) -> int:
+    """Say what each directory recovers to, the newest state first; the exit status."""
+    found: list[tuple[Durable, Path]] = []
+    for folder in folders:
+        try:
+            recovered = store.recover(folder)
+        except (StoreError, OSError) as error:
+            out.print(f"{folder}: {error}")
+            continue
+        if recovered is None:
+            out.print(f"{folder}: no state")
+        else:
+            found.append((recovered[0], folder))
+    if not found:
+        return UNREADABLE
+    found.sort(key=lambda pair: (pair[0].state.sequence, _epoch(pair[0])), reverse=True)
+    for durable, folder in found:
+        state = durable.state
+        known = "committed" if durable.committed_digest == state.chain_digest else "not known to be committed"
+        out.print(
+            f"{folder}: sequence {state.sequence}, version {state.version},"
+            f" history {state.chain_digest[:12]}, {known}; epoch {_epoch(durable)}"
+        )
+    histories = {durable.state.chain_digest for durable, _ in found}
+    out.print(
+        f"newest: {found[0][1]}; {len(histories)} histories; highest epoch {max(_epoch(d) for d, _ in found)}"
+    )
+    return SUCCESS
+
+
+def _epoch(durable: Durable) -> int:
+    """The highest epoch that a replica knows of, decided or not."""
+    accepted = 0 if durable.accepted is None else durable.accepted[1].epoch
+    return max(accepted, 0 if durable.view is None else durable.view.epoch)
+
+
+def begin(folder: Path, address: str, after_epoch: int, known: bool) -> int:
+    """Begin a new epoch from a directory; the exit status. Logged in the directory itself."""
+    try:
+        recovered = store.recover(folder)
+    except (StoreError, OSError) as error:
+        out.print(f"{error}")
+        return UNREADABLE
+    if recovered is None:
+        out.print(f"{folder}: no state")
+        return UNREADABLE
+    durable = recovered[0]
+    if after_epoch < _epoch(durable):
+        out.print(
+            f"--after-epoch: {folder} knows of epoch {_epoch(durable)}; name the highest in any directory"
+        )
+        return UNREADABLE
+    version = durable.state.version
+    if not known:
+        out.print(
+            f"would begin epoch {after_epoch + 1} from version {version}; give --i-know-what-is-lost to do so"
+        )
+        return TORN
+    member = store.begin_anew(folder, address, after_epoch + 1)
+    out.print(f"epoch {after_epoch + 1} begins from version {version}, as {member.id}")
+    out.print(f"{folder / store.BEGUN} says so")
+    return SUCCESS
--- a/tests/test_statecli.py
+++ b/tests/test_statecli.py
@@ -13,9 +13,11 @@
 from dunlinloft.controlplane.known_members import Known, KnownMembers
 from dunlinloft.controlplane.store import Store
 from dunlinloft.coordination.durable import next_entry
-from dunlinloft.coordination.messages import CommittedRecord, EntryRecord, Order, ViewRecord
+from dunlinloft.coordination.messages import CommittedRecord, EntryRecord, Member, Order, View, ViewRecord
 from dunlinloft.coordination.replica import first_view
 from dunlinloft.coordination.stream import ServerRecord
+from lab.control.cluster import Cluster
+from lab.control.operators import small_order
 
 
 @pytest.fixture
@@ -82,3 +84,52 @@
     status, said = _said("inspect", str(folder))
     assert status == 2
     assert "format 1, expected 9" in said
+
+
+def test_the_newest_of_several_directories_is_named(folder: Path, tmp_path: Path) -> None:
+    empty, old = tmp_path / "empty", tmp_path / "old"
+    empty.mkdir()
+    Store(old, "1").close()
+    status, said = _said("newest", str(old), str(folder), str(empty))
+    assert status == 0
+    assert f"newest: {folder}; 2 histories; highest epoch 1" in said
+    assert f"{empty}: no state" in said
+    assert _said("newest", str(empty))[0] == 2
+
+
+def test_a_new_epoch_begins_only_when_it_is_asked_for_in_so_many_words(folder: Path) -> None:
+    before = _contents(folder)
+    assert _said("begin", str(folder), "--address", "10.0.0.9:7000", "--after-epoch", "6")[0] == 1
+    assert _said("begin", str(folder), "--address", "10.0.0.9:7000", "--after-epoch", "0")[0] == 2
+    assert _contents(folder) == before
+    arguments = ("begin", str(folder), "--address", "10.0.0.9:7000", "--after-epoch", "6")
+    status, said = _said(*arguments, "--i-know-what-is-lost")
+    assert status == 0, said
+    found = json.loads(_said("inspect", str(folder), "--json")[1])
+    assert (found["epoch"], found["version"], found["committed"]) == (7, 7, True)
+    assert found["roster"] == found["chain"] == [f"10.0.0.9:7000/{found['incarnation']}"]
+    assert found["incarnation"] != "0"
+    assert "epoch 7 begun from version 7" in (folder / "begun-anew.log").read_text()
+
+
+def test_a_cluster_goes_on_from_an_epoch_that_was_begun_anew() -> None:
+    cluster = Cluster(1)
+    cluster.run(500.0)
+    statuses: list[int] = []
+    cluster.order(small_order(1, 0), statuses.append)
+    cluster.run(500.0)
+    for address in cluster.seeds[1:]:
+        cluster.wipe(address)  # one more than may be
+        cluster.start(address)
+    cluster.kill(cluster.seeds[0])
+    cluster.run(2_000.0)
+    disk = cluster.machines[cluster.seeds[0]].durable
+    assert disk is not None
+    member = Member(cluster.seeds[0], "begun anew")
+    disk.incarnation = member.incarnation
+    disk.view = View(9, (member,), (member,), 1)
+    cluster.start(cluster.seeds[0])
+    cluster.run(4_000.0)
+    cluster.order(small_order(2, 1), statuses.append)
+    cluster.run(1_000.0)
+    assert statuses == [200, 200]
