--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from dunlinloft.coordination.actions import Action, Commit, Persist, Send
-from dunlinloft.coordination.agreement import Proposal, majority_of
+from dunlinloft.coordination.agreement import majority_of
 from dunlinloft.coordination.calls import Calls, Validate
 from dunlinloft.coordination.chain import ChainLink
 from dunlinloft.coordination.liveness import Liveness
@@ -18,11 +18,9 @@
 from dunlinloft.coordination.messages import (
     Accept,
     Accepted,
-    AcceptRecord,
     Answer,
     Append,
     Ask,
-    Ballot,
     Committed,
     Confirm,
     Confirmed,
@@ -37,19 +35,14 @@
     Ping,
     Prepare,
     Promise,
-    PromiseRecord,
     Record,
     ReplicaMessage,
     View,
-    ViewRecord,
 )
+from dunlinloft.coordination.voting import Voting
 
 PING_MS = 150.0
-PROPOSE_AFTER_MS = 100.0  # a difference that lasts so long is proposed by the first replica alive,
-PROPOSE_STEP_MS = 700.0  # and by each further one so much later
 START_MS = 800.0  # after its start, others that start too are given so long before they count as down
-PROPOSAL_MS = 500.0  # a ballot that isn't through by then is given up
-PROPOSAL_JITTER_MS = 200.0
 DISK_MS = 300.0  # a write that takes longer shows a disk in trouble
 HELD_MOST = 4_096  # addresses known at most
 
@@ -81,29 +74,27 @@
         self._durable = durable
         self._seeds = seeds
         self._tolerance = tolerance
-        self._rng = rng
-        self._life = f"{rng.getrandbits(32):08x}"
         self._actions: list[Action] = []
         self._waiting: dict[int, tuple[float, Callable[[], None]]] = {}
         self._token = 0
         self._now = self._started_ms = now_ms
-        self.view = durable.view
-        self._promised = durable.promised
-        self._accepted = durable.accepted
         self.liveness = Liveness(me)
         self.known: set[str] = set()
-        self._entered_ms = now_ms
-        self._proposal: Proposal | None = None
-        self._quiet_until_ms = 0.0
-        self._differs_since_ms: float | None = None
         self._pinged_ms = -PING_MS
         self._leaving = False
-        self._epoch_on_disk = 0 if durable.view is None else durable.view.epoch
         self.chain = ChainLink(me, durable, self._actions_append, self._persist, tolerance + 1)
         self.calls = Calls(me, self.chain, validate, self._actions_append, self._send, rng)
+        self._voting = Voting(
+            me, counts, durable, rng, now_ms, self._send, self._persist, self._left, self.chain.enter
+        )
         if self.view is not None:
             self.chain.enter(self.view)
 
+    @property
+    def view(self) -> View | None:
+        """The view in force, as far as is known here."""
+        return self._voting.view
+
     # What the host calls.
 
     def handle(self, message: ReplicaMessage, now_ms: float) -> list[Action]:
@@ -118,7 +109,7 @@
         It is put on disk like any other: a replica that is started again may be told other seeds.
         """
         if first is not None and self.view is None:
-            self._learn(first)
+            self._voting.learn(first, self._now)
         if self.chain.committed.sequence:
             self._actions.append(Commit(self.chain.committed))
         return self._done()
@@ -152,9 +143,10 @@
 
         Its own acceptance of a later view ends its lease: that may be what made up the later view's majority.
         """
-        if self.view is None or self._accepted is not None or not self._voter():
+        view = self.view
+        if view is None or self._voting.lease_epoch != view.epoch or not self._voting.votes:
             return False
-        return self.liveness.leased(self.view, now_ms)
+        return self.liveness.leased(view, now_ms)
 
     def contact(self, now_ms: float) -> View | None:
         """The view, while a majority of its roster hears this replica; it need not vote itself."""
@@ -228,18 +220,8 @@
         match message:
             case Ping():
                 self._on_ping(message)
-            case Prepare():
-                self._on_prepare(message)
-            case Promise():
-                self._on_promise(message)
-            case Accept():
-                self._on_accept(message)
-            case Accepted():
-                self._on_accepted(message)
-            case Denied():
-                self._on_denied(message)
-            case Decided():
-                self._learn(message.view)
+            case Prepare() | Promise() | Accept() | Accepted() | Denied() | Decided() | Confirm():
+                self._voting.handle(message, self._now)
             case Offer():
                 self.chain.on_offer(message)
             case Have():
@@ -250,8 +232,6 @@
                 self.chain.on_install(message)
             case Committed():
                 self.chain.on_committed(message)
-            case Confirm():
-                self._on_confirm(message)
             case Confirmed():
                 self.calls.on_confirmed(message)
             case Ask():
@@ -262,9 +242,7 @@
     # Heartbeats.
 
     def _my_ping(self) -> Ping:
-        epoch = 0 if self.view is None else self.view.epoch
         echoes = self.liveness.echoes(self._now)
-        lease_epoch = 0 if self._accepted is not None else epoch
         known = tuple(sorted(self.addresses()))[:HELD_MOST]
         healthy = self.healthy(self._now)
         return Ping(
@@ -272,9 +250,9 @@
             self._counts,
             healthy,
             self._leaving,
-            self._epoch_on_disk,
+            self._voting.epoch_on_disk,
             self.chain.synced_epoch,
-            lease_epoch,
+            self._voting.lease_epoch,
             self._now,
             echoes,
             known,
@@ -298,81 +276,24 @@
         if self.view is not None and ping.epoch < self.view.epoch:
             self._send(ping.sender.address, Decided(self.me, self.view))
 
-    # Agreement on views: as a voter.
-
-    def _voter(self) -> bool:
-        return self._counts and self.view is not None and self.me.id in self.view.voters()
-
-    def _on_prepare(self, message: Prepare) -> None:
-        self._learn(message.current)
-        if self.view is None or self.view.epoch > message.current.epoch:
-            self._tell_view(message.sender)
-            return
-        if not self._voter():
-            return
-        epoch = self.view.epoch + 1
-        if self._promised is not None and message.ballot < self._promised:
-            self._send(message.sender.address, Denied(self.me, epoch, self._promised))
-            return
-        self._promised = message.ballot
-        reply = Promise(self.me, epoch, message.ballot, self._accepted)
-        self._persist(PromiseRecord(message.ballot), lambda: self._send(message.sender.address, reply))
-
-    def _on_accept(self, message: Accept) -> None:
-        epoch = message.view.epoch
-        if self.view is None or self.view.epoch >= epoch:
-            self._tell_view(message.sender)
-            return
-        if self.view.epoch != epoch - 1 or not self._voter():
-            return
-        if self._promised is not None and message.ballot < self._promised:
-            self._send(message.sender.address, Denied(self.me, epoch, self._promised))
-            return
-        self._promised = message.ballot
-        self._accepted = (message.ballot, message.view)
-        reply = Accepted(self.me, epoch, message.ballot)
-        record = AcceptRecord(message.ballot, message.view)
-        self._persist(record, lambda: self._send(message.sender.address, reply))
-
-    def _tell_view(self, member: Member) -> None:
-        if self.view is not None:
-            self._send(member.address, Decided(self.me, self.view))
-
-    def _on_confirm(self, message: Confirm) -> None:
-        if self.view is None or self.view.epoch != message.epoch or not self._voter():
-            self._tell_view(message.sender)
-        elif self._accepted is None:
-            self._send(message.sender.address, Confirmed(self.me, message.epoch, message.nonce))
-
-    # Agreement on views: as a proposer.
+    # Views.
 
     def _follow_wanted(self) -> None:
         """The loop that turns the wanted view into the view in force."""
-        if self._proposal is not None:
-            if self._now - self._proposal.started_ms > PROPOSAL_MS:
-                self._give_up()
-            return
-        if self.view is None or not self._voter() or self._now < self._quiet_until_ms:
+        view = self.view
+        if not self._voting.may_propose(self._now) or view is None:
             return
         if self._now - self._started_ms < START_MS:
             return
-        heard = sum(self.liveness.hears(member.id, self._now) for member in self.view.roster)
-        wanted = None
-        if heard >= majority_of(self.view):
-            wanted = wanted_view(self._observation(self.view))
-        if wanted is None:
-            self._differs_since_ms = None
-            return
-        if self._differs_since_ms is None:
-            self._differs_since_ms = self._now
-        patience_ms = PROPOSE_AFTER_MS + PROPOSE_STEP_MS * self._turn(self.view)
-        if self._now - self._differs_since_ms >= patience_ms:
-            self._propose(self.view, wanted)
+        heard = sum(self.liveness.hears(member.id, self._now) for member in view.roster)
+        wanted = wanted_view(self._observation(view)) if heard >= majority_of(view) else None
+        self._voting.follow(wanted, self._turn(view), self._now)
 
     def _observation(self, view: View) -> Observation:
         pings = {member_id: peer.ping for member_id, peer in self.liveness.peers.items()}
         pings[self.me.id] = self._my_ping()
-        return Observation(view, self.me, pings, self.liveness, self._tolerance, self._entered_ms, self._now)
+        entered_ms = self._voting.entered_ms
+        return Observation(view, self.me, pings, self.liveness, self._tolerance, entered_ms, self._now)
 
     def _turn(self, view: View) -> int:
         """How many before this replica are alive to propose."""
@@ -384,68 +305,6 @@
             turn += self.liveness.reachable(member.id, self._now)
         return turn
 
-    def _propose(self, view: View, wanted: View) -> None:
-        number = 1 if self._promised is None else self._promised.number + 1
-        # Of this life alone: a restart may have forgotten a ballot whose promise was not on disk yet.
-        ballot = Ballot(number, f"{self.me.id}/{self._life}")
-        self._proposal = Proposal(wanted.epoch, ballot, wanted, self._now)
-        for member in view.roster:
-            self._send(member.address, Prepare(self.me, view, ballot))
-
-    def _give_up(self) -> None:
-        self._proposal = None
-        self._quiet_until_ms = self._now + PROPOSAL_JITTER_MS * self._rng.random()
-
-    def _mine(self, epoch: int, ballot: Ballot) -> Proposal | None:
-        proposal = self._proposal
-        if proposal is None or (proposal.epoch, proposal.ballot) != (epoch, ballot):
-            return None
-        return proposal
-
-    def _on_promise(self, message: Promise) -> None:
-        proposal = self._mine(message.epoch, message.ballot)
-        if proposal is None or self.view is None or message.sender.id not in self.view.voters():
-            return
-        chosen = proposal.on_promise(message.sender.id, message.accepted, majority_of(self.view))
-        if chosen is not None:
-            for member in self.view.roster:
-                self._send(member.address, Accept(self.me, proposal.ballot, chosen))
-
-    def _on_accepted(self, message: Accepted) -> None:
-        proposal = self._mine(message.epoch, message.ballot)
-        if proposal is None or self.view is None or message.sender.id not in self.view.voters():
-            return
-        decided = proposal.on_accepted(message.sender.id, majority_of(self.view))
-        if decided is None:
-            return
-        told = {member.address for member in (*self.view.roster, *decided.roster)}
-        self._learn(decided)
-        for address in sorted(told - {self.me.address}):
-            self._send(address, Decided(self.me, decided))
-
-    def _on_denied(self, message: Denied) -> None:
-        proposal = self._proposal
-        if proposal is None or proposal.epoch != message.epoch or message.promised <= proposal.ballot:
-            return
-        if self._promised is None or self._promised < message.promised:
-            # Remembered, so that the next ballot is higher; it need not be on disk, as it is no promise.
-            self._promised = message.promised
-        self._give_up()
-
-    def _learn(self, view: View) -> None:
-        if self.view is not None and view.epoch <= self.view.epoch:
-            return
-        self.view = view
-        self._promised = self._accepted = None
-        self._proposal = None
-        self._differs_since_ms = None
-        self._entered_ms = self._now
+    def _left(self) -> None:
         self.chain.leave()
         self.calls.moved()
-
-        def entered() -> None:
-            self._epoch_on_disk = view.epoch
-            if self.view is view:
-                self.chain.enter(view)
-
-        self._persist(ViewRecord(view), entered)
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -327,7 +327,7 @@
         durable = Durable(me.incarnation, view=view)
         replica = Replica(me, True, durable, (), 1, judge, random.Random(life), 0.0)
         replica.begin(None)
-        replica._propose(view, View(2, view.roster, (me, second), 2))
+        replica._voting.propose(view, View(2, view.roster, (me, second), 2))
         prepares = [a.message for a in replica._actions if isinstance(a, Send)]
         ballots |= {message.ballot for message in prepares if isinstance(message, Prepare)}
         assert third.address in {a.address for a in replica._actions if isinstance(a, Send)}
@@ -354,9 +354,7 @@
     replica = Replica(me, True, Durable(me.incarnation, view=view), (), 1, judge, random.Random(1), 0.0)
     replica.begin(None)
     wanted = View(2, view.roster, (me, second), 2)
-    replica._propose(view, wanted)
-    assert replica._proposal is not None
-    ballot = replica._proposal.ballot
+    ballot = replica._voting.propose(view, wanted)
     for voter in (second, third):
         replica.handle(Promise(voter, 2, ballot, None), 1.0)
     former = type(ballot)(ballot.number, f"{me.id}/another life")
