Settle quotas' buckets each 10 ms instead of at each ask

Cause: settling looks at all nodes and tenants; at each ask that grows with nodes times requests (at 720 nodes and 2,400 asks a second for an owner, some 1.7 M looks a second). Now it is 72,000. Quota tests pass; shares and sums are as before.

--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -28,6 +28,7 @@
 FIRST_TOLERANCE = 0.1  # of the tolerance that it begins with, too
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
+SETTLE_MS = 10.0  # buckets fill in steps of so long: what that takes grows with nodes, not with requests
 RESERVE_ABOVE = 0.3  # a reserve is filled only while the bucket holds more than this share of its most
 
 
@@ -146,6 +147,7 @@
         self._may_from_ms: dict[str, float] = {}
         self._settled_ms = began_ms
         self._leased = False
+        self._node_count = 1
 
     def node_seen(self, uptime_ms: float, now_ms: float) -> None:
         """A node subscribed. One that ran before this owner may have spent meanwhile."""
@@ -199,6 +201,7 @@
     def _follow_unknown(self) -> None:
         """How much those nodes may hold that have not told since a tenant's quota came here."""
         nodes = self._nodes.names()
+        self._node_count = max(1, len(nodes))
         told = [self._holdings[node].epoch if node in self._holdings else -1 for node in nodes]
         for tenant, bucket in self._buckets.items():
             since = self._owned_since.get(tenant, 0)
@@ -248,11 +251,12 @@
         limit = self._limits.get(ask.tenant)
         if limit is None or not leased or not self._may_grant(ask.tenant, now_ms):
             return None
-        self.settle(leased, now_ms)
+        if ask.tenant not in self._buckets or now_ms - self._settled_ms >= SETTLE_MS:
+            self.settle(leased, now_ms)
         bucket = self._buckets[ask.tenant]
         bucket.shares.heard(ask.node, ask.share, ask.alone, now_ms)
         wait_ms = bucket.take(ask.amount, limit.rate_per_s)
         reserve = 0.0 if wait_ms else bucket.take_reserve(ask.reserve)
         spent = 0.0 if wait_ms else ask.amount
-        share = bucket.shares.give(ask.node, spent, self._nodes.count(), now_ms)
+        share = bucket.shares.give(ask.node, spent, self._node_count, now_ms)
         return QuotaTaken(wait_ms, reserve, share)
