--- a/lab/control/troubles.py
+++ b/lab/control/troubles.py
@@ -73,14 +73,19 @@
         self._lost_disks: list[float] = []  # when each was lost
         self._calm_since_ms = 0.0  # all up and connected; infinite while they aren't
         self._added = 0
+        self._awaited = 0  # machines that are gone, and whose successors have not come yet
         cluster.after(100.0, self._watch)
 
     def _watch(self) -> None:
         """Follow since when all is well, and forget lost disks that have been made up for."""
         cluster = self._cluster
-        well = not cluster.cuts and all(
-            machine.gone or (machine.replica is not None and not machine.frozen and not machine.stalled)
-            for machine in cluster.machines.values()
+        well = (
+            not cluster.cuts
+            and not self._awaited
+            and all(
+                machine.gone or (machine.replica is not None and not machine.frozen and not machine.stalled)
+                for machine in cluster.machines.values()
+            )
         )
         if not well:
             self._calm_since_ms = float("inf")
@@ -198,7 +203,8 @@
         newcomer = f"10.0.1.{self._added}:7000"
         if trouble.kind == "replace":
             cluster.remove(address)
-            return lambda: cluster.add(newcomer)
+            self._awaited += 1
+            return lambda: self._come(newcomer)
         cluster.add(newcomer)
 
         def term() -> None:
@@ -208,6 +214,10 @@
 
         return term
 
+    def _come(self, newcomer: str) -> None:
+        self._awaited -= 1
+        self._cluster.add(newcomer)
+
     def _all(self, trouble: Trouble, address: str, counting: list[str]) -> Callable[[], None]:
         cluster = self._cluster
         machines = [m.address for m in cluster.machines.values() if not m.gone]
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -449,3 +449,15 @@
     cluster.run(SYNC_MS + 500.0)
     troubles.begin(Trouble(0.0, "wipe", 100.0, 2))
     assert cluster.machines[cluster.seeds[2]].durable is None
+
+
+def test_a_machine_counts_as_lost_until_its_successor_has_had_its_time() -> None:
+    """Seed 2905 lost two disks where one may be lost: the successor came after 5 s."""
+    cluster = Cluster(1)
+    troubles = Troubles(cluster, 1)
+    cluster.run(500.0)
+    troubles.begin(Trouble(0.0, "replace", 3.0 * SYNC_MS, 0))
+    cluster.run(2.0 * SYNC_MS)
+    troubles.begin(Trouble(0.0, "wipe", 100.0, 1))
+    assert all(cluster.machines[address].durable is not None for address in cluster.seeds[1:])
+    assert play(2_905) > 0
