--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -287,6 +287,9 @@
             return
         heard = sum(self.liveness.hears(member.id, self._now) for member in view.roster)
         wanted = wanted_view(self._observation(view)) if heard >= majority_of(view) else None
+        if wanted is None and heard >= majority_of(view):
+            # A ballot that stopped halfway is brought to an end: until then its voters confirm nothing.
+            wanted = self._voting.undecided
         self._voting.follow(wanted, self._turn(view), self._now)
 
     def _observation(self, view: View) -> Observation:
--- a/dunlinloft/coordination/voting.py
+++ b/dunlinloft/coordination/voting.py
@@ -86,6 +86,11 @@
         """The epoch whose roles it stands by; 0 where it has accepted a view after it."""
         return 0 if self._accepted is not None else self.epoch
 
+    @property
+    def undecided(self) -> View | None:
+        """The view that was accepted here and that nobody has said to be decided."""
+        return None if self._accepted is None else self._accepted[1]
+
     def handle(self, message: VotingMessage, now_ms: float) -> None:
         """Take a message."""
         self._now = now_ms
--- a/lab/control/cluster.py
+++ b/lab/control/cluster.py
@@ -149,6 +149,8 @@
     def wipe(self, address: str) -> None:
         """End a process and lose its disk."""
         self.kill(address)
+        if self.machines[address].durable is not None:
+            self.rules.disk_lost()
         self.machines[address].durable = None
 
     def remove(self, address: str) -> None:
--- a/lab/control/rules.py
+++ b/lab/control/rules.py
@@ -29,7 +29,12 @@
         self._acked_bases: dict[int, str] = {}
         self.newest_acked = 0
         self._committed_at: dict[tuple[str, int], int] = {}  # by machine and life: no way back
-        self._reads: dict[str, int] = {}
+        self._lost_disks = 0
+        self._lost_before: dict[str, int] = {}  # by order: disks that were lost before it was committed
+
+    def disk_lost(self) -> None:
+        """A disk that held something was lost."""
+        self._lost_disks += 1
 
     def sent(self, order: Order) -> None:
         """An order is on its way."""
@@ -47,6 +52,7 @@
     def committed(self, state: ChainState, machine: Machine, machines: Mapping[str, Machine]) -> None:
         """A replica holds a state for committed: when the first does, it is on enough disks."""
         if state.sequence and state.sequence not in self._history:
+            self._lost_before[state.taken[-1].digest] = self._lost_disks
             self.first_committed(state, machines)
         known = self._history.setdefault(state.sequence, state.chain_digest)
         if known != state.chain_digest:
@@ -98,8 +104,9 @@
         return sum(disk is not None and any(t.digest == digest for t in disk.state.taken) for disk in disks)
 
     def durable(self, machines: Mapping[str, Machine], order: Order) -> None:
-        """What was just acknowledged is on more disks than may be lost."""
-        held = self.holders(machines, order)
+        """What was just acknowledged was on more disks than may be lost; those lost since its commit count."""
+        lost = self._lost_disks - self._lost_before.get(order.digest, self._lost_disks)
+        held = self.holders(machines, order) + lost
         if held <= self._tolerance:
             raise Broken(f"order {order.digest} was acknowledged with {held} copies")
 
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -451,6 +451,27 @@
     assert cluster.machines[cluster.seeds[2]].durable is None
 
 
+def test_a_ballot_that_stopped_halfway_is_brought_to_an_end() -> None:
+    """Seed 4424: two had accepted a view that nobody wanted any more, and confirmed nothing ever after."""
+    split = Trouble(12_503.55136678152, "split", 2_506.0209163933077, 58_310)
+    cut = Trouble(13_454.102252139757, "cut_all", 1_263.5152376472624, 15_814)
+    assert play(4_424, (split, cut)) > 0
+
+
+def test_a_disk_that_is_lost_between_commit_and_answer_is_no_copy_too_few() -> None:
+    """Seed 4789: committed on two disks, then one was lost, then the operator had its answer."""
+    cut = Trouble(5_194.2843714117225, "cut", 4_557.240223571141, 57_656)
+    assert play(4_789, (cut, Trouble(6_012.034361357097, "wipe", 513.8083944110192, 56_137))) > 0
+
+
+def test_a_member_outside_the_chain_that_holds_everything_is_found_when_the_chain_is_lost() -> None:
+    """Seed 4508: a stalled disk is left out of the chain; then the only complete member in it loses its own."""
+    restart = Trouble(4_699.538375753763, "restart", 2_324.9745928472457, 55_389)
+    stall = Trouble(5_660.325437332149, "stall", 4_560.514303204171, 8_537)
+    wipe = Trouble(7_506.711202275268, "wipe", 4_071.822066263923, 51_142)
+    assert play(4_508, (restart, stall, wipe)) > 0
+
+
 def test_a_machine_counts_as_lost_until_its_successor_has_had_its_time() -> None:
     """Seed 2905 lost two disks where one may be lost: the successor came after 5 s."""
     cluster = Cluster(1)
