--- a/lab/control/rules.py
+++ b/lab/control/rules.py
@@ -104,7 +104,7 @@
         return sum(disk is not None and any(t.digest == digest for t in disk.state.taken) for disk in disks)
 
     def durable(self, machines: Mapping[str, Machine], order: Order) -> None:
-        """What was just acknowledged was on more disks than may be lost; those lost since its commit count."""
+        """What was just acknowledged was on more disks than may be lost; those lost since commit count."""
         lost = self._lost_disks - self._lost_before.get(order.digest, self._lost_disks)
         held = self.holders(machines, order) + lost
         if held <= self._tolerance:
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -465,7 +465,7 @@
 
 
 def test_a_member_outside_the_chain_that_holds_everything_is_found_when_the_chain_is_lost() -> None:
-    """Seed 4508: a stalled disk is left out of the chain; then the only complete member in it loses its own."""
+    """Seed 4508: a stalled disk is left out of the chain; then its only complete member loses its own."""
     restart = Trouble(4_699.538375753763, "restart", 2_324.9745928472457, 55_389)
     stall = Trouble(5_660.325437332149, "stall", 4_560.514303204171, 8_537)
     wipe = Trouble(7_506.711202275268, "wipe", 4_071.822066263923, 51_142)
