--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -322,7 +322,7 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_no_window_passes_the_limit(seed: int, limit: QuotaLimit) -> None:
     cluster = _play(seed, limit, 3.0)
-    assert cluster.window.total > 0.15 * limit.rate_per_s * cluster.now / 1_000.0
+    assert cluster.window.total > 0.3 * limit.rate_per_s * cluster.now / 1_000.0
 
 
 def test_hardly_anything_is_refused_below_the_limit_when_the_owner_is_lost() -> None:
@@ -335,7 +335,7 @@
     cluster.run(4_000.0)
     lost = sum(node.refused for node in cluster.nodes.values()) - refused
     served = sum(node.paid for node in cluster.nodes.values()) - paid
-    assert lost <= 0.12 * (lost + served), f"{lost} refused, {served} served"
+    assert lost <= 0.08 * (lost + served), f"{lost} refused, {served} served"
 
 
 def _half_of_the_nodes_are_cut_off() -> None:
