Name complete members outside a chain, and propose no chain that can't commit

Change: no view with a chain of f members or fewer; a view names the complete members that it leaves outside, and a chain member that is behind may witness that the epoch committed nothing: it accepts the next view first, on disk, and takes no further part in the old one. The chain-length fault is planted together with views of one, which are not proposed any more.

--- a/dunlinloft/coordination/chain.py
+++ b/dunlinloft/coordination/chain.py
@@ -94,6 +94,19 @@
         self._epoch_committed = -1
         self._predecessor = self._successor = None
 
+    def stop_uncommitted(self) -> bool:
+        """Take no further part in this epoch, if it can't have committed anything without this replica.
+
+        Whatever it commits went through each member of its chain, found equal on disk; a member behind the
+        head that was not found equal, and isn't just being found so, ends that possibility.
+        """
+        if self.synced or self._storing or not self.epoch or not self._place:
+            return False
+        if self.synced_epoch >= self.epoch:
+            return False
+        self.leave()
+        return True
+
     @property
     def settled(self) -> bool:
         """Whether all that is held was committed by this epoch's tail."""
--- a/dunlinloft/coordination/membership.py
+++ b/dunlinloft/coordination/membership.py
@@ -55,24 +55,41 @@
         found = {m.id for m in self.view.chain if self._synced(m)}
         return frozenset(first | found)
 
+    def may_testify(self) -> bool:
+        """Whether this replica can make sure that the epoch commits nothing: it is behind in its chain."""
+        behind = bool(self.view.place(self.me.id)) and self.me.id not in self.complete()
+        return behind and bool(self.view.outside)
+
     def _synced(self, member: Member) -> bool:
         return member.id in self.pings and self.pings[member.id].synced_epoch == self.view.epoch
 
 
+def may_commit(chain: Sequence[Member], tolerance: int) -> bool:
+    """Whether a chain is long enough to commit anything: a shorter one would only drop who is complete."""
+    return len(chain) > tolerance
+
+
 def wanted_view(seen: Observation) -> View | None:
     """The view that should follow; None where nothing is to change, or nothing can be done."""
     view = seen.view
     roster = _roster(seen)
     complete = seen.complete()
     chain = _chain(seen, roster, complete)
-    if not chain:
+    witness = ""
+    if not chain and seen.may_testify():
+        complete = frozenset(member.id for member in view.outside)
+        chain = _chain(seen, roster, complete)
+        witness = seen.me.id
+    if not may_commit(chain, seen.tolerance):
         return None
     first_behind = next((n for n, m in enumerate(chain) if m.id not in complete), len(chain))
     if first_behind == 0:
         return None
     if tuple(chain) == view.chain and set(roster) == set(view.roster):
         return None
-    return View(view.epoch + 1, tuple(roster), tuple(chain), first_behind)
+    held = view.outside if witness else view.chain
+    outside = tuple(m for m in held if m in roster and m.id in complete and m not in chain)
+    return View(view.epoch + 1, tuple(roster), tuple(chain), first_behind, outside, witness)
 
 
 # The roster.
--- a/dunlinloft/coordination/messages.py
+++ b/dunlinloft/coordination/messages.py
@@ -29,6 +29,8 @@
     roster: tuple[Member, ...]
     chain: tuple[Member, ...]  # head first, tail last
     complete: int  # so many of the chain's first members hold all that earlier epochs acknowledged
+    outside: tuple[Member, ...] = ()  # out of the chain, complete as long as this epoch commits nothing
+    witness: str = ""  # the member that made sure the epoch before commits nothing; "" where none had to
 
     def voters(self) -> frozenset[str]:
         """The ids of those whose majority decides the next view."""
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -85,9 +85,19 @@
         self.chain = ChainLink(me, durable, self._actions_append, self._persist, tolerance + 1)
         self.calls = Calls(me, self.chain, validate, self._actions_append, self._send, rng)
         self._voting = Voting(
-            me, counts, durable, rng, now_ms, self._send, self._persist, self._left, self.chain.enter
+            me,
+            counts,
+            durable,
+            rng,
+            now_ms,
+            self._send,
+            self._persist,
+            self._left,
+            self.chain.enter,
+            self.chain.stop_uncommitted,
         )
-        if self.view is not None:
+        stopped = durable.accepted is not None and durable.accepted[1].witness == me.id
+        if self.view is not None and not stopped:
             self.chain.enter(self.view)
 
     @property
--- a/dunlinloft/coordination/voting.py
+++ b/dunlinloft/coordination/voting.py
@@ -39,7 +39,11 @@
 
 
 class Voting:
-    """Holds the view. `left` is called when a later one is learned, `entered` once that is on disk."""
+    """Holds the view. `left` is called when a later one is learned, `entered` once that is on disk.
+
+    `stop_uncommitted` ends this replica's part in the chain for good, if that makes sure that the epoch has
+    committed nothing and never will; it returns whether it does.
+    """
 
     def __init__(
         self,
@@ -52,7 +56,9 @@
         persist: Callable[[Record, Callable[[], None]], None],
         left: Callable[[], None],
         entered: Callable[[View], None],
+        stop_uncommitted: Callable[[], bool],
     ) -> None:
+        self._stop_uncommitted = stop_uncommitted
         self._me = me
         self._counts = counts
         self._rng = rng
@@ -156,12 +162,19 @@
         if self._promised is not None and message.ballot < self._promised:
             self._send(message.sender.address, Denied(self._me, epoch, self._promised))
             return
+        if message.view.witness == self._me.id and not self._testifies():
+            return
         self._promised = message.ballot
         self._accepted = (message.ballot, message.view)
         reply = Accepted(self._me, epoch, message.ballot)
         record = AcceptRecord(message.ballot, message.view)
         self._persist(record, lambda: self._send(message.sender.address, reply))
 
+    def _testifies(self) -> bool:
+        """Whether the epoch before commits nothing for want of this replica, since before or from now on."""
+        stopped = self._accepted is not None and self._accepted[1].witness == self._me.id
+        return stopped or self._stop_uncommitted()
+
     def _tell_view(self, member: Member) -> None:
         if self.view is not None:
             self._send(member.address, Decided(self._me, self.view))
@@ -220,14 +233,29 @@
         if proposal is None or self.view is None or message.sender.id not in self.view.voters():
             return
         chosen = proposal.on_promise(message.sender.id, message.accepted, majority_of(self.view))
-        if chosen is not None:
-            for member in self.view.roster:
-                self._send(member.address, Accept(self._me, proposal.ballot, chosen))
+        if chosen is None:
+            return
+        if chosen.witness == self._me.id:
+            # The witness first: whoever accepts such a view relies on its having stopped, on disk.
+            self._send(self._me.address, Accept(self._me, proposal.ballot, chosen))
+        else:
+            self._ask_others(proposal, self.view)
+
+    def _ask_others(self, proposal: Proposal, view: View) -> None:
+        """Ask all who have not accepted yet."""
+        assert proposal.chosen is not None
+        for member in view.roster:
+            if member.id not in proposal.accepts:
+                self._send(member.address, Accept(self._me, proposal.ballot, proposal.chosen))
 
     def _on_accepted(self, message: Accepted) -> None:
         proposal = self._mine(message.epoch, message.ballot)
         if proposal is None or self.view is None or message.sender.id not in self.view.voters():
             return
+        assert proposal.chosen is not None
+        if message.sender.id == self._me.id == proposal.chosen.witness and not proposal.accepts:
+            proposal.accepts.add(self._me.id)
+            self._ask_others(proposal, self.view)
         decided = proposal.on_accepted(message.sender.id, majority_of(self.view))
         if decided is None:
             return
--- a/lab/control/rules.py
+++ b/lab/control/rules.py
@@ -54,6 +54,7 @@
         if state.sequence and state.sequence not in self._history:
             self._lost_before[state.taken[-1].digest] = self._lost_disks
             self.first_committed(state, machines)
+        self._stopped(machine, machines)
         known = self._history.setdefault(state.sequence, state.chain_digest)
         if known != state.chain_digest:
             raise Broken(f"two histories at sequence {state.sequence}")
@@ -66,6 +67,19 @@
             if taken.digest in self._refused:
                 raise Broken(f"the refused order {taken.digest} is in force")
 
+    def _stopped(self, machine: Machine, machines: Mapping[str, Machine]) -> None:
+        """Nothing is committed in an epoch once its witness has accepted a later view."""
+        replica = machine.replica
+        if replica is None or replica.view is None:
+            return
+        epoch = replica.view.epoch
+        for other in machines.values():
+            accepted = None if other.durable is None else other.durable.accepted
+            if accepted is None or not accepted[1].witness:
+                continue
+            if epoch == accepted[1].epoch - 1 and replica.chain.epoch == epoch:
+                raise Broken(f"epoch {epoch} committed after its witness had accepted the next")
+
     def first_committed(self, state: ChainState, machines: Mapping[str, Machine]) -> None:
         """What nobody held for committed before is on more disks than may be lost."""
         held = self.copies(machines, state.taken[-1].digest)
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from dunlinloft.coordination import membership
 from dunlinloft.coordination.actions import Action, Reply, Send
 from dunlinloft.coordination.calls import Calls
 from dunlinloft.coordination.chain import ChainLink
@@ -414,6 +415,8 @@
         return self.synced and self._successor is None
 
     monkeypatch.setattr(ChainLink, "is_tail", property(alone))
+    # Chains of one are not proposed any more: that they are is part of the fault.
+    monkeypatch.setattr(membership, "may_commit", lambda chain, _: bool(chain))
     with pytest.raises(Broken, match="committed with 1 copies"):
         _order_at_a_head_alone()
 
@@ -472,6 +475,76 @@
     assert play(4_508, (restart, stall, wipe)) > 0
 
 
+def test_a_chain_that_can_commit_nothing_is_not_proposed() -> None:
+    """Seed 3549: a chain of one dropped two members that held everything; then that one lost its disk."""
+    assert play(3_549) > 0
+
+
+def _with_a_member_outside() -> tuple[Cluster, Replica, Member]:
+    """A chain of a complete head and a member behind it that is catching up; and one outside, complete."""
+    cluster = Cluster(91)
+    cluster.run(500.0)
+    _, second, third = cluster.seeds
+    cluster.kill(third)
+    cluster.run(1_500.0)
+    for version in range(1, 9):
+        cluster.order(small_order(version, version - 1), lambda _: None)
+        cluster.run(300.0)
+    cluster.stall(second, True)
+    cluster.start(third)
+    for _ in range(4_000):
+        cluster.run(0.5)
+        behind = cluster.machines[third].replica
+        assert behind is not None
+        assert behind.view is not None
+        view = behind.view
+        if view.outside and view.place(behind.me.id) and behind.chain.epoch == view.epoch:
+            assert [member.address for member in view.outside] == [second]
+            assert not behind.chain.synced
+            return cluster, behind, view.outside[0]
+    raise AssertionError("no view left a complete member outside")
+
+
+def _order_beside_a_witness() -> None:
+    """The member behind says that nothing was committed, while the head that has everything still runs."""
+    cluster, behind, outside = _with_a_member_outside()
+    view = behind.view
+    assert view is not None
+    wanted = View(view.epoch + 1, view.roster, (outside, behind.me), 1, (), behind.me.id)
+    accept = Accept(behind.me, Ballot(50, behind.me.id), wanted)
+    cluster._perform(cluster.machines[behind.me.address], behind.handle(accept, cluster.now))
+    for version in range(9, 15):
+        cluster.order(small_order(version, version - 1), lambda _: None)
+        cluster.run(300.0)
+    cluster.stall(outside.address, False)
+    cluster.run(5_000.0)
+
+
+def test_a_witness_stops_the_chain_before_others_rely_on_it() -> None:
+    _order_beside_a_witness()
+
+
+def test_a_witness_that_goes_on_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ChainLink, "stop_uncommitted", lambda _: True)
+    with pytest.raises(Broken, match="after its witness had accepted"):
+        _order_beside_a_witness()
+
+
+def test_a_member_found_equal_is_no_witness_and_one_that_is_stays_stopped_after_a_restart() -> None:
+    cluster, behind, outside = _with_a_member_outside()
+    view = behind.view
+    assert view is not None
+    assert behind.chain.stop_uncommitted()
+    assert not behind.chain.stop_uncommitted(), "it takes part no more, and knows no more"
+    wanted = View(view.epoch + 1, view.roster, (outside, behind.me), 1, (), behind.me.id)
+    durable = Durable(behind.me.incarnation, view=view, accepted=(Ballot(1, "x"), wanted))
+    again = Replica(behind.me, True, durable, (), 1, judge, random.Random(1), cluster.now)
+    assert again.chain.epoch == 0
+    head = cluster.machines[view.chain[0].address].replica
+    assert head is not None
+    assert not head.chain.stop_uncommitted(), "it holds what the epoch may have committed"
+
+
 def test_a_machine_counts_as_lost_until_its_successor_has_had_its_time() -> None:
     """Seed 2905 lost two disks where one may be lost: the successor came after 5 s."""
     cluster = Cluster(1)
