Give quotas' unused reserves to their bucket, and wait for an owner that is there

Change: what isn't out in reserves is the bucket's; a reserve that can't hold a request isn't drawn; an answer is waited for half the objective while the owner's stream lives, after the reserve was tried; late grants go to the reserve; a request that came back, whose client has no further try, is asked for again.

--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -285,7 +285,7 @@
         self._distribution.subscribe(stream, servers)
 
     def _on_holdings(self, node: str, message: HoldsShares) -> None:
-        self._quotas.holds(node, NodeHoldings(message.epoch, message.shares), now_ms())
+        self._quotas.holds(node, NodeHoldings(message.epoch, message.shares, message.reserves), now_ms())
 
     def _take_quota(self, node: str, message: TakeQuota) -> QuotaGranted:
         now = now_ms()
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -5,7 +5,8 @@
 
 - An owner grants from a bucket that fills at the tenant's rate, and only under its lease. A new owner waits
   until the old one's lease has ended, and begins with little.
-- Each node holds a reserve that it drew from the bucket before; nothing but a draw refills it.
+- Each node may hold a reserve that it drew from the bucket before; nothing but a draw refills it. What
+  isn't out in reserves is the bucket's own: where a node's part is too small for a request, none is drawn.
 - A node that is out of its owner's reach spends its reserve and, later, its standing share of the rate
   (`quota_shares.py`). The owner's bucket fills by that much less for every node that it doesn't hear.
 
@@ -15,7 +16,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from dunlinloft.coordination.nodes import Nodes
 from dunlinloft.coordination.quota_shares import MOST_X, TenantShares
@@ -25,7 +26,7 @@
 EXTRA_SHARE = 0.1  # of what a window may exceed the rate by, that a bucket holds beside the burst
 RESERVE_SHARE, RESERVE_TOLERANCE = 0.6, 0.6  # of that, and of the tolerance, in all nodes' reserves together
 FIRST_SECONDS = 0.3  # of the rate that a new owner begins with: nodes spent none of it for longer
-FIRST_TOLERANCE = 0.1  # of the tolerance that it begins with, too
+FIRST_TOLERANCE = 0.2  # of the tolerance that it begins with, too
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
 SETTLE_MS = 10.0  # buckets fill in steps of so long: what that takes grows with nodes, not with requests
@@ -44,8 +45,8 @@
         """By how much a window may exceed rate and burst, beside the tolerance."""
         return self.overshoot * (limit.rate_per_s * self.interval_s + limit.burst)
 
-    def bucket_most(self, limit: QuotaLimit) -> float:
-        """The most that a bucket holds."""
+    def bucket_least(self, limit: QuotaLimit) -> float:
+        """The most that a bucket holds while all that reserves may hold is out in them."""
         return limit.burst + EXTRA_SHARE * self.spare(limit)
 
     def reserve_most(self, limit: QuotaLimit) -> float:
@@ -56,7 +57,7 @@
         """What an owner's bucket begins with; `together` with all nodes."""
         seconds = TOGETHER_SECONDS if together else FIRST_SECONDS
         level = seconds * limit.rate_per_s + FIRST_TOLERANCE * self.tolerance
-        return min(level, self.bucket_most(limit))
+        return min(level, self.bucket_least(limit))
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +86,7 @@
 
     epoch: int  # from then on it takes shares from that epoch's owners alone
     shares: dict[str, float]
+    reserves: dict[str, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,9 +107,19 @@
 class QuotaBucket:
     """What is left of a tenant's quota."""
 
-    most: float
+    least: float  # the most that it holds while all reserves are full,
+    pool: float  # and what reserves may hold together: what isn't out in them is the bucket's own
     level: float
     shares: TenantShares
+    told: dict[str, float] = field(default_factory=dict)  # by node: the reserve that it held when this began
+    unknown: float = 0.0  # of the pool: what nodes may hold that have not told
+    drawn: float = 0.0  # into reserves since; they may be full of it
+
+    @property
+    def most(self) -> float:
+        """The most that it holds now."""
+        out = self.unknown + sum(self.told.values()) + self.drawn
+        return self.least + max(0.0, self.pool - out)
 
     def fill(self, amount: float) -> None:
         """Add what has come since."""
@@ -126,6 +138,7 @@
         spare = self.level - RESERVE_ABOVE * self.most
         taken = max(0.0, min(wanted, spare))
         self.level -= taken
+        self.drawn += taken
         return taken
 
 
@@ -164,7 +177,8 @@
         for tenant in [name for name in self._buckets if name not in limits]:
             del self._buckets[tenant]
         for tenant, bucket in self._buckets.items():
-            bucket.most = self._bounds.bucket_most(limits[tenant])
+            bucket.least = self._bounds.bucket_least(limits[tenant])
+            bucket.pool = self._bounds.reserve_most(limits[tenant])
             bucket.level = min(bucket.level, bucket.most)
 
     def set_chain(self, epoch: int, chain: tuple[str, ...], now_ms: float) -> None:
@@ -197,6 +211,8 @@
     ) -> None:
         if holdings.epoch >= self._owned_since.get(tenant, self._epoch):
             bucket.shares.heard(node, holdings.shares.get(tenant, 0.0), False, now_ms)
+            # Whatever it holds more by now was drawn here since, and counts as that.
+            bucket.told.setdefault(node, holdings.reserves.get(tenant, 0.0))
 
     def _follow_unknown(self) -> None:
         """How much those nodes may hold that have not told since a tenant's quota came here."""
@@ -207,6 +223,7 @@
             since = self._owned_since.get(tenant, 0)
             untold = 0 if self._together else sum(epoch < since for epoch in told)
             bucket.shares.unknown_most = min(1.0, MOST_X * untold / max(1, len(nodes)))
+            bucket.unknown = bucket.pool * bucket.shares.unknown_most
 
     def settle(self, leased: bool, now_ms: float) -> None:
         """Fill the buckets for the time since the last call; to be called often.
@@ -230,7 +247,9 @@
             if tenant in self._buckets or not self._may_grant(tenant, now_ms):
                 continue
             level = self._bounds.first_level(limit, self._together)
-            bucket = QuotaBucket(self._bounds.bucket_most(limit), level, TenantShares())
+            least, pool = self._bounds.bucket_least(limit), self._bounds.reserve_most(limit)
+            unknown = 0.0 if self._together else pool
+            bucket = QuotaBucket(least, pool, level, TenantShares(), unknown=unknown)
             self._buckets[tenant] = bucket
             for node, holdings in self._holdings.items():
                 self._account(tenant, bucket, node, holdings, now_ms)
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -47,6 +47,7 @@
 
     epoch: int  # from now on it takes shares from this epoch's owners alone
     shares: dict[str, float]  # by tenant
+    reserves: dict[str, float] = {}  # by tenant: what it drew from an owner and has not spent
 
 
 class Subscribe(Struct, frozen=True, tag="subscribe"):
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -33,6 +33,7 @@
 REDIAL_S, REDIAL_MOST_S = 0.05, 0.5
 ALIVE_S = 0.3
 SILENT_S = 1.5
+QUIET_MS = 700.0  # a replica says something each 300 ms; after so long without, it may be gone
 
 _decoder = msgspec.json.Decoder(ToNode)
 
@@ -52,6 +53,7 @@
         has_servers: Callable[[], bool],
         hears: Callable[[str, float], bool],
         shares: Callable[[float], dict[str, float]],
+        reserves: Callable[[], dict[str, float]],
     ) -> None:
         self._node = node
         self._zone = zone
@@ -63,6 +65,8 @@
         self._has_servers = has_servers
         self._hears = hears
         self._shares = shares
+        self._reserves = reserves
+        self._heard_ms: dict[str, float] = {}  # by replica, of its stream
         self._ended = False
         self._node_counts: dict[str, int] = {}  # as each replica that is heard tells
         self._tasks: dict[str, asyncio.Task[None]] = {}
@@ -161,7 +165,12 @@
             logging.info("event=stream_ended replica=%s reason=%s", address, reason)
             await asyncio.sleep(wait_s * (0.5 + random.random()))
 
+    def alive(self, address: str) -> bool:
+        """Whether a replica's stream is up, and was heard of late."""
+        return address in self._writers and now_ms() - self._heard_ms.get(address, 0.0) < QUIET_MS
+
     def _on(self, address: str, message: Any) -> None:
+        self._heard_ms[address] = now_ms()
         if isinstance(message, Replicas):
             self._on_replicas(address, message)
         elif isinstance(message, Version):
@@ -187,4 +196,4 @@
 
     def _holdings(self) -> HoldsShares:
         epoch = 0 if self.replicas is None else self.replicas.epoch
-        return HoldsShares(epoch, self._shares(now_ms()))
+        return HoldsShares(epoch, self._shares(now_ms()), self._reserves())
--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -17,7 +17,7 @@
 from dunlinloft.dataplane.closing import Closing
 from dunlinloft.dataplane.exchange import Exchange, refusal
 from dunlinloft.dataplane.lateness import Lateness
-from dunlinloft.dataplane.quota import NodeQuotas, OverQuota
+from dunlinloft.dataplane.quota import NodeQuotas, OverQuota, payment
 from dunlinloft.dataplane.routing import ActiveRoute, RoutingTable, cost_of
 from dunlinloft.transport.clock import now_ms
 
@@ -107,7 +107,8 @@
         if tenant is not None and tenant.rate_per_s > 0.0:
             amount = cost_of(tenant, request.headers.get("X-Token-Usage"))
             limit = QuotaLimit(tenant.rate_per_s, tenant.burst)
-            paid = await self._quotas.pay(tenant.name, amount, limit, now_ms())
+            aim_ms, left_ms = active.route.target_latency_ms, ends_ms - now_ms()
+            paid = await self._quotas.pay(payment(tenant.name, amount, limit, aim_ms, waited_ms, left_ms))
             if isinstance(paid, OverQuota):
                 return refusal(429, "over the tenant's quota", paid.wait_ms / 1_000.0)
         client_request = ClientRequest(
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -72,9 +72,11 @@
             lambda: self._servers.complete,
             lambda address, now: self._quotas.hears(address, now),
             lambda now: self._quotas.shares(now),
+            lambda: self._quotas.reserves(),
         )
         self._quotas = NodeQuotas(
             lambda: self._subscriptions.replicas,
+            self._subscriptions.alive,
             self._subscriptions.send,
             settings.timing_bounds.quota_bounds(),
         )
@@ -161,7 +163,7 @@
             case Placed():
                 self._advice.on_placed(source, message)
             case QuotaGranted():
-                self._quotas.on_granted(message)
+                self._quotas.on_granted(source, message)
             case Alive():
                 pass
         self._follow_start()
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -4,17 +4,26 @@
 
 import asyncio
 import itertools
+import math
+import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
+from boltons.cacheutils import LRU
 from msgspec import Struct
 
 from dunlinloft.coordination.quota_holder import QuotaHolder
 from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit, owner_of
 from dunlinloft.coordination.stream import QuotaGranted, Replicas, TakeQuota
+from dunlinloft.transport.clock import now_ms
 
-ASK_S = 0.03  # the owner's answer is waited for so long
-SILENT_MS = 250.0  # an owner that did not answer isn't waited for during so long
+ASK_S = 0.03  # the owner's answer is waited for so long before the node's reserve is spent instead
+ANSWER_SHARE = 0.5  # of the objective, that the answer of an owner who is there is waited for
+SILENT_MS = 250.0  # an owner that did not answer in time isn't asked during so long
 DENY_MOST_MS = 60.0  # so long a refusal of the owner stands for further requests
+AGAIN_SHARE = 0.4  # of the time left, that a request whose client has no further try is asked for again
+ASKS_MOST = 4_096  # questions that may be open
+AGAIN_LEAST_MS, AGAIN_MOST_MS = 20.0, 150.0  # between two such asks
 
 
 class Granted(Struct, frozen=True):
@@ -34,20 +43,57 @@
     amount: float
 
 
+@dataclass(frozen=True, slots=True)
+class Payment:
+    """What a request costs, and how long it may wait to be paid for. Times in milliseconds."""
+
+    tenant: str
+    amount: float  # in what the tenant's quota counts
+    limit: QuotaLimit
+    answer_ms: float  # that an owner's answer is waited for, as long as the owner is there
+    again_ms: float  # that it is tried again; 0 where its client does that
+
+
+def payment(
+    tenant: str, amount: float, limit: QuotaLimit, aim_ms: float, waited_ms: float, left_ms: float
+) -> Payment:
+    """The payment for a request that its client has waited for, in earlier tries, for so long.
+
+    A first try that can't be paid for is refused at once: its client comes back when it is told to, and is
+    still in time. One that came back has no further try, so it waits here.
+    """
+    again_ms = AGAIN_SHARE * left_ms if waited_ms > 0.0 and left_ms < math.inf else 0.0
+    return Payment(tenant, amount, limit, max(1_000.0 * ASK_S, ANSWER_SHARE * aim_ms), again_ms)
+
+
+@dataclass(slots=True)
+class _Ask:
+    """A question to an owner."""
+
+    payment: Payment
+    answer: asyncio.Future[QuotaGranted]
+    given_up: bool = False  # what it grants yet goes to the reserve
+
+
 class NodeQuotas:
     """Pays for requests."""
 
     def __init__(
         self,
         replicas: Callable[[], Replicas | None],
+        alive: Callable[[str], bool],
         send: Callable[[str, Struct], bool],
         bounds: QuotaBounds,
+        clock: Callable[[], float] = now_ms,
     ) -> None:
+        """`alive` tells whether a replica was heard of late; `clock` is steady, in milliseconds."""
+        self._clock = clock
         self._replicas = replicas
+        self._alive = alive
         self._send = send
         self._holder = QuotaHolder(bounds)
         self._denials: dict[str, _Denial] = {}
-        self._waiting: dict[int, asyncio.Future[QuotaGranted]] = {}
+        self._asks: LRU[int, _Ask] = LRU(ASKS_MOST)
         self._numbers = itertools.count(1)
         self._silent_until_ms: dict[str, float] = {}  # by owner
 
@@ -59,54 +105,104 @@
         """The shares of tenants' rates that this node holds."""
         return self._holder.shares(now_ms)
 
-    def on_granted(self, message: QuotaGranted) -> None:
-        """An owner's answer; one that comes too late was paid for nothing."""
-        future = self._waiting.pop(message.number, None)
-        if future is not None and not future.done():
-            future.set_result(message)
-
-    async def pay(self, tenant: str, amount: float, limit: QuotaLimit, now_ms: float) -> Granted | OverQuota:
+    def reserves(self) -> dict[str, float]:
+        """What this node drew from owners and has not spent."""
+        return self._holder.reserves()
+
+    def on_granted(self, source: str, message: QuotaGranted) -> None:
+        """An owner's answer."""
+        ask = self._asks.pop(message.number, None)
+        if ask is None:
+            return
+        if not ask.given_up:
+            if not ask.answer.done():
+                ask.answer.set_result(message)
+        elif message.owner and message.amount and self._is_owner(source, message.tenant):
+            payment = ask.payment
+            self._holder.refund(payment.tenant, payment.limit, message.amount, self._clock())
+
+    async def pay(self, payment: Payment) -> Granted | OverQuota:
         """Pay for a request."""
+        ends_ms = self._clock() + payment.again_ms
+        while True:
+            paid = await self._pay_once(payment)
+            if isinstance(paid, Granted):
+                return paid
+            wait_ms = min(AGAIN_MOST_MS, max(AGAIN_LEAST_MS, paid.wait_ms)) * random.uniform(0.75, 1.25)
+            if self._clock() + wait_ms >= ends_ms:
+                return paid
+            await asyncio.sleep(wait_ms / 1_000.0)
+
+    async def _pay_once(self, payment: Payment) -> Granted | OverQuota:
+        tenant, amount, limit = payment.tenant, payment.amount, payment.limit
         denial = self._denials.get(tenant)
-        if denial is not None and now_ms < denial.until_ms and amount >= denial.amount:
-            return OverQuota(denial.until_ms - now_ms)
+        if denial is not None and self._clock() < denial.until_ms and amount >= denial.amount:
+            return OverQuota(denial.until_ms - self._clock())
         replicas = self._replicas()
         owner = None if replicas is None else owner_of(tenant, replicas.chain)
-        answer = await self._ask(owner, tenant, amount, limit, now_ms)
+        asked_ms = self._clock()
+        answer = await self._answer(owner, payment)
+        if isinstance(answer, Granted):
+            return answer
         if owner is None or answer is None or not answer.owner or not self._is_owner(owner, tenant):
-            wait_ms = self._holder.spend_alone(tenant, limit, amount, now_ms)
-            return OverQuota(wait_ms) if wait_ms else Granted()
+            return self._from_reserve(payment)
         self._holder.answered(owner, tenant)
-        self._holder.drawn(tenant, limit, answer.reserve, answer.share, now_ms, now_ms)
+        self._holder.drawn(tenant, limit, answer.reserve, answer.share, asked_ms, self._clock())
         if answer.amount < amount:
-            self._denials[tenant] = _Denial(now_ms + min(answer.wait_ms, DENY_MOST_MS), amount)
+            self._denials[tenant] = _Denial(self._clock() + min(answer.wait_ms, DENY_MOST_MS), amount)
             return OverQuota(answer.wait_ms)
         return Granted()
 
+    def _from_reserve(self, payment: Payment) -> Granted | OverQuota:
+        wait_ms = self._holder.spend_alone(payment.tenant, payment.limit, payment.amount, self._clock())
+        return OverQuota(wait_ms) if wait_ms else Granted()
+
     def _is_owner(self, address: str, tenant: str) -> bool:
         """Whether who answered still is the owner: this node has told the next one what it holds."""
         replicas = self._replicas()
         return replicas is not None and owner_of(tenant, replicas.chain) == address
 
-    async def _ask(
-        self, owner: str | None, tenant: str, amount: float, limit: QuotaLimit, now_ms: float
-    ) -> QuotaGranted | None:
-        if owner is None or now_ms < self._silent_until_ms.get(owner, 0.0):
+    async def _answer(self, owner: str | None, payment: Payment) -> QuotaGranted | Granted | None:
+        """The owner's answer; or that the reserve was spent instead, as it took long; None without either."""
+        if owner is None or self._clock() < self._silent_until_ms.get(owner, 0.0):
             return None
         number = next(self._numbers)
-        future: asyncio.Future[QuotaGranted] = asyncio.get_running_loop().create_future()
-        self._waiting[number] = future
-        answer = None
+        asked_ms = self._clock()
+        ask = _Ask(payment, asyncio.get_running_loop().create_future())
+        self._asks[number] = ask
+        if not self._send(owner, self._take_quota(number, payment)):
+            del self._asks[number]
+            self._holder.unanswered(owner, payment.tenant, asked_ms)
+            return None
         try:
-            reserve = self._holder.wanted(tenant, limit, now_ms)
-            share, alone = self._holder.held(tenant, now_ms), self._holder.alone(tenant, now_ms)
-            if self._send(owner, TakeQuota(number, tenant, amount, reserve, share, alone)):
-                async with asyncio.timeout(ASK_S):
-                    answer = await future
-        except TimeoutError:
-            self._silent_until_ms[owner] = now_ms + 1_000.0 * ASK_S + SILENT_MS
-        finally:
-            self._waiting.pop(number, None)
-        if answer is None or not answer.owner:
-            self._holder.unanswered(owner, tenant, now_ms)
+            answer = await self._waited(owner, ask, asked_ms)
+        except asyncio.CancelledError:
+            ask.given_up = True
+            raise
+        if not isinstance(answer, QuotaGranted):
+            ask.given_up = True
+        elif not answer.owner:
+            self._holder.unanswered(owner, payment.tenant, asked_ms)
         return answer
+
+    def _take_quota(self, number: int, payment: Payment) -> TakeQuota:
+        tenant, now = payment.tenant, self._clock()
+        wanted = self._holder.wanted(tenant, payment.limit, payment.amount, now)
+        held, alone = self._holder.held(tenant, now), self._holder.alone(tenant, now)
+        return TakeQuota(number, tenant, payment.amount, wanted, held, alone)
+
+    async def _waited(self, owner: str, ask: _Ask, asked_ms: float) -> QuotaGranted | Granted | None:
+        await asyncio.wait((ask.answer,), timeout=ASK_S)
+        if ask.answer.done():
+            return ask.answer.result()
+        self._holder.unanswered(owner, ask.payment.tenant, asked_ms)
+        spent = self._from_reserve(ask.payment)
+        if isinstance(spent, Granted):
+            return spent
+        if self._alive(owner):
+            # It is there: the answer is only late, and better than a refusal.
+            await asyncio.wait((ask.answer,), timeout=ask.payment.answer_ms / 1_000.0 - ASK_S)
+            if ask.answer.done():
+                return ask.answer.result()
+        self._silent_until_ms[owner] = self._clock() + SILENT_MS
+        return None
--- a/lab/router/bare_node.py
+++ b/lab/router/bare_node.py
@@ -42,7 +42,7 @@
         budget = RetryBudget(0.2, 10.0, 1_000.0)
         advice = Advice(lambda: None, lambda *_: False)
         serving = Serving(SERVICE, pool, advice, self.upstream, budget, 1, rng)
-        quotas = NodeQuotas(lambda: None, lambda *_: False, QuotaBounds(8.0, 0.1, 0.0))
+        quotas = NodeQuotas(lambda: None, lambda _: False, lambda *_: False, QuotaBounds(8.0, 0.1, 0.0))
         started = asyncio.Event()
         started.set()
 
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -26,6 +26,7 @@
         lambda: True,
         lambda *_: False,
         lambda _: {},
+        dict,
     )
 
 
