Wait a fifth of the objective for placement advice, and tell the owner what a node chose itself

Change: an owner that is there is always asked, for a fifth of the objective; a node's own choice is told and counts as out and kept.

--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -39,6 +39,7 @@
     NodesSeen,
     Place,
     PlaceBegan,
+    PlaceChosen,
     Placed,
     PlaceEnded,
     QuotaGranted,
@@ -250,6 +251,8 @@
                     out.send(self._take_quota(stream.node, message))
                 case Place():
                     out.send(self._place(number, message))
+                case PlaceChosen():
+                    self._place_chosen(number, message)
                 case PlaceBegan():
                     self._placements.service(message.service).began((number, message.number))
                 case PlaceEnded():
@@ -304,6 +307,11 @@
         wait_ms = FULL_WAIT_MS if server_id is None and message.patient else 0.0
         return Placed(message.number, message.service, server_id or "", wait_ms)
 
+    def _place_chosen(self, stream: int, message: PlaceChosen) -> None:
+        needs = PlacementRequest(message.parts, message.answer_tokens)
+        placement = self._placements.service(message.service)
+        placement.chosen((stream, message.number), needs, message.server_id, now_ms())
+
     async def _relays(self) -> None:
         while True:
             await asyncio.sleep(RELAY_S)
--- a/dunlinloft/coordination/placement.py
+++ b/dunlinloft/coordination/placement.py
@@ -195,6 +195,15 @@
         self._take(ticket, load, keys, total, needs.answer_tokens, now_ms)
         return load.record.id
 
+    def chosen(self, ticket: TicketId, needs: PlacementRequest, server_id: str, now_ms: float) -> None:
+        """A node sent a request to a server without advice: it counts as out there all the same."""
+        load = self._loads.get(server_id)
+        if load is None or len(self._tickets) >= TICKETS_MOST:
+            return
+        keys = _path_keys(needs.parts)
+        self._fresh(keys, now_ms)
+        self._take(ticket, load, keys, needs.prompt_tokens, needs.answer_tokens, now_ms)
+
     def _cost(
         self,
         load: _Load,
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -116,6 +116,16 @@
     patient: bool = False  # it is late anyway and rather waits than to be turned away by a full server
 
 
+class PlaceChosen(Struct, frozen=True, tag="place_chosen"):
+    """The node chose a server by itself, as no advice came in time; the request counts as placed there."""
+
+    number: int
+    service: str
+    parts: tuple[tuple[str, int], ...]
+    answer_tokens: int
+    server_id: str
+
+
 class PlaceBegan(Struct, frozen=True, tag="place_began"):
     """The first word of a placed request came."""
 
@@ -207,6 +217,7 @@
     | NodeEnds
     | TakeQuota
     | Place
+    | PlaceChosen
     | PlaceBegan
     | PlaceEnded
 )
--- a/dunlinloft/dataplane/advice.py
+++ b/dunlinloft/dataplane/advice.py
@@ -10,10 +10,17 @@
 from msgspec import Struct
 
 from dunlinloft.coordination.placement import owner_of_service
-from dunlinloft.coordination.stream import Place, PlaceBegan, Placed, PlaceEnded, Replicas
+from dunlinloft.coordination.stream import (
+    Place,
+    PlaceBegan,
+    PlaceChosen,
+    Placed,
+    PlaceEnded,
+    Replicas,
+)
 
-ASK_S = 0.02  # an answer is waited for so long; then the node picks by itself
-SILENT_MS = 250.0  # an owner that did not answer isn't asked during so long
+ASK_LEAST_MS, ASK_SHARE = 20.0, 0.2  # of the objective: so long an answer is waited for; then the node picks
+SILENT_MS = 250.0  # an owner that is not there and did not answer isn't asked during so long
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +56,15 @@
 class Advice:
     """This node's side of placement."""
 
-    def __init__(self, replicas: Callable[[], Replicas | None], send: Callable[[str, Struct], bool]) -> None:
+    def __init__(
+        self,
+        replicas: Callable[[], Replicas | None],
+        alive: Callable[[str], bool],
+        send: Callable[[str, Struct], bool],
+    ) -> None:
+        """`alive` tells whether a replica was heard of late."""
         self._replicas = replicas
+        self._alive = alive
         self._send = send
         self._waiting: dict[int, asyncio.Future[Placed]] = {}
         self._numbers = itertools.count(1)
@@ -68,6 +82,22 @@
         elif message.server_id:
             self._send(source, PlaceEnded(message.service, message.number, False))
 
+    def _owner(self, service: str) -> str | None:
+        replicas = self._replicas()
+        return None if replicas is None else owner_of_service(service, replicas.chain)
+
+    def chose(
+        self, service: str, parts: tuple[tuple[str, int], ...], answer_tokens: int, server_id: str
+    ) -> Advised | None:
+        """Tell the owner which server the node chose itself; None where there is no owner to tell."""
+        owner = self._owner(service)
+        if owner is None:
+            return None
+        number = next(self._numbers)
+        if not self._send(owner, PlaceChosen(number, service, parts, answer_tokens, server_id)):
+            return None
+        return Advised(self, owner, service, number, server_id)
+
     async def ask(
         self,
         service: str,
@@ -75,11 +105,11 @@
         answer_tokens: int,
         avoided: Collection[str],
         patient: bool,
+        aim_ms: float,
         now_ms: float,
     ) -> Advised | Wait | None:
         """The server that a request should go to; None where there is no advice in time."""
-        replicas = self._replicas()
-        owner = None if replicas is None else owner_of_service(service, replicas.chain)
+        owner = self._owner(service)
         if owner is None or now_ms < self._silent_until_ms.get(owner, 0.0):
             return None
         number = next(self._numbers)
@@ -88,10 +118,11 @@
         try:
             if not self._send(owner, Place(number, service, parts, answer_tokens, tuple(avoided), patient)):
                 return None
-            async with asyncio.timeout(ASK_S):
+            async with asyncio.timeout(max(ASK_LEAST_MS, ASK_SHARE * aim_ms) / 1_000.0):
                 placed = await future
         except TimeoutError:
-            self._silent_until_ms[owner] = now_ms + 1_000.0 * ASK_S + SILENT_MS
+            if not self._alive(owner):
+                self._silent_until_ms[owner] = now_ms + SILENT_MS
             return None
         finally:
             self._waiting.pop(number, None)
--- a/dunlinloft/dataplane/attempts.py
+++ b/dunlinloft/dataplane/attempts.py
@@ -152,7 +152,18 @@
                 self._advised[server.record.id] = advised
                 return server
             advised.ended(False)
-        return pool.pick(self._needs, limit, self._tried, now)
+        return self._own_choice()
+
+    def _own_choice(self) -> Server | None:
+        """The server by this node's own rotation; the owner, which counts on, is told."""
+        serving, needs = self._serving, self._needs
+        server = serving.pool.pick(needs, serving.upstream.per_server, self._tried, now_ms())
+        if server is None:
+            return None
+        told = serving.advice.chose(serving.service, needs.parts, needs.answer_tokens, server.record.id)
+        if told is not None:
+            self._advised[server.record.id] = told
+        return server
 
     async def _ask(self, avoided: set[str]) -> Advised | None:
         """Ask the owner; a request that is late anyway waits for a free place, half of its time at most."""
@@ -162,7 +173,7 @@
         until_ms = began_ms + PATIENT_SHARE * (self._request.ends_ms - began_ms)
         while True:
             advice = await serving.advice.ask(
-                serving.service, needs.parts, needs.answer_tokens, avoided, patient, now_ms()
+                serving.service, needs.parts, needs.answer_tokens, avoided, patient, needs.aim_ms, now_ms()
             )
             if not isinstance(advice, Wait):
                 return advice
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -80,7 +80,9 @@
             self._subscriptions.send,
             settings.timing_bounds.quota_bounds(),
         )
-        self._advice = Advice(lambda: self._subscriptions.replicas, self._subscriptions.send)
+        self._advice = Advice(
+            lambda: self._subscriptions.replicas, self._subscriptions.alive, self._subscriptions.send
+        )
         self._frontend = Frontend(
             lambda: self._in_force.table, self._quotas, self._exchange, self._closing, self._serving
         )
--- a/lab/router/bare_node.py
+++ b/lab/router/bare_node.py
@@ -40,7 +40,7 @@
         self.closing = Closing(GRACE_MS)
         self.upstream = Upstream(16)
         budget = RetryBudget(0.2, 10.0, 1_000.0)
-        advice = Advice(lambda: None, lambda *_: False)
+        advice = Advice(lambda: None, lambda _: False, lambda *_: False)
         serving = Serving(SERVICE, pool, advice, self.upstream, budget, 1, rng)
         quotas = NodeQuotas(lambda: None, lambda _: False, lambda *_: False, QuotaBounds(8.0, 0.1, 0.0))
         started = asyncio.Event()
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,11 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter
 
+from msgspec import Struct
+
 from dunlinloft.coordination.placement import PlacementRequest, ServicePlacement, owner_of_service
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.stream import (
+    Place,
+    PlaceChosen,
+    Placed,
+    PlaceEnded,
+    Replicas,
+    ServerRecord,
+)
+from dunlinloft.dataplane.advice import Advice, Advised
+from tests.virtual_time import run_virtually
 
 LONG = PlacementRequest((("system", 2_500), ("handbook", 3_800), ("own", 2_900)), 60)
 SHORT = PlacementRequest((("greeting", 50), ("rider", 30), ("own", 140)), 4_000)
@@ -133,3 +145,77 @@
     moved = [service for service in services if before[service] != after[service]]
     assert all(before[service] == addresses[-1] for service in moved)
     assert owner_of_service("service", []) is None
+
+
+def test_what_a_node_chose_by_itself_counts_as_out_there_and_as_kept() -> None:
+    placement = _placement()
+    placement.chosen((2, 1), LONG, "i-3", 0.0)
+    assert placement._loads["i-3"].out == 1
+    assert placement._loads["i-3"].kept_tokens == LONG.prompt_tokens
+    placement.ended((2, 1), False, 50.0)
+    assert placement._loads["i-3"].out == 0
+    assert _place(placement, 2, LONG, 1_000.0) == "i-3", "its parts are kept there"
+    placement.chosen((2, 3), LONG, "unknown", 60.0)
+    placement.ended((2, 3), False, 70.0)
+
+
+# The node's asking.
+
+CHAIN = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
+
+
+class _Owner:
+    """An owner that answers after a while, in virtual time."""
+
+    def __init__(self, answer_ms: float, alive: bool = True) -> None:
+        self.answer_ms = answer_ms
+        self.sent: list[Struct] = []
+        replicas = Replicas(1, CHAIN, CHAIN, 10)
+        self.advice = Advice(lambda: replicas, lambda _: alive, self._send)
+
+    def _send(self, address: str, message: Struct) -> bool:
+        self.sent.append(message)
+        if isinstance(message, Place):
+            placed = Placed(message.number, message.service, "i-1")
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.answer_ms / 1_000.0, self.advice.on_placed, address, placed)
+        return True
+
+    async def ask(self) -> bool:
+        """Ask with an objective of 200 ms; whether advice came in time."""
+        now = 1_000.0 * asyncio.get_running_loop().time()
+        advised = await self.advice.ask("pool", LONG.parts, 60, (), False, 200.0, now)
+        return isinstance(advised, Advised)
+
+
+def test_advice_is_waited_for_a_fifth_of_the_objective() -> None:
+    async def play() -> None:
+        assert await _Owner(35.0).ask()
+        assert not await _Owner(45.0).ask()
+
+    run_virtually(play())
+
+
+def test_an_owner_that_is_there_is_asked_again_after_a_late_answer_and_one_that_is_gone_is_not() -> None:
+    async def play() -> None:
+        for alive in (True, False):
+            owner = _Owner(45.0, alive)
+            assert not await owner.ask()
+            owner.answer_ms = 5.0
+            assert await owner.ask() == alive
+            await asyncio.sleep(0.1)
+            ended = [message for message in owner.sent if isinstance(message, PlaceEnded)]
+            assert len(ended) == 1, "the late answer is given back"
+
+    run_virtually(play())
+
+
+def test_a_choice_of_its_own_is_told_and_its_end_too() -> None:
+    owner = _Owner(5.0)
+    told = owner.advice.chose("pool", LONG.parts, 60, "i-2")
+    assert told is not None
+    told.ended(False)
+    chosen, ended = owner.sent
+    assert isinstance(chosen, PlaceChosen)
+    assert isinstance(ended, PlaceEnded)
+    assert (chosen.server_id, chosen.number) == ("i-2", ended.number)
