--- a/dunlinloft/dataplane/attempts.py
+++ b/dunlinloft/dataplane/attempts.py
@@ -12,8 +12,10 @@
 
 from dunlinloft.dataplane.advice import Advice, Advised, Wait
 from dunlinloft.dataplane.budget import RetryBudget, gate_allows
+from dunlinloft.dataplane.causes import Cause
 from dunlinloft.dataplane.client_request import DEADLINE_HEADER, ClientRequest
 from dunlinloft.dataplane.lateness import priority_of
+from dunlinloft.dataplane.metrics import Metrics
 from dunlinloft.dataplane.servers import Server, ServicePool
 from dunlinloft.dataplane.upstream import (
     ATTEMPT_HEADER,
@@ -28,7 +30,6 @@
 CONNECTS_MOST = 4  # servers that can't be reached, before a request is given up
 RETRY_WAIT_MS = 10.0  # T1, doubling with each attempt, with jitter; deadlines leave no half second
 PATIENT_SHARE = 0.5  # of its time left that a late request waits for a free place
-UNREACHED = "the server could not be reached"
 RESUME_HEADER = "Last-Event-Id"
 _OWN_HEADERS = (
     "Api-Key",
@@ -52,6 +53,7 @@
     budget: RetryBudget
     nodes: int  # that share the budget
     rng: random.Random
+    metrics: Metrics
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,10 +92,10 @@
         """Send until a server's answer begins; the failure where that is over."""
         while True:
             if now_ms() >= self._request.ends_ms:
-                return Failure(Verdict.NOT_EXECUTED, "no time left")
+                return Failure(Verdict.NOT_EXECUTED, Cause.NO_TIME, "no time left")
             server = await self._choose()
             if server is None:
-                return Failure(Verdict.NOT_EXECUTED, "no server has a place")
+                return Failure(Verdict.NOT_EXECUTED, Cause.NO_SERVER, "no server has a place")
             result = await self._send(server, resume_after)
             if not isinstance(result, Failure):
                 return Opened(server, result)
@@ -102,7 +104,7 @@
 
     async def may_go_on(self, failure: Failure) -> bool:
         """Whether the request may be sent to another server after a failure; waits as long as it has to."""
-        if failure.reason == UNREACHED:
+        if failure.cause is Cause.UNREACHED:
             self._unreached += 1
             return self._unreached < CONNECTS_MOST
         if self._arrivals >= self._request.active_route.route.max_attempts:
@@ -150,6 +152,7 @@
             server = pool.servers.get(advised.server_id)
             if server is not None and not server.record.draining:
                 self._advised[server.record.id] = advised
+                self._serving.metrics.placements["advised"] += 1
                 return server
             advised.ended(False)
         return self._own_choice()
@@ -160,6 +163,7 @@
         server = serving.pool.pick(needs, serving.upstream.per_server, self._tried, now_ms())
         if server is None:
             return None
+        serving.metrics.placements["own"] += 1
         told = serving.advice.chose(serving.service, needs.parts, needs.answer_tokens, server.record.id)
         if told is not None:
             self._advised[server.record.id] = told
@@ -196,6 +200,7 @@
     async def _send(self, server: Server, resume_after: str | None) -> aiohttp.ClientResponse | Failure:
         """One attempt, up to the head of its answer."""
         attempt = Attempt()
+        self._serving.metrics.attempts["further" if self._tried else "first"] += 1
         self._tried.append(server.record.id)
         server.sent(self._id, now_ms())
         try:
@@ -212,7 +217,9 @@
             self.may_have_run = True
         self._judge(server, result, attempt)
         self._end(server)
-        return result if attempt.connected else Failure(Verdict.NOT_EXECUTED, UNREACHED)
+        if attempt.connected:
+            return result
+        return Failure(Verdict.NOT_EXECUTED, Cause.UNREACHED, "the server could not be reached")
 
     async def _bounded(
         self, server: Server, resume_after: str | None, attempt: Attempt
--- a/dunlinloft/dataplane/exchange.py
+++ b/dunlinloft/dataplane/exchange.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from dunlinloft.dataplane.attempts import Attempts, Opened, Serving
+from dunlinloft.dataplane.causes import Cause
 from dunlinloft.dataplane.client_request import ClientRequest
 from dunlinloft.dataplane.closing import Closing
 from dunlinloft.dataplane.events import EventCutter
@@ -20,10 +21,13 @@
 FULL_RETRY_S = 0.15  # when to come back where servers were full
 
 
-def refusal(status: int, text: str, retry_after_s: float | None = None) -> Response:
-    """A final answer of our own."""
-    headers = {} if retry_after_s is None else {"Retry-After": f"{retry_after_s:.3f}"}
-    return Response(status=status, text=text, headers=headers)
+class Refusal(Response):
+    """A final answer of our own, and why."""
+
+    def __init__(self, status: int, cause: Cause, text: str, retry_after_s: float | None = None) -> None:
+        headers = {} if retry_after_s is None else {"Retry-After": f"{retry_after_s:.3f}"}
+        super().__init__(status=status, text=text, headers=headers)
+        self.cause = cause
 
 
 class Exchange:
@@ -50,10 +54,10 @@
     def _final(self, failure: Failure) -> Response:
         """The answer to a request that is given up on, at once."""
         if not self._attempts.may_have_run:
-            return refusal(503, failure.reason, FULL_RETRY_S)
+            return Refusal(503, failure.cause, failure.reason, FULL_RETRY_S)
         if now_ms() >= self._request.ends_ms:
-            return refusal(504, failure.reason)
-        return refusal(502, failure.reason)
+            return Refusal(504, failure.cause, failure.reason)
+        return Refusal(502, failure.cause, failure.reason)
 
     async def _pass_on(self, opened: Opened) -> StreamResponse | Failure:
         """Pass an answer on; a failure where nothing was passed and the attempt is lost."""
@@ -65,7 +69,7 @@
         except TimeoutError:
             if self._answer is not None:
                 return self._broken_off(self._answer)
-            return Failure(Verdict.MAY_HAVE_EXECUTED, "no whole answer in time")
+            return Failure(Verdict.MAY_HAVE_EXECUTED, Cause.LATE, "no whole answer in time")
         finally:
             self._attempts.end(opened)
 
--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -13,10 +13,12 @@
 
 from dunlinloft.configuration import Limits, Tenant
 from dunlinloft.coordination.quotas import QuotaLimit
+from dunlinloft.dataplane.causes import Cause
 from dunlinloft.dataplane.client_request import DEADLINE_HEADER, ClientRequest
 from dunlinloft.dataplane.closing import Closing
-from dunlinloft.dataplane.exchange import Exchange, refusal
+from dunlinloft.dataplane.exchange import Exchange, Refusal
 from dunlinloft.dataplane.lateness import Lateness
+from dunlinloft.dataplane.metrics import Metrics
 from dunlinloft.dataplane.quota import NodeQuotas, OverQuota, payment
 from dunlinloft.dataplane.routing import ActiveRoute, RoutingTable, cost_of
 from dunlinloft.transport.clock import now_ms
@@ -49,6 +51,7 @@
         make_exchange: MakeExchange,
         closing: Closing,
         serving: asyncio.Event,
+        metrics: Metrics,
     ) -> None:
         self._table = table
         self._quotas = quotas
@@ -56,7 +59,7 @@
         self._closing = closing
         self._serving = serving
         self._lateness = Lateness()
-        self.inflight = 0
+        self._metrics = metrics
         self._busy: set[RequestHandler] = set()  # connections with a request under way
 
     def give_back(self, connections: Iterable[RequestHandler]) -> None:
@@ -72,19 +75,27 @@
 
     async def handle(self, request: BaseRequest) -> StreamResponse:
         """Answer one request."""
-        self.inflight += 1
+        self._metrics.inflight += 1
         self._busy.add(request.protocol)
         try:
             answer = await self._serve(request)
         except Refused as refused:
             answer = refused.answer
         finally:
-            self.inflight -= 1
+            self._metrics.inflight -= 1
             self._busy.discard(request.protocol)
         if self._closing.begun:
             answer.force_close()
+        self._metrics.requests[answer.status] += 1
+        if isinstance(answer, Refusal):
+            self._metrics.refusals[answer.status, answer.cause] += 1
         return answer
 
+    @property
+    def inflight(self) -> int:
+        """Requests under way."""
+        return self._metrics.inflight
+
     async def _serve(self, request: BaseRequest) -> StreamResponse:
         arrived_ms = now_ms()
         table = self._table()
@@ -95,12 +106,12 @@
         # What was put in force while the body came counts: it may name a route or key that is new.
         table = self._table()
         if table is None:
-            return refusal(503, "no configuration yet", STARTING_RETRY_S)
+            return Refusal(503, Cause.STARTING, "no configuration yet", STARTING_RETRY_S)
         active, tenant = self._match(table, request)
         deadline_ms = _deadline_ms(request)
         ends_ms = arrived_ms + min(deadline_ms, active.route.timeout_ms)
         if self._closing.refuses(ends_ms, now_ms()):
-            return refusal(503, "this node ends", CLOSING_RETRY_S)
+            return Refusal(503, Cause.CLOSING, "this node ends", CLOSING_RETRY_S)
         waited_ms = 0.0
         if deadline_ms < math.inf:
             waited_ms = self._lateness.waited_ms(active.route.name, deadline_ms)
@@ -110,7 +121,7 @@
             aim_ms, left_ms = active.route.target_latency_ms, ends_ms - now_ms()
             paid = await self._quotas.pay(payment(tenant.name, amount, limit, aim_ms, waited_ms, left_ms))
             if isinstance(paid, OverQuota):
-                return refusal(429, "over the tenant's quota", paid.wait_ms / 1_000.0)
+                return Refusal(429, paid.cause, "over the tenant's quota", paid.wait_ms / 1_000.0)
         client_request = ClientRequest(
             request, request.method, request.raw_path, body, active, tenant, arrived_ms, ends_ms, waited_ms
         )
@@ -127,12 +138,12 @@
         host = request.headers.get("Host", "").partition(":")[0]
         active = table.find(host, request.raw_path.partition("?")[0])
         if active is None:
-            raise Refused(refusal(404, "no such route"))
+            raise Refused(Refusal(404, Cause.NO_ROUTE, "no such route"))
         if not table.has_tenants or active.route.public:
             return active, None
         tenant = table.holder(request.headers.get("Api-Key", ""))
         if tenant is None:
-            raise Refused(refusal(401, "unknown key"))
+            raise Refused(Refusal(401, Cause.UNKNOWN_KEY, "unknown key"))
         return active, tenant
 
     async def _body(self, request: BaseRequest, most: int) -> bytes:
@@ -143,12 +154,12 @@
                 async for part in request.content.iter_chunked(CHUNK):
                     length += len(part)
                     if length > most:
-                        answer = refusal(413, "the body is too large")
+                        answer = Refusal(413, Cause.BODY_LARGE, "the body is too large")
                         answer.force_close()
                         raise Refused(answer)
                     parts.append(part)
         except TimeoutError:
-            answer = refusal(408, "the body did not come")
+            answer = Refusal(408, Cause.BODY_LATE, "the body did not come")
             answer.force_close()
             raise Refused(answer) from None
         return b"".join(parts)
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -32,6 +32,7 @@
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.frontend import Frontend
 from dunlinloft.dataplane.in_force import InForce
+from dunlinloft.dataplane.metrics import Metrics
 from dunlinloft.dataplane.quota import NodeQuotas
 from dunlinloft.dataplane.servers import ServerTable
 from dunlinloft.dataplane.upstream import Upstream
@@ -42,6 +43,7 @@
 IDLE_S = 75.0  # clients' connections that rest longer are closed
 MOST_HEADER = 65_536
 BACKLOG = 1_024
+METRICS_PORT = 9464  # as in `deploy/system.toml`
 TICK_S = 0.1
 REREAD_MS = 2_000.0  # between looks at the settings while seeds are needed
 LAST_WORD_S = 0.05  # for the last word to leave this process
@@ -83,8 +85,14 @@
         self._advice = Advice(
             lambda: self._subscriptions.replicas, self._subscriptions.alive, self._subscriptions.send
         )
+        self._metrics = Metrics()
         self._frontend = Frontend(
-            lambda: self._in_force.table, self._quotas, self._exchange, self._closing, self._serving
+            lambda: self._in_force.table,
+            self._quotas,
+            self._exchange,
+            self._closing,
+            self._serving,
+            self._metrics,
         )
 
     async def run(self) -> None:
@@ -109,6 +117,7 @@
         if listeners.readiness is not None:
             host, port = host_port(listeners.readiness)
             await loop.create_server(Server(self._on_readiness, access_log=None), host, port)
+        await self._serve_metrics()
         logging.info("event=started node=%s", self._settings.node_name)
         node = self._settings.node_name
         loops = (self._subscriptions.run(), self._ticks())
@@ -126,6 +135,14 @@
         for task in tasks:
             task.cancel()
 
+    async def _serve_metrics(self) -> None:
+        """Tell figures on the port that the deploy file names; a port that is taken is said, and no more."""
+        loop, host = asyncio.get_running_loop(), self._settings.ip_address
+        try:
+            await loop.create_server(Server(self._metrics.handle, access_log=None), host, METRICS_PORT)
+        except OSError as error:
+            logging.warning("event=no_metrics port=%d error=%s", METRICS_PORT, error.strerror)
+
     # What the control plane tells.
 
     def _seeds(self) -> tuple[str, ...]:
@@ -220,5 +237,7 @@
             budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_window_s, bounds.retry_allowance)
             self._budgets[service] = budget
         pool = self._servers.pool(service)
-        serving = Serving(service, pool, self._advice, upstream, budget, self._nodes(), self._rng)
+        serving = Serving(
+            service, pool, self._advice, upstream, budget, self._nodes(), self._rng, self._metrics
+        )
         return Exchange(client_request, serving, self._closing)
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -15,6 +15,7 @@
 from dunlinloft.coordination.quota_holder import QuotaHolder
 from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit, owner_of
 from dunlinloft.coordination.stream import QuotaGranted, Replicas, TakeQuota
+from dunlinloft.dataplane.causes import Cause
 from dunlinloft.transport.clock import now_ms
 
 ASK_S = 0.03  # the owner's answer is waited for so long before the node's reserve is spent instead
@@ -34,6 +35,7 @@
     """It isn't; ask again after the wait."""
 
     wait_ms: float
+    cause: Cause
 
 
 class _Denial(Struct, frozen=True):
@@ -137,7 +139,7 @@
         tenant, amount, limit = payment.tenant, payment.amount, payment.limit
         denial = self._denials.get(tenant)
         if denial is not None and self._clock() < denial.until_ms and amount >= denial.amount:
-            return OverQuota(denial.until_ms - self._clock())
+            return OverQuota(denial.until_ms - self._clock(), Cause.QUOTA_RECENT)
         replicas = self._replicas()
         owner = None if replicas is None else owner_of(tenant, replicas.chain)
         asked_ms = self._clock()
@@ -150,12 +152,12 @@
         self._holder.drawn(tenant, limit, answer.reserve, answer.share, asked_ms, self._clock())
         if answer.amount < amount:
             self._denials[tenant] = _Denial(self._clock() + min(answer.wait_ms, DENY_MOST_MS), amount)
-            return OverQuota(answer.wait_ms)
+            return OverQuota(answer.wait_ms, Cause.QUOTA_OWNER)
         return Granted()
 
     def _from_reserve(self, payment: Payment) -> Granted | OverQuota:
         wait_ms = self._holder.spend_alone(payment.tenant, payment.limit, payment.amount, self._clock())
-        return OverQuota(wait_ms) if wait_ms else Granted()
+        return OverQuota(wait_ms, Cause.QUOTA_ALONE) if wait_ms else Granted()
 
     def _is_owner(self, address: str, tenant: str) -> bool:
         """Whether who answered still is the owner: this node has told the next one what it holds."""
--- a/dunlinloft/dataplane/upstream.py
+++ b/dunlinloft/dataplane/upstream.py
@@ -14,6 +14,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from dunlinloft.dataplane.causes import Cause
 from dunlinloft.dataplane.verdict import Failure, Verdict, verdict_of_answer, verdict_of_break
 
 CONNECT_S = 0.3
@@ -151,9 +152,11 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             if attempt.reused:
                 self._trust_less()
-            return Failure(verdict_of_break(attempt.connected), f"{type(error).__name__}: {error}")
+            return Failure(
+                verdict_of_break(attempt.connected), Cause.BROKEN, f"{type(error).__name__}: {error}"
+            )
         except TimeoutError:
-            return Failure(verdict_of_break(attempt.connected), "connecting took too long")
+            return Failure(verdict_of_break(attempt.connected), Cause.UNREACHED, "connecting took too long")
         self._trust_more(response.headers.get("Keep-Alive", ""))
         problem = _problem(response, headers.get(ATTEMPT_HEADER))
         if problem is not None:
@@ -185,16 +188,16 @@
     echoes = attempt_id is None or response.headers.get(ATTEMPT_HEADER) == attempt_id
     verdict = verdict_of_answer(response.status, response.headers, echoes)
     if verdict is Verdict.NOT_EXECUTED:
-        return Failure(verdict, f"the server answered {response.status}")
+        return Failure(verdict, Cause.DECLINED, f"the server answered {response.status}")
     if not echoes:
-        return Failure(verdict, "an answer to another request")
+        return Failure(verdict, Cause.FOREIGN, "an answer to another request")
     if response.status < 200:
-        return Failure(Verdict.MAY_HAVE_EXECUTED, f"the server answered {response.status}")
+        return Failure(Verdict.MAY_HAVE_EXECUTED, Cause.FOREIGN, f"the server answered {response.status}")
     if response.status < 300:
         if SIGNATURE_HEADER not in response.headers:
-            return Failure(Verdict.MAY_HAVE_EXECUTED, "an answer without the server's stamp")
+            return Failure(Verdict.MAY_HAVE_EXECUTED, Cause.FOREIGN, "an answer without the server's stamp")
         if "Content-Encoding" in response.headers:
-            return Failure(Verdict.MAY_HAVE_EXECUTED, "an answer with an encoding")
+            return Failure(Verdict.MAY_HAVE_EXECUTED, Cause.FOREIGN, "an answer with an encoding")
     return None
 
 
@@ -203,7 +206,7 @@
     try:
         return await response.content.readany()
     except (aiohttp.ClientError, OSError, ValueError) as error:
-        return Failure(Verdict.MAY_HAVE_EXECUTED, f"{type(error).__name__}: {error}")
+        return Failure(Verdict.MAY_HAVE_EXECUTED, Cause.BROKEN, f"{type(error).__name__}: {error}")
 
 
 async def whole_body(response: aiohttp.ClientResponse) -> bytes | Failure:
@@ -227,4 +230,4 @@
 
 def cancelled_verdict(attempt: Attempt) -> Failure:
     """What is known of an attempt that was given up on."""
-    return Failure(verdict_of_break(attempt.connected), "no answer in time")
+    return Failure(verdict_of_break(attempt.connected), Cause.LATE, "no answer in time")
--- a/dunlinloft/dataplane/verdict.py
+++ b/dunlinloft/dataplane/verdict.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from dunlinloft.dataplane.causes import Cause
+
 NOT_EXECUTED_HEADER = "X-Not-Executed"
 MISDIRECTED = 421
 
@@ -23,6 +25,7 @@
     """An attempt without an answer that may be passed on."""
 
     verdict: Verdict
+    cause: Cause
     reason: str
 
 
--- a/lab/router/bare_node.py
+++ b/lab/router/bare_node.py
@@ -18,6 +18,7 @@
 from dunlinloft.dataplane.closing import Closing
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.frontend import Frontend
+from dunlinloft.dataplane.metrics import Metrics
 from dunlinloft.dataplane.quota import NodeQuotas
 from dunlinloft.dataplane.routing import RoutingTable
 from dunlinloft.dataplane.servers import ServicePool
@@ -38,10 +39,11 @@
         for number, address in enumerate(addresses):
             pool.put(ServerRecord(f"i-{number}", SERVICE, address, "a", 8, "ready", 1))
         self.closing = Closing(GRACE_MS)
+        self.metrics = metrics = Metrics()
         self.upstream = Upstream(16)
         budget = RetryBudget(0.2, 10.0, 1_000.0)
         advice = Advice(lambda: None, lambda _: False, lambda *_: False)
-        serving = Serving(SERVICE, pool, advice, self.upstream, budget, 1, rng)
+        serving = Serving(SERVICE, pool, advice, self.upstream, budget, 1, rng, metrics)
         quotas = NodeQuotas(lambda: None, lambda _: False, lambda *_: False, QuotaBounds(8.0, 0.1, 0.0))
         started = asyncio.Event()
         started.set()
@@ -49,7 +51,7 @@
         def exchange(request: ClientRequest) -> Exchange:
             return Exchange(request, serving, self.closing)
 
-        self.frontend = Frontend(lambda: table, quotas, exchange, self.closing, started)
+        self.frontend = Frontend(lambda: table, quotas, exchange, self.closing, started, metrics)
         self.server = Server(self.frontend.handle, handler_cancellation=True, access_log=None)
         self.url = ""
         self._listening: asyncio.Server | None = None
