--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -62,7 +62,8 @@
     """The payment for a request that its client has waited for, in earlier tries, for so long.
 
     A first try that can't be paid for is refused at once: its client comes back when it is told to, and is
-    still in time. One that came back has no further try, so it waits here.
+    still in time. One that came back has no further try, so it waits here for an owner. What an owner refuses
+    is refused at once: what comes into the quota next is as well spent on a request that is in time.
     """
     again_ms = AGAIN_SHARE * left_ms if waited_ms > 0.0 and left_ms < math.inf else 0.0
     return Payment(tenant, amount, limit, max(1_000.0 * ASK_S, ANSWER_SHARE * aim_ms), again_ms)
@@ -128,7 +129,7 @@
         ends_ms = self._clock() + payment.again_ms
         while True:
             paid = await self._pay_once(payment)
-            if isinstance(paid, Granted):
+            if isinstance(paid, Granted) or paid.cause is not Cause.QUOTA_ALONE:
                 return paid
             wait_ms = min(AGAIN_MOST_MS, max(AGAIN_LEAST_MS, paid.wait_ms)) * random.uniform(0.75, 1.25)
             if self._clock() + wait_ms >= ends_ms:
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -523,6 +523,18 @@
     run_virtually(play())
 
 
+def test_what_an_owner_refuses_is_not_asked_for_again() -> None:
+    async def play() -> None:
+        later = _Later(Replicas(1, CHAIN, CHAIN, 72), 5.0)
+        later.granting = False
+        paid, took_ms = await later.pay(9_000.0, waited_ms=300.0)
+        assert isinstance(paid, OverQuota)
+        assert took_ms < 10.0
+        assert later.asked == 1
+
+    run_virtually(play())
+
+
 def test_no_reserve_is_asked_for_that_could_not_hold_a_request() -> None:
     holder = QuotaHolder(BOUNDS)
     holder.drawn("tenant", LIMIT, 0.0, 1.0 / 72.0, 0.0, 0.0)
