Let a quota's next owner begin once a majority shows that the lease before is over

Change: a majority that has the next view on disk and had not heard the old owner for a lease's length ends the wait 100 ms later. Checker: no epoch's owner decides after a later one's; two planted faults.

--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -80,7 +80,13 @@
         self._distribution = Distribution()
         self._nodes = Nodes()
         bounds = settings.timing_bounds.quota_bounds()
-        self._quotas = QuotaOwner(self._address, now_ms(), bounds, self._nodes)
+        self._quotas = QuotaOwner(
+            self._address,
+            now_ms(),
+            bounds,
+            self._nodes,
+            lambda address, now: self._replica.lease_over(address, now),
+        )
         self._placements = Placements(
             random.Random(secrets.randbits(64)), 1_000.0 * settings.timing_bounds.again_s
         )
--- a/dunlinloft/coordination/liveness.py
+++ b/dunlinloft/coordination/liveness.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from dunlinloft.coordination.agreement import majority_of
 from dunlinloft.coordination.messages import Member, Ping, View
@@ -11,6 +11,7 @@
 STEADY_MS = 300.0  # so long must one be heard before it is let into the chain
 LEASE_MS = 600.0  # so long after a majority confirmed an epoch, its roles may be used
 CONTACT_MS = 1_000.0  # so long after a majority heard it, a replica counts as in contact
+DEAF_MS = 100.0  # so long after one said that it hears a member no more, what it echoed of it is over, too
 FORGET_MS = 60_000.0  # a replica that was not heard for so long is forgotten
 
 
@@ -21,6 +22,8 @@
     ping: Ping
     heard_ms: float
     since_ms: float  # heard without a gap since then
+    epoch_ms: float  # since when it has said that it has this epoch on disk
+    silent_ms: dict[str, float] = field(default_factory=dict)  # since when it has not echoed each it once did
 
 
 class Liveness:
@@ -34,8 +37,12 @@
         """Take a heartbeat."""
         peer = self.peers.get(ping.sender.id)
         if peer is None:
-            self.peers[ping.sender.id] = Peer(ping, now_ms, now_ms)
+            self.peers[ping.sender.id] = Peer(ping, now_ms, now_ms, now_ms)
             return
+        if ping.epoch != peer.ping.epoch:
+            peer.epoch_ms = now_ms
+        for member_id in peer.ping.echoes.keys() - ping.echoes.keys():
+            peer.silent_ms[member_id] = now_ms
         if now_ms - peer.heard_ms > SUSPECT_MS:
             peer.since_ms = now_ms
         peer.ping = ping
@@ -79,6 +86,30 @@
             heard += member.id == self._me.id or (sent_ms is not None and now_ms - sent_ms < CONTACT_MS)
         return heard >= majority_of(view)
 
+    def lease_over(self, member: Member, before: View, epoch: int, now_ms: float) -> bool:
+        """Whether no role of the view `before` can be used by a member now that `epoch` follows it.
+
+        A majority of its roster has the later view on disk, so that it confirms none of the earlier epoch,
+        and had by then not heard the member for `SUSPECT_MS`: what it confirmed is older than a lease.
+        """
+        return sum(self._let_go(m, member, epoch, now_ms) for m in before.roster) >= majority_of(before)
+
+    def _let_go(self, voter: Member, member: Member, epoch: int, now_ms: float) -> bool:
+        if voter.id == member.id:
+            return False
+        if voter.id == self._me.id:
+            peer = self.peers.get(member.id)
+            return peer is not None and now_ms - peer.heard_ms >= SUSPECT_MS + DEAF_MS
+        peer = self.peers.get(voter.id)
+        if peer is None or peer.ping.epoch < epoch or member.id in peer.ping.echoes:
+            return False
+        if peer.ping.uptime_ms < SUSPECT_MS + DEAF_MS:
+            return False  # it knows nothing of what a former life of its process confirmed
+        silent_ms = peer.silent_ms.get(member.id)
+        if silent_ms is None:
+            return False
+        return now_ms - max(silent_ms, peer.epoch_ms) >= DEAF_MS
+
     def steady(self, member_id: str, now_ms: float) -> bool:
         """Whether one has been heard for long enough to be let in."""
         if member_id == self._me.id:
--- a/dunlinloft/coordination/messages.py
+++ b/dunlinloft/coordination/messages.py
@@ -165,6 +165,7 @@
     stamp_ms: float  # the sender's clock
     echoes: dict[str, float]  # by member heard of late: the stamp of its last heartbeat
     known: tuple[str, ...]  # addresses of the control plane that it knows
+    uptime_ms: float = 0.0  # since its process began
 
 
 class Prepare(Struct, frozen=True, tag="prepare"):
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -4,7 +4,8 @@
 or newly elected (`docs/control-state.md`, "Sums over all machines"):
 
 - An owner grants from a bucket that fills at the tenant's rate, and only under its lease. A new owner waits
-  until the old one's lease has ended, and begins with little.
+  until the old one's lease has ended: so long that it must have, or until a majority shows it. It begins
+  with little.
 - Each node may hold a reserve that it drew from the bucket before; nothing but a draw refills it. What
   isn't out in reserves is the bucket's own: where a node's part is too small for a request, none is drawn.
 - A node that is out of its owner's reach spends its reserve and, later, its standing share of the rate
@@ -15,7 +16,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from dunlinloft.coordination.nodes import Nodes
@@ -25,7 +26,7 @@
 HANDOVER_MS = 750.0  # a new owner waits so long; the old one stops `LEASE_MS` after it was last confirmed
 EXTRA_SHARE = 0.1  # of what a window may exceed the rate by, that a bucket holds beside the burst
 RESERVE_SHARE, RESERVE_TOLERANCE = 0.6, 0.6  # of that, and of the tolerance, in all nodes' reserves together
-FIRST_SECONDS = 0.3  # of the rate that a new owner begins with: nodes spent none of it for longer
+FIRST_SECONDS = 0.2  # of the rate that a new owner begins with: nodes spent none of it for longer
 FIRST_TOLERANCE = 0.2  # of the tolerance that it begins with, too
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
@@ -145,7 +146,17 @@
 class QuotaOwner:
     """The quotas that one control plane owns. `nodes` is kept up to date by the host."""
 
-    def __init__(self, address: str, began_ms: float, bounds: QuotaBounds, nodes: Nodes) -> None:
+    def __init__(
+        self,
+        address: str,
+        began_ms: float,
+        bounds: QuotaBounds,
+        nodes: Nodes,
+        lease_over: Callable[[str, float], bool] = lambda *_: False,
+    ) -> None:
+        """`lease_over` tells whether the owner before, at an address, can grant no more at a time."""
+        self._lease_over = lease_over
+        self._owner_before: dict[str, str] = {}  # by tenant that came over and is waited for
         self._address = address
         self._began_ms = began_ms
         self._bounds = bounds
@@ -196,6 +207,7 @@
                 if not began:
                     self._together = False
                     self._may_from_ms[tenant] = now_ms + HANDOVER_MS
+                    self._owner_before[tenant] = owner_of(tenant, old) or ""
 
     def holds(self, node: str, holdings: NodeHoldings, now_ms: float) -> None:
         """A node said which shares it holds."""
@@ -255,8 +267,14 @@
                 self._account(tenant, bucket, node, holdings, now_ms)
 
     def _may_grant(self, tenant: str, now_ms: float) -> bool:
-        mine = owner_of(tenant, self._chain) == self._address
-        return mine and now_ms >= self._may_from_ms.get(tenant, 0.0)
+        if owner_of(tenant, self._chain) != self._address:
+            return False
+        if now_ms >= self._may_from_ms.get(tenant, 0.0):
+            return True
+        if not self._lease_over(self._owner_before.get(tenant, ""), now_ms):
+            return False
+        self._may_from_ms[tenant] = now_ms
+        return True
 
     def forget(self, now_ms: float) -> None:
         """Drop shares that have ended, and what gone nodes held; to be called now and then."""
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -44,6 +44,7 @@
 PING_MS = 150.0
 START_MS = 800.0  # after its start, others that start too are given so long before they count as down
 DISK_MS = 300.0  # a write that takes longer shows a disk in trouble
+LEASES_END_MS = 750.0  # so long after a view was learned, leases of earlier ones have ended
 HELD_MOST = 4_096  # addresses known at most
 
 FIRST_INCARNATION = "0"  # of all replicas at the first start, so that all know the first view
@@ -93,7 +94,7 @@
             self._send,
             self._persist,
             self._left,
-            self.chain.enter,
+            self._entered,
             self.chain.stop_uncommitted,
         )
         stopped = durable.accepted is not None and durable.accepted[1].witness == me.id
@@ -158,6 +159,19 @@
             return False
         return self.liveness.leased(view, now_ms)
 
+    def lease_over(self, address: str, now_ms: float) -> bool:
+        """Whether who was at an address can use no role of the view before any more.
+
+        Nor can anybody use one of a still earlier view, as the view before has to be older than any lease.
+        """
+        view, before = self.view, self._voting.before
+        if view is None or before is None or self._voting.epoch_on_disk != view.epoch:
+            return False
+        if self._voting.entered_ms - self._voting.before_ms < LEASES_END_MS:
+            return False
+        member = next((m for m in before.chain if m.address == address), None)
+        return member is not None and self.liveness.lease_over(member, before, view.epoch, now_ms)
+
     def contact(self, now_ms: float) -> View | None:
         """The view, while a majority of its roster hears this replica; it need not vote itself."""
         if self.view is None or not self.liveness.in_contact(self.view, now_ms):
@@ -266,6 +280,7 @@
             self._now,
             echoes,
             known,
+            self._now - self._started_ms,
         )
 
     def _ping_all(self) -> None:
@@ -318,6 +333,10 @@
             turn += self.liveness.reachable(member.id, self._now)
         return turn
 
+    def _entered(self, view: View) -> None:
+        self.chain.enter(view)
+        self._pinged_ms = -PING_MS  # all hear of it with the next tick
+
     def _left(self) -> None:
         self.chain.leave()
         self.calls.moved()
--- a/dunlinloft/coordination/voting.py
+++ b/dunlinloft/coordination/voting.py
@@ -71,6 +71,8 @@
         self.view = durable.view
         self.epoch_on_disk = 0 if durable.view is None else durable.view.epoch
         self.entered_ms = now_ms  # when the view was learned
+        self.before: View | None = None  # the view that it followed, where that was learned here,
+        self.before_ms = now_ms  # and when
         self._promised = durable.promised
         self._accepted = durable.accepted
         self._proposal: Proposal | None = None
@@ -121,6 +123,9 @@
         self._now = now_ms
         if view.epoch <= self.epoch:
             return
+        follows = self.view is not None and view.epoch == self.view.epoch + 1
+        self.before = self.view if follows else None
+        self.before_ms = self.entered_ms
         self.view = view
         self._promised = self._accepted = None
         self._proposal = None
--- a/lab/control/quota_cluster.py
+++ b/lab/control/quota_cluster.py
@@ -18,6 +18,7 @@
     QuotaTaken,
     owner_of,
 )
+from dunlinloft.coordination.replica import Replica
 from dunlinloft.coordination.stream import NodeSeen, Replicas
 from lab.control.cluster import DELAY_MS, TICK_MS, Cluster, Machine
 from lab.control.rules import Broken
@@ -96,6 +97,7 @@
         self.demand = 0.75  # times the tenant's rate
         self.window = QuotaWindow(bounds, limit)
         self.sides: dict[str, OwnerSide] = {}
+        self._owning_epoch = 0  # the latest whose owner has decided
         self.nodes: dict[str, QuotaNode] = {}
         self._remembered: dict[str, tuple[NodeSeen, ...]] = {}  # on each machine's disk
         super().__init__(seed, size)
@@ -107,11 +109,18 @@
         """Start a replica's process, and its side of quotas."""
         nodes = Nodes()
         nodes.seen(self._remembered.get(address, ()), self.now)
-        owner = QuotaOwner(address, self.now, self.bounds, nodes)
+        owner = QuotaOwner(address, self.now, self.bounds, nodes, self._lease_over(address))
         owner.set_limits({TENANT: self.limit})
         super().start(address, bootstrap)
         self.sides[address] = OwnerSide(self.machines[address].life, owner, nodes)
 
+    def _lease_over(self, address: str) -> Callable[[str, float], bool]:
+        def over(owner: str, now_ms: float) -> bool:
+            replica = self.machines[address].replica
+            return replica is not None and replica.lease_over(owner, now_ms)
+
+        return over
+
     def start_node(self, name: str) -> None:
         """Start a node, or start it again: it holds nothing then."""
         node = QuotaNode(name, QuotaHolder(self.bounds), self.now)
@@ -246,11 +255,20 @@
             machine = self.machines[owner]
             assert machine.replica is not None
             taken = side.owner.take(ask, machine.replica.leased(self.now), self.now)
+            if taken is not None:
+                self._granted(machine.replica)
             self._to_node(owner, node, lambda: answered(taken))
 
         self._to_replica(node.name, owner, take)
         self.after(ASK_MS, late)
 
+    def _granted(self, replica: Replica) -> None:
+        """An owner decided: none of an earlier epoch may, once one of a later epoch has."""
+        assert replica.view is not None
+        if replica.view.epoch < self._owning_epoch:
+            raise Broken(f"epoch {replica.view.epoch} granted after epoch {self._owning_epoch}")
+        self._owning_epoch = replica.view.epoch
+
     def _alone(self, node: QuotaNode, amount: float) -> None:
         wait_ms = node.holder.spend_alone(TENANT, self.limit, amount, self.now)
         if wait_ms:
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -10,6 +10,8 @@
 from msgspec import Struct
 
 from dunlinloft.coordination import quota_holder, quotas
+from dunlinloft.coordination.liveness import Liveness
+from dunlinloft.coordination.messages import Member, Ping, View
 from dunlinloft.coordination.nodes import CONTACT_MS, FORGET_MS, Nodes
 from dunlinloft.coordination.quota_holder import ALONE_AFTER_MS, TELL_AFTER_MS, QuotaHolder
 from dunlinloft.coordination.quota_shares import MOST_X, SHARE_KEPT_MS, SHARE_VALID_MS, TenantShares
@@ -396,6 +398,85 @@
         _half_of_the_nodes_are_cut_off()
 
 
+def _an_owner_is_left_out_and_cut_off() -> None:
+    """The others are cut off from it and go on without it at once, while it still holds its lease."""
+    cluster = QuotaCluster(12, BOUNDS, LARGE)
+    traffic(cluster, (300.0, 9_190.0))
+    cluster.run(3_000.0)
+    owner = _owner_address(cluster.seeds)
+    others = [address for address in cluster.seeds if address != owner]
+    for other in others:
+        cluster.cut(owner, other)
+        for node in sorted(cluster.nodes)[:4]:
+            cluster.cut(node, other)
+    proposer = cluster.machines[others[0]].replica
+    assert proposer is not None
+    view = proposer.view
+    assert view is not None
+    chain = tuple(member for member in view.chain if member.address != owner)
+    proposer._voting.propose(view, View(view.epoch + 1, view.roster, chain, len(chain)))
+    cluster.run(2_500.0)
+    assert proposer.view != view
+
+
+def test_a_successor_waits_for_the_lease_of_an_owner_that_was_left_out() -> None:
+    _an_owner_is_left_out_and_cut_off()
+
+
+def test_a_successor_that_does_not_wait_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(quotas, "HANDOVER_MS", 0.0)
+    with pytest.raises(Broken, match="granted after epoch"):
+        _an_owner_is_left_out_and_cut_off()
+
+
+def test_a_lease_that_is_taken_for_over_too_early_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Liveness, "lease_over", lambda *_: True)
+    with pytest.raises(Broken, match="granted after epoch"):
+        _an_owner_is_left_out_and_cut_off()
+
+
+def test_a_lease_is_over_once_a_majority_is_deaf_to_its_holder_in_the_next_epoch() -> None:
+    cluster = QuotaCluster(11, BOUNDS, LARGE)
+    cluster.run(3_000.0)
+    owner = _owner_address(cluster.seeds)
+    others = [address for address in cluster.seeds if address != owner]
+    before = cluster.machines[others[0]].replica
+    assert before is not None
+    assert before.view is not None
+    epoch = before.view.epoch
+    cluster.kill(owner)
+    over: dict[str, float] = {}
+    for _ in range(1_500):
+        cluster.run(1.0)
+        for address in others:
+            replica = cluster.machines[address].replica
+            assert replica is not None
+            if replica.lease_over(owner, cluster.now):
+                assert replica.view is not None
+                assert replica.view.epoch > epoch
+                over.setdefault(address, cluster.now - 3_000.0)
+    assert len(over) == 2
+    assert 600.0 < min(over.values()) < max(over.values()) < 1_200.0
+
+
+def test_a_voter_that_was_just_restarted_says_nothing_of_a_lease() -> None:
+    me, voter, owner = (Member(address, "0") for address in CHAIN)
+    before = View(1, (me, voter, owner), (me, voter, owner), 3)
+    for uptime_ms, over in ((50.0, False), (5_000.0, True)):
+        liveness = Liveness(me)
+
+        def heard(sender: Member, epoch: int, echoes: tuple[Member, ...], now: float, up: float) -> None:
+            stamps = {member.id: now for member in echoes}
+            liveness.heard(Ping(sender, True, True, False, epoch, 0, epoch, now, stamps, (), up), now)  # noqa: B023
+
+        heard(owner, 1, (me, voter), 0.0, 5_000.0)
+        heard(voter, 1, (me, owner), 0.0, 5_000.0)
+        heard(voter, 2, (me,), 650.0, uptime_ms)
+        assert not liveness.lease_over(owner, before, 2, 700.0)
+        heard(voter, 2, (me,), 790.0, uptime_ms + 140.0)
+        assert liveness.lease_over(owner, before, 2, 800.0) == over
+
+
 # The node's asking.
 
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
