--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -148,6 +148,7 @@
             wait_s = REDIAL_S
             writer = lines.LineWriter(raw)
             self._writers[address] = writer
+            self._heard_ms[address] = now_ms()
             wants = address in self._ranked()[:CONFIGURATION_STREAMS]
             if not wants:
                 await self._wait_for_servers()
@@ -166,7 +167,7 @@
             await asyncio.sleep(wait_s * (0.5 + random.random()))
 
     def alive(self, address: str) -> bool:
-        """Whether a replica's stream is up, and was heard of late."""
+        """Whether a replica's stream is up, and was heard or begun of late."""
         return address in self._writers and now_ms() - self._heard_ms.get(address, 0.0) < QUIET_MS
 
     def _on(self, address: str, message: Any) -> None:
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -74,6 +74,56 @@
     assert begun == ["127.0.0.1:1"] * 2
 
 
+class _Transport:
+    """Takes all that is written."""
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        """Nothing to end."""
+
+
+class _Writer:
+    """The writing side of a connection that nobody reads."""
+
+    transport = _Transport()
+
+    def is_closing(self) -> bool:
+        return False
+
+    def write(self, data: bytes) -> None:
+        """Drop it."""
+
+
+def test_a_replica_counts_as_there_from_when_its_stream_begins_until_it_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def main() -> None:
+        reader = asyncio.StreamReader()
+        connected = asyncio.Event()
+
+        async def connect(_: str) -> tuple[asyncio.StreamReader, _Writer]:
+            connected.set()
+            return reader, _Writer()
+
+        monkeypatch.setattr("dunlinloft.transport.lines.connect", connect)
+        subscriptions = _subscriptions()
+        assert not subscriptions.alive("127.0.0.1:1")
+        keeping = asyncio.create_task(subscriptions._keep("127.0.0.1:1"))
+        await connected.wait()
+        while not subscriptions.send("127.0.0.1:1", Alive()):
+            await asyncio.sleep(0)
+        assert subscriptions.alive("127.0.0.1:1")
+        reader.feed_eof()
+        while subscriptions.send("127.0.0.1:1", Alive()):
+            await asyncio.sleep(0)
+        assert not subscriptions.alive("127.0.0.1:1")
+        keeping.cancel()
+
+    asyncio.run(main())
+
+
 def test_a_loop_that_fails_ends_the_process() -> None:
     async def fails() -> None:
         raise ValueError("planted")
