--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import itertools
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,7 +21,8 @@
 ANSWER_SHARE = 0.5  # of the objective, that the answer of an owner who is there is waited for
 SILENT_MS = 250.0  # an owner that did not answer in time isn't asked during so long
 DENY_MOST_MS = 60.0  # so long a refusal of the owner stands for further requests
-AGAIN_SHARE = 0.4  # of the time left, that a request whose client has no further try is asked for again
+AGAIN_SHARE = 0.45  # of the time left, that a request whose client has no further try is asked for again,
+AGAIN_TOTAL_MS = 1_000.0  # and no longer: clients give up a stream that says nothing for two seconds
 ASKS_MOST = 4_096  # questions that may be open
 AGAIN_LEAST_MS, AGAIN_MOST_MS = 20.0, 150.0  # between two such asks
 
@@ -65,7 +65,7 @@
     still in time. One that came back has no further try, so it waits here for an owner. What an owner refuses
     is refused at once: what comes into the quota next is as well spent on a request that is in time.
     """
-    again_ms = AGAIN_SHARE * left_ms if waited_ms > 0.0 and left_ms < math.inf else 0.0
+    again_ms = min(AGAIN_TOTAL_MS, AGAIN_SHARE * left_ms) if waited_ms > 0.0 else 0.0
     return Payment(tenant, amount, limit, max(1_000.0 * ASK_S, ANSWER_SHARE * aim_ms), again_ms)
 
 
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -25,7 +25,7 @@
     owner_of,
 )
 from dunlinloft.coordination.stream import NodeSeen, QuotaGranted, Replicas, TakeQuota
-from dunlinloft.dataplane.quota import Granted, NodeQuotas, OverQuota, payment
+from dunlinloft.dataplane.quota import AGAIN_TOTAL_MS, Granted, NodeQuotas, OverQuota, payment
 from lab.control.quota_cluster import QuotaCluster, QuotaWindow, traffic
 from lab.control.rules import Broken
 from tests.virtual_time import run_virtually
@@ -604,6 +604,13 @@
     run_virtually(play())
 
 
+def test_a_long_deadline_is_not_waited_out() -> None:
+    """Clients give a stream up after two seconds without a word, however long its deadline is."""
+    assert payment("tenant", 1.0, LIMIT, 200.0, 300.0, 14_000.0).again_ms == AGAIN_TOTAL_MS
+    assert payment("tenant", 1.0, LIMIT, 200.0, 300.0, 1_000.0).again_ms == pytest.approx(450.0)
+    assert payment("tenant", 1.0, LIMIT, 200.0, 0.0, 14_000.0).again_ms == 0.0
+
+
 def test_what_an_owner_refuses_is_not_asked_for_again() -> None:
     async def play() -> None:
         later = _Later(Replicas(1, CHAIN, CHAIN, 72), 5.0)
