--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -298,7 +298,15 @@
 
     def _take_quota(self, node: str, message: TakeQuota) -> QuotaGranted:
         now = now_ms()
-        ask = QuotaAsk(node, message.tenant, message.amount, message.reserve, message.share, message.alone)
+        ask = QuotaAsk(
+            node,
+            message.tenant,
+            message.amount,
+            message.reserve,
+            message.share,
+            message.alone,
+            message.returned,
+        )
         taken = self._quotas.take(ask, self._replica.leased(now), now)
         if taken is None:
             return QuotaGranted(message.number, message.tenant, 0.0, 0.0, 0.0, 0.0, False)
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -31,6 +31,9 @@
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
 SETTLE_MS = 10.0  # buckets fill in steps of so long: what that takes grows with nodes, not with requests
+RETURNED_X = (
+    4.0  # times its amount that has to be there for a request that was refused before: others are in time
+)
 RESERVE_ABOVE = 0.3  # a reserve is filled only while the bucket holds more than this share of its most
 
 
@@ -79,6 +82,7 @@
     reserve: float  # that it would like to keep beside it
     share: float  # of the rate that it holds
     alone: bool  # it spends that share now
+    returned: bool = False  # its client was refused before, so that it is late anyway
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,9 +130,9 @@
         """Add what has come since."""
         self.level = min(self.most, self.level + amount)
 
-    def take(self, amount: float, rate_per_s: float) -> float:
-        """Take an amount; the wait in ms until it is there, 0 where it was taken."""
-        needed = min(amount, self.most)  # a request larger than the whole needs a full bucket
+    def take(self, amount: float, rate_per_s: float, times: float = 1.0) -> float:
+        """Take an amount where `times` as much is there; the wait in ms until then, 0 where it was taken."""
+        needed = min(times * amount, self.most)  # a request larger than the whole needs a full bucket
         if self.level >= needed:
             self.level -= amount
             return 0.0
@@ -292,7 +296,7 @@
             self.settle(leased, now_ms)
         bucket = self._buckets[ask.tenant]
         bucket.shares.heard(ask.node, ask.share, ask.alone, now_ms)
-        wait_ms = bucket.take(ask.amount, limit.rate_per_s)
+        wait_ms = bucket.take(ask.amount, limit.rate_per_s, RETURNED_X if ask.returned else 1.0)
         reserve = 0.0 if wait_ms else bucket.take_reserve(ask.reserve)
         spent = 0.0 if wait_ms else ask.amount
         share = bucket.shares.give(ask.node, spent, self._node_count, now_ms)
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -103,6 +103,7 @@
     reserve: float  # that the node would like to keep beside it
     share: float  # of the tenant's rate that it holds
     alone: bool  # it spends that share, as no owner answers
+    returned: bool = False  # its client was refused before
 
 
 class Place(Struct, frozen=True, tag="place"):
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -54,6 +54,7 @@
     limit: QuotaLimit
     answer_ms: float  # that an owner's answer is waited for, as long as the owner is there
     again_ms: float  # that it is tried again; 0 where its client does that
+    returned: bool = False  # its client was refused before
 
 
 def payment(
@@ -66,7 +67,8 @@
     is refused at once: what comes into the quota next is as well spent on a request that is in time.
     """
     again_ms = min(AGAIN_TOTAL_MS, AGAIN_SHARE * left_ms) if waited_ms > 0.0 else 0.0
-    return Payment(tenant, amount, limit, max(1_000.0 * ASK_S, ANSWER_SHARE * aim_ms), again_ms)
+    answer_ms = max(1_000.0 * ASK_S, ANSWER_SHARE * aim_ms)
+    return Payment(tenant, amount, limit, answer_ms, again_ms, waited_ms > 0.0)
 
 
 @dataclass(slots=True)
@@ -152,7 +154,8 @@
         self._holder.answered(owner, tenant)
         self._holder.drawn(tenant, limit, answer.reserve, answer.share, asked_ms, self._clock())
         if answer.amount < amount:
-            self._denials[tenant] = _Denial(self._clock() + min(answer.wait_ms, DENY_MOST_MS), amount)
+            if not payment.returned:  # what is refused to one that returned may be there for others
+                self._denials[tenant] = _Denial(self._clock() + min(answer.wait_ms, DENY_MOST_MS), amount)
             return OverQuota(answer.wait_ms, Cause.QUOTA_OWNER)
         return Granted()
 
@@ -192,7 +195,7 @@
         tenant, now = payment.tenant, self._clock()
         wanted = self._holder.wanted(tenant, payment.limit, payment.amount, now)
         held, alone = self._holder.held(tenant, now), self._holder.alone(tenant, now)
-        return TakeQuota(number, tenant, payment.amount, wanted, held, alone)
+        return TakeQuota(number, tenant, payment.amount, wanted, held, alone, payment.returned)
 
     async def _waited(self, owner: str, ask: _Ask, asked_ms: float) -> QuotaGranted | Granted | None:
         await asyncio.wait((ask.answer,), timeout=ASK_S)
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 from msgspec import Struct
@@ -94,6 +95,26 @@
     assert refused <= 10
 
 
+def test_a_request_that_was_refused_before_takes_nothing_from_those_that_are_in_time() -> None:
+    owner = _owner(_owner_address())
+    owner.settle(True, 0.0)
+    owner._buckets["tenant"].level = 20_000.0
+    returned = replace(_ask(9_000.0), returned=True)
+    refused = owner.take(returned, True, 0.0)
+    assert refused is not None
+    assert refused.wait_ms > 0.0
+    granted = owner.take(_ask(9_000.0), True, 0.0)
+    assert granted is not None
+    assert granted.wait_ms == 0.0
+    small = owner.take(replace(_ask(300.0), returned=True), True, 0.0)
+    assert small is not None
+    assert small.wait_ms == 0.0
+    owner._buckets["tenant"].level = 40_000.0
+    enough = owner.take(returned, True, 0.0)
+    assert enough is not None
+    assert enough.wait_ms == 0.0
+
+
 def test_only_the_owner_grants_and_only_with_a_lease() -> None:
     for address in CHAIN:
         owner = _owner(address)
