--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -311,7 +311,15 @@
         if taken is None:
             return QuotaGranted(message.number, message.tenant, 0.0, 0.0, 0.0, 0.0, False)
         amount = 0.0 if taken.wait_ms else message.amount
-        return QuotaGranted(message.number, message.tenant, amount, taken.reserve, taken.share, taken.wait_ms)
+        return QuotaGranted(
+            message.number,
+            message.tenant,
+            amount,
+            taken.reserve,
+            taken.share,
+            taken.wait_ms,
+            scarce=taken.scarce,
+        )
 
     def _place(self, stream: int, message: Place) -> Placed:
         needs = PlacementRequest(message.parts, message.answer_tokens, message.patient)
--- a/dunlinloft/coordination/quota_shares.py
+++ b/dunlinloft/coordination/quota_shares.py
@@ -9,37 +9,22 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from dunlinloft.coordination.recent_use import Use
+
 SHARE_VALID_MS = 15_000.0
 SHARE_KEPT_MS = 20_000.0  # longer: a message may be on its way for long, and clocks differ
 EVEN_PART = 0.25  # of the rate that is shared evenly, so that a node whose traffic begins has something
 MOST_X = 3.0  # times the even part that a share is at most, so that one unknown share is bounded
-USED_MS = 4_000.0  # time constant of what nodes spent of late
-
-
-@dataclass(slots=True)
-class _Use:
-    """What was spent of late."""
-
-    amount: float = 0.0
-    at_ms: float = 0.0
-
-    def count(self, amount: float, now_ms: float) -> None:
-        self.amount = self.at(now_ms) + amount
-        self.at_ms = now_ms
-
-    def at(self, now_ms: float) -> float:
-        return self.amount * math.exp((self.at_ms - now_ms) / USED_MS)
 
 
 @dataclass(slots=True)
 class _Holder:
     """One node's share."""
 
-    use: _Use
+    use: Use
     told: float = 0.0  # the last answer's
     held: float = 0.0  # as the node said last; what counts is the larger
     heard_ms: float = 0.0
@@ -56,7 +41,7 @@
     def __init__(self) -> None:
         self._holders: dict[str, _Holder] = {}
         self._alone: set[str] = set()
-        self._use = _Use()
+        self._use = Use()
         self._out = 0.0  # of all holders
         self._accounted = 0.0  # of an earlier owner's shares: those whose holders were heard
         self.unknown_most = 1.0  # of what an earlier owner gave to nodes that have not said what they hold
@@ -65,7 +50,7 @@
         """A node said what it holds, and whether it spends that without this owner."""
         holder = self._holders.get(node)
         if holder is None:
-            holder = self._holders[node] = _Holder(_Use())
+            holder = self._holders[node] = _Holder(Use())
             self._accounted += held
         before = holder.out
         holder.held = held
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -21,6 +21,7 @@
 
 from dunlinloft.coordination.nodes import Nodes
 from dunlinloft.coordination.quota_shares import MOST_X, TenantShares
+from dunlinloft.coordination.recent_use import Use
 from fleet.rendezvous import rank
 
 HANDOVER_MS = 750.0  # a new owner waits so long; the old one stops `LEASE_MS` after it was last confirmed
@@ -31,9 +32,8 @@
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
 SETTLE_MS = 10.0  # buckets fill in steps of so long: what that takes grows with nodes, not with requests
-RETURNED_X = (
-    4.0  # times its amount that has to be there for a request that was refused before: others are in time
-)
+SCARCE_X = 1.15  # times a tenant's rate that first tries ask for, from where on its quota is scarce:
+RETURNED_X = 4.0  # then a request that was refused before needs so many times its amount
 RESERVE_ABOVE = 0.3  # a reserve is filled only while the bucket holds more than this share of its most
 
 
@@ -101,6 +101,7 @@
     wait_ms: float
     reserve: float  # taken beside it, for the node to keep
     share: float  # of the rate that the node holds from now on
+    scarce: bool = False  # more is asked for than the quota allows: waiting would take it from others
 
 
 def owner_of(tenant: str, addresses: Sequence[str]) -> str | None:
@@ -119,6 +120,7 @@
     told: dict[str, float] = field(default_factory=dict)  # by node: the reserve that it held when this began
     unknown: float = 0.0  # of the pool: what nodes may hold that have not told
     drawn: float = 0.0  # into reserves since; they may be full of it
+    asked: Use = field(default_factory=Use)  # by first tries, granted or not
 
     @property
     def most(self) -> float:
@@ -296,8 +298,12 @@
             self.settle(leased, now_ms)
         bucket = self._buckets[ask.tenant]
         bucket.shares.heard(ask.node, ask.share, ask.alone, now_ms)
-        wait_ms = bucket.take(ask.amount, limit.rate_per_s, RETURNED_X if ask.returned else 1.0)
+        if not ask.returned:
+            bucket.asked.count(ask.amount, now_ms)
+        scarce = bucket.asked.per_s(now_ms) > SCARCE_X * limit.rate_per_s
+        times = RETURNED_X if ask.returned and scarce else 1.0
+        wait_ms = bucket.take(ask.amount, limit.rate_per_s, times)
         reserve = 0.0 if wait_ms else bucket.take_reserve(ask.reserve)
         spent = 0.0 if wait_ms else ask.amount
         share = bucket.shares.give(ask.node, spent, self._node_count, now_ms)
-        return QuotaTaken(wait_ms, reserve, share)
+        return QuotaTaken(wait_ms, reserve, share, scarce)
--- a/dunlinloft/coordination/stream.py
+++ b/dunlinloft/coordination/stream.py
@@ -207,6 +207,7 @@
     share: float  # of the rate that it holds from now on
     wait_ms: float  # until as much will be there
     owner: bool = True  # False: the asked one isn't the owner now
+    scarce: bool = False  # more is asked for than the quota allows
 
 
 FromNode = (
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -36,6 +36,7 @@
 
     wait_ms: float
     cause: Cause
+    final: bool = False  # waiting here is of no use
 
 
 class _Denial(Struct, frozen=True):
@@ -43,6 +44,7 @@
 
     until_ms: float
     amount: float
+    scarce: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +65,8 @@
     """The payment for a request that its client has waited for, in earlier tries, for so long.
 
     A first try that can't be paid for is refused at once: its client comes back when it is told to, and is
-    still in time. One that came back has no further try, so it waits here for an owner. What an owner refuses
-    is refused at once: what comes into the quota next is as well spent on a request that is in time.
+    still in time. One that came back has no further try, so it waits here, for an owner and for its quota.
+    Where the quota is scarce it is refused at once: what comes in next is better spent on one in time.
     """
     again_ms = min(AGAIN_TOTAL_MS, AGAIN_SHARE * left_ms) if waited_ms > 0.0 else 0.0
     answer_ms = max(1_000.0 * ASK_S, ANSWER_SHARE * aim_ms)
@@ -131,7 +133,7 @@
         ends_ms = self._clock() + payment.again_ms
         while True:
             paid = await self._pay_once(payment)
-            if isinstance(paid, Granted) or paid.cause is not Cause.QUOTA_ALONE:
+            if isinstance(paid, Granted) or paid.final:
                 return paid
             wait_ms = min(AGAIN_MOST_MS, max(AGAIN_LEAST_MS, paid.wait_ms)) * random.uniform(0.75, 1.25)
             if self._clock() + wait_ms >= ends_ms:
@@ -142,7 +144,7 @@
         tenant, amount, limit = payment.tenant, payment.amount, payment.limit
         denial = self._denials.get(tenant)
         if denial is not None and self._clock() < denial.until_ms and amount >= denial.amount:
-            return OverQuota(denial.until_ms - self._clock(), Cause.QUOTA_RECENT)
+            return OverQuota(denial.until_ms - self._clock(), Cause.QUOTA_RECENT, denial.scarce)
         replicas = self._replicas()
         owner = None if replicas is None else owner_of(tenant, replicas.chain)
         asked_ms = self._clock()
@@ -155,8 +157,9 @@
         self._holder.drawn(tenant, limit, answer.reserve, answer.share, asked_ms, self._clock())
         if answer.amount < amount:
             if not payment.returned:  # what is refused to one that returned may be there for others
-                self._denials[tenant] = _Denial(self._clock() + min(answer.wait_ms, DENY_MOST_MS), amount)
-            return OverQuota(answer.wait_ms, Cause.QUOTA_OWNER)
+                until_ms = self._clock() + min(answer.wait_ms, DENY_MOST_MS)
+                self._denials[tenant] = _Denial(until_ms, amount, answer.scarce)
+            return OverQuota(answer.wait_ms, Cause.QUOTA_OWNER, answer.scarce)
         return Granted()
 
     def _from_reserve(self, payment: Payment) -> Granted | OverQuota:
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -99,6 +99,7 @@
     owner = _owner(_owner_address())
     owner.settle(True, 0.0)
     owner._buckets["tenant"].level = 20_000.0
+    owner._buckets["tenant"].asked.count(10.0 * LIMIT.rate_per_s, 0.0)
     returned = replace(_ask(9_000.0), returned=True)
     refused = owner.take(returned, True, 0.0)
     assert refused is not None
@@ -115,6 +116,23 @@
     assert enough.wait_ms == 0.0
 
 
+def test_while_a_quota_is_not_scarce_a_request_that_returned_is_like_any_other() -> None:
+    owner = _owner(_owner_address())
+    owner.settle(True, 0.0)
+    owner._buckets["tenant"].level = 10_000.0
+    granted = owner.take(replace(_ask(9_000.0), returned=True), True, 0.0)
+    assert granted is not None
+    assert granted.wait_ms == 0.0
+    refused = owner.take(_ask(9_000.0), True, 0.0)
+    assert refused is not None
+    assert refused.wait_ms > 0.0
+    assert not refused.scarce
+    for _ in range(100):
+        refused = owner.take(_ask(9_000.0), True, 0.0)
+    assert refused is not None
+    assert refused.scarce
+
+
 def test_only_the_owner_grants_and_only_with_a_lease() -> None:
     for address in CHAIN:
         owner = _owner(address)
@@ -559,6 +577,7 @@
         self.answer_ms = answer_ms
         self.asked = 0
         self.granting = True
+        self.scarce = False
         loop = asyncio.get_running_loop()
         self.clock: Callable[[], float] = lambda: 1_000.0 * loop.time()
         self.quotas = NodeQuotas(lambda: self.replicas, lambda _: alive, self._send, BOUNDS, self.clock)
@@ -568,7 +587,9 @@
         self.asked += 1
         amount = message.amount if self.granting else 0.0
         wait_ms = 0.0 if self.granting else 100.0
-        answer = QuotaGranted(message.number, message.tenant, amount, message.reserve, 0.5, wait_ms)
+        answer = QuotaGranted(
+            message.number, message.tenant, amount, message.reserve, 0.5, wait_ms, scarce=self.scarce
+        )
         loop = asyncio.get_running_loop()
         loop.call_later(self.answer_ms / 1_000.0, self.quotas.on_granted, address, answer)
         return True
@@ -632,14 +653,15 @@
     assert payment("tenant", 1.0, LIMIT, 200.0, 0.0, 14_000.0).again_ms == 0.0
 
 
-def test_what_an_owner_refuses_is_not_asked_for_again() -> None:
+def test_what_is_scarce_is_not_asked_for_again_and_what_is_only_short_is() -> None:
     async def play() -> None:
-        later = _Later(Replicas(1, CHAIN, CHAIN, 72), 5.0)
-        later.granting = False
-        paid, took_ms = await later.pay(9_000.0, waited_ms=300.0)
-        assert isinstance(paid, OverQuota)
-        assert took_ms < 10.0
-        assert later.asked == 1
+        for scarce in (True, False):
+            later = _Later(Replicas(1, CHAIN, CHAIN, 72), 5.0)
+            later.granting, later.scarce = False, scarce
+            asyncio.get_running_loop().call_later(0.3, setattr, later, "granting", True)
+            paid, took_ms = await later.pay(9_000.0, waited_ms=300.0)
+            assert isinstance(paid, OverQuota if scarce else Granted)
+            assert (took_ms < 10.0) == scarce
 
     run_virtually(play())
 
