--- a/dunlinloft/dataplane/__main__.py
+++ b/dunlinloft/dataplane/__main__.py
@@ -11,13 +11,16 @@
 
 
 def load(settings: Settings) -> Program:
-    """The program; what it needs is imported here."""
+    """The program; what it needs is imported here, while clients' connections already come up."""
     from dunlinloft.transport.light import import_aiohttp
+    from dunlinloft.transport.listening import listen
 
+    assert settings.listeners_config.frontend is not None
+    frontend = listen(settings.listeners_config.frontend)
     import_aiohttp()
     from dunlinloft.dataplane.process import DataPlane
 
-    return DataPlane(settings)
+    return DataPlane(settings, frontend)
 
 
 if __name__ == "__main__":
