--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -475,6 +475,27 @@
     assert play(4_508, (restart, stall, wipe)) > 0
 
 
+def test_a_disk_that_is_lost_before_the_commit_is_no_copy_too_few() -> None:
+    """Seed 21547: on its way to a frozen tail as the head lost its disk; the tail commits once it is back."""
+    cluster = Cluster(92)
+    cluster.run(500.0)
+    head, second, tail = cluster.seeds
+    cluster.kill(second)
+    cluster.run(1_500.0)
+    cluster.freeze(tail)
+    cluster.call(head, small_order(1, 0), lambda _: None)
+    cluster.run(50.0)
+    cluster.remove(head)
+    cluster.thaw(tail)
+    cluster.run(100.0)
+    left = cluster.machines[tail].replica
+    assert left is not None
+    assert left.chain.committed.sequence == 1
+    cluster.rules._lost_held.clear()
+    with pytest.raises(Broken, match="committed with 1 copies"):
+        cluster.rules.first_committed(left.chain.committed, cluster.machines)
+
+
 def test_a_chain_that_can_commit_nothing_is_not_proposed() -> None:
     """Seed 3549: a chain of one dropped two members that held everything; then that one lost its disk."""
     assert play(3_549) > 0
