Have a new node wait 120 ms instead of 250 for a confirmed configuration

Hypothesis: after a loss of power nodes know a committed configuration some 0.3 s before they serve by it; what is committed is final, and a newer one replaces it as it comes.

--- a/dunlinloft/dataplane/in_force.py
+++ b/dunlinloft/dataplane/in_force.py
@@ -18,7 +18,7 @@
 from dunlinloft.coordination.stream import ConfigurationId, Delta, Whole
 from dunlinloft.dataplane.routing import RoutingTable
 
-CANDIDATE_MS = 250.0  # that the first configuration waits for a confirmed one, where its sender isn't
+CANDIDATE_MS = 120.0  # that the first configuration waits for a confirmed one, where its sender isn't
 
 
 class InForce:
