Name what nodes' parts need of their streams in one protocol

Need: Subscriptions took eleven callables by position, NodeQuotas and Advice the same three each. Change: ControlStreams, NodeSide with names.

--- a/dunlinloft/dataplane/advice.py
+++ b/dunlinloft/dataplane/advice.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from msgspec import Struct
@@ -16,8 +16,8 @@
     PlaceChosen,
     Placed,
     PlaceEnded,
-    Replicas,
 )
+from dunlinloft.dataplane.streams import ControlStreams
 
 ASK_LEAST_MS, ASK_SHARE = 20.0, 0.2  # of the objective: so long an answer is waited for; then the node picks
 SILENT_MS = 250.0  # an owner that is not there and did not answer isn't asked during so long
@@ -56,23 +56,15 @@
 class Advice:
     """This node's side of placement."""
 
-    def __init__(
-        self,
-        replicas: Callable[[], Replicas | None],
-        alive: Callable[[str], bool],
-        send: Callable[[str, Struct], bool],
-    ) -> None:
-        """`alive` tells whether a replica was heard of late."""
-        self._replicas = replicas
-        self._alive = alive
-        self._send = send
+    def __init__(self, streams: ControlStreams) -> None:
+        self._streams = streams
         self._waiting: dict[int, asyncio.Future[Placed]] = {}
         self._numbers = itertools.count(1)
         self._silent_until_ms: dict[str, float] = {}
 
     def tell(self, owner: str, message: Struct) -> None:
         """Tell an owner; if it is gone, it has forgotten the request already."""
-        self._send(owner, message)
+        self._streams.send(owner, message)
 
     def on_placed(self, source: str, message: Placed) -> None:
         """An owner's answer; one that comes too late is given back."""
@@ -80,10 +72,10 @@
         if future is not None and not future.done():
             future.set_result(message)
         elif message.server_id:
-            self._send(source, PlaceEnded(message.service, message.number, False))
+            self._streams.send(source, PlaceEnded(message.service, message.number, False))
 
     def _owner(self, service: str) -> str | None:
-        replicas = self._replicas()
+        replicas = self._streams.replicas
         return None if replicas is None else owner_of_service(service, replicas.chain)
 
     def chose(
@@ -94,7 +86,7 @@
         if owner is None:
             return None
         number = next(self._numbers)
-        if not self._send(owner, PlaceChosen(number, service, parts, answer_tokens, server_id)):
+        if not self._streams.send(owner, PlaceChosen(number, service, parts, answer_tokens, server_id)):
             return None
         return Advised(self, owner, service, number, server_id)
 
@@ -116,12 +108,14 @@
         future: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
         try:
-            if not self._send(owner, Place(number, service, parts, answer_tokens, tuple(avoided), patient)):
+            if not self._streams.send(
+                owner, Place(number, service, parts, answer_tokens, tuple(avoided), patient)
+            ):
                 return None
             async with asyncio.timeout(max(ASK_LEAST_MS, ASK_SHARE * aim_ms) / 1_000.0):
                 placed = await future
         except TimeoutError:
-            if not self._alive(owner):
+            if not self._streams.alive(owner):
                 self._silent_until_ms[owner] = now_ms + SILENT_MS
             return None
         finally:
--- a/dunlinloft/dataplane/control.py
+++ b/dunlinloft/dataplane/control.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -38,6 +39,20 @@
 _decoder = msgspec.json.Decoder(ToNode)
 
 
+@dataclass(frozen=True, slots=True)
+class NodeSide:
+    """What a node takes from its streams, and what it tells on them."""
+
+    take: Callable[[str, Any], None]  # a message, by the replica that sent it
+    lost: Callable[[str], None]  # a replica's stream ended
+    held: Callable[[], ConfigurationId]  # in force
+    digests: Callable[[], tuple[int, ...]]  # of the servers known
+    has_servers: Callable[[], bool]  # all that there are
+    hears: Callable[[str, float], bool]  # whether a replica answers, at a time
+    shares: Callable[[float], dict[str, float]]  # of quotas that are held, by tenant
+    reserves: Callable[[], dict[str, float]]  # of quotas, by tenant
+
+
 class Subscriptions:
     """Keeps streams to the replicas that are wanted: the seeds at first, then those that replicas name."""
 
@@ -46,26 +61,12 @@
         node: str,
         zone: str,
         seeds: Callable[[], tuple[str, ...]],
-        take: Callable[[str, Any], None],
-        lost: Callable[[str], None],
-        held: Callable[[], ConfigurationId],
-        digests: Callable[[], tuple[int, ...]],
-        has_servers: Callable[[], bool],
-        hears: Callable[[str, float], bool],
-        shares: Callable[[float], dict[str, float]],
-        reserves: Callable[[], dict[str, float]],
+        side: NodeSide,
     ) -> None:
         self._node = node
         self._zone = zone
         self._seeds = seeds
-        self._take = take
-        self._lost = lost
-        self._held = held
-        self._digests = digests
-        self._has_servers = has_servers
-        self._hears = hears
-        self._shares = shares
-        self._reserves = reserves
+        self._side = side
         self._heard_ms: dict[str, float] = {}  # by replica, of its stream
         self._ended = False
         self._node_counts: dict[str, int] = {}  # as each replica that is heard tells
@@ -86,7 +87,7 @@
                 self._tasks.pop(address).cancel()
             self._drop_failed()
             for address, writer in list(self._writers.items()):
-                writer.send(NodeAlive(self._hears(address, now_ms())))
+                writer.send(NodeAlive(self._side.hears(address, now_ms())))
             await asyncio.sleep(ALIVE_S)
 
     def _drop_failed(self) -> None:
@@ -109,13 +110,13 @@
     async def _wait_for_servers(self) -> None:
         """Let the first streams tell of all servers, so that the others need not."""
         ends_ms = now_ms() + OTHERS_FIRST_MS
-        while not self._has_servers() and now_ms() < ends_ms:
+        while not self._side.has_servers() and now_ms() < ends_ms:
             await asyncio.sleep(OTHERS_FIRST_MS / 10_000.0)
 
     async def _fetch(self, address: str, told: ConfigurationId) -> None:
         await asyncio.sleep(FETCH_AFTER_S)
-        if told.replaces(self._held(), True):
-            self.send(address, Fetch(self._held()))
+        if told.replaces(self._side.held(), True):
+            self.send(address, Fetch(self._side.held()))
 
     def end(self) -> None:
         """Tell all replicas that this process ends."""
@@ -126,7 +127,7 @@
     def held(self) -> None:
         """Acknowledge to all what is in force."""
         for writer in self._writers.values():
-            writer.send(Held(self._held()))
+            writer.send(Held(self._side.held()))
 
     def send(self, address: str, message: msgspec.Struct) -> bool:
         """Send to one replica; whether there is a stream to it."""
@@ -153,7 +154,7 @@
             if not wants:
                 await self._wait_for_servers()
             uptime_ms = now_ms() - self._began_ms
-            held, digests = self._held(), self._digests()
+            held, digests = self._side.held(), self._side.digests()
             holdings = self._holdings()
             writer.send(Subscribe(self._node, self._zone, held, uptime_ms, wants, digests, holdings))
             try:
@@ -162,7 +163,7 @@
                 writer.abort()
                 del self._writers[address]
                 self._node_counts.pop(address, None)
-                self._lost(address)
+                self._side.lost(address)
             logging.info("event=stream_ended replica=%s reason=%s", address, reason)
             await asyncio.sleep(wait_s * (0.5 + random.random()))
 
@@ -175,12 +176,12 @@
         if isinstance(message, Replicas):
             self._on_replicas(address, message)
         elif isinstance(message, Version):
-            if message.id.replaces(self._held(), True):
+            if message.id.replaces(self._side.held(), True):
                 task = asyncio.create_task(self._fetch(address, message.id))
                 self._fetches.add(task)
                 task.add_done_callback(self._fetches.discard)
         else:
-            self._take(address, message)
+            self._side.take(address, message)
 
     def _on_replicas(self, address: str, message: Replicas) -> None:
         """Take the newest view, and as many nodes as any replica knows: one that just started knows few."""
@@ -197,4 +198,4 @@
 
     def _holdings(self) -> HoldsShares:
         epoch = 0 if self.replicas is None else self.replicas.epoch
-        return HoldsShares(epoch, self._shares(now_ms()), self._reserves())
+        return HoldsShares(epoch, self._side.shares(now_ms()), self._side.reserves())
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -29,7 +29,7 @@
 from dunlinloft.dataplane.budget import RetryBudget
 from dunlinloft.dataplane.client_request import ClientRequest
 from dunlinloft.dataplane.closing import Closing
-from dunlinloft.dataplane.control import Subscriptions
+from dunlinloft.dataplane.control import NodeSide, Subscriptions
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.frontend import Frontend
 from dunlinloft.dataplane.in_force import InForce
@@ -66,28 +66,19 @@
         self._closing = Closing(1_000.0 * settings.timing_bounds.grace_period_s)
         self._read_ms = now_ms()
         self._serving = asyncio.Event()  # once it has what a start needs
-        self._subscriptions = Subscriptions(
-            settings.node_name,
-            settings.zone,
-            self._seeds,
-            self._take,
-            lambda source: self._servers.lost(source, now_ms()),
-            lambda: self._in_force.id,
-            self._servers.digests,
-            lambda: self._servers.complete,
-            lambda address, now: self._quotas.hears(address, now),
-            lambda now: self._quotas.shares(now),
-            lambda: self._quotas.reserves(),
-        )
-        self._quotas = NodeQuotas(
-            lambda: self._subscriptions.replicas,
-            self._subscriptions.alive,
-            self._subscriptions.send,
-            settings.timing_bounds.quota_bounds(),
-        )
-        self._advice = Advice(
-            lambda: self._subscriptions.replicas, self._subscriptions.alive, self._subscriptions.send
+        side = NodeSide(
+            take=self._take,
+            lost=lambda source: self._servers.lost(source, now_ms()),
+            held=lambda: self._in_force.id,
+            digests=self._servers.digests,
+            has_servers=lambda: self._servers.complete,
+            hears=lambda address, now: self._quotas.hears(address, now),
+            shares=lambda now: self._quotas.shares(now),
+            reserves=lambda: self._quotas.reserves(),
         )
+        self._subscriptions = Subscriptions(settings.node_name, settings.zone, self._seeds, side)
+        self._quotas = NodeQuotas(self._subscriptions, settings.timing_bounds.quota_bounds())
+        self._advice = Advice(self._subscriptions)
         self._metrics = Metrics()
         self._frontend = Frontend(
             lambda: self._in_force.table,
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -13,8 +13,9 @@
 
 from dunlinloft.coordination.quota_holder import QuotaHolder
 from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit, owner_of
-from dunlinloft.coordination.stream import QuotaGranted, Replicas, TakeQuota
+from dunlinloft.coordination.stream import QuotaGranted, TakeQuota
 from dunlinloft.dataplane.causes import Cause
+from dunlinloft.dataplane.streams import ControlStreams
 from dunlinloft.transport.clock import now_ms
 
 ASK_S = 0.03  # the owner's answer is waited for so long before the node's reserve is spent instead
@@ -87,17 +88,13 @@
 
     def __init__(
         self,
-        replicas: Callable[[], Replicas | None],
-        alive: Callable[[str], bool],
-        send: Callable[[str, Struct], bool],
+        streams: ControlStreams,
         bounds: QuotaBounds,
         clock: Callable[[], float] = now_ms,
     ) -> None:
-        """`alive` tells whether a replica was heard of late; `clock` is steady, in milliseconds."""
+        """`clock` is steady, in milliseconds."""
         self._clock = clock
-        self._replicas = replicas
-        self._alive = alive
-        self._send = send
+        self._streams = streams
         self._holder = QuotaHolder(bounds)
         self._denials: dict[str, _Denial] = {}
         self._asks: LRU[int, _Ask] = LRU(ASKS_MOST)
@@ -145,7 +142,7 @@
         denial = self._denials.get(tenant)
         if denial is not None and self._clock() < denial.until_ms and amount >= denial.amount:
             return OverQuota(denial.until_ms - self._clock(), Cause.QUOTA_RECENT, denial.scarce)
-        replicas = self._replicas()
+        replicas = self._streams.replicas
         owner = None if replicas is None else owner_of(tenant, replicas.chain)
         asked_ms = self._clock()
         answer = await self._answer(owner, payment)
@@ -168,7 +165,7 @@
 
     def _is_owner(self, address: str, tenant: str) -> bool:
         """Whether who answered still is the owner: this node has told the next one what it holds."""
-        replicas = self._replicas()
+        replicas = self._streams.replicas
         return replicas is not None and owner_of(tenant, replicas.chain) == address
 
     async def _answer(self, owner: str | None, payment: Payment) -> QuotaGranted | Granted | None:
@@ -179,7 +176,7 @@
         asked_ms = self._clock()
         ask = _Ask(payment, asyncio.get_running_loop().create_future())
         self._asks[number] = ask
-        if not self._send(owner, self._take_quota(number, payment)):
+        if not self._streams.send(owner, self._take_quota(number, payment)):
             del self._asks[number]
             self._holder.unanswered(owner, payment.tenant, asked_ms)
             return None
@@ -208,7 +205,7 @@
         spent = self._from_reserve(ask.payment)
         if isinstance(spent, Granted):
             return spent
-        if self._alive(owner):
+        if self._streams.alive(owner):
             # It is there: the answer is only late, and better than a refusal.
             await asyncio.wait((ask.answer,), timeout=ask.payment.answer_ms / 1_000.0 - ASK_S)
             if ask.answer.done():
--- a/lab/router/bare_node.py
+++ b/lab/router/bare_node.py
@@ -22,6 +22,7 @@
 from dunlinloft.dataplane.quota import NodeQuotas
 from dunlinloft.dataplane.routing import RoutingTable
 from dunlinloft.dataplane.servers import ServicePool
+from dunlinloft.dataplane.streams import NoStreams
 from dunlinloft.dataplane.upstream import Upstream
 
 SERVICE = "pool"
@@ -42,9 +43,9 @@
         self.metrics = metrics = Metrics()
         self.upstream = Upstream(16)
         budget = RetryBudget(0.2, 10.0, 1_000.0)
-        advice = Advice(lambda: None, lambda _: False, lambda *_: False)
+        advice = Advice(NoStreams())
         serving = Serving(SERVICE, pool, advice, self.upstream, budget, 1, rng, metrics)
-        quotas = NodeQuotas(lambda: None, lambda _: False, lambda *_: False, QuotaBounds(8.0, 0.1, 0.0))
+        quotas = NodeQuotas(NoStreams(), QuotaBounds(8.0, 0.1, 0.0))
         started = asyncio.Event()
         started.set()
 
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -576,12 +576,14 @@
         self.owner = _owner(_owner_address())
         self.reachable = True
         self.now = 0.0
-        replicas = Replicas(1, CHAIN, CHAIN, 10)
-        self.quotas = NodeQuotas(
-            lambda: replicas, lambda _: self.reachable, self._send, BOUNDS, lambda: self.now
-        )
+        self.replicas = Replicas(1, CHAIN, CHAIN, 10)
+        self.quotas = NodeQuotas(self, BOUNDS, lambda: self.now)
+
+    def alive(self, _: str) -> bool:
+        """Whether it is there."""
+        return self.reachable
 
-    def _send(self, address: str, message: Struct) -> bool:
+    def send(self, address: str, message: Struct) -> bool:
         assert isinstance(message, TakeQuota)
         if not self.reachable:
             return False
@@ -630,9 +632,14 @@
         self.scarce = False
         loop = asyncio.get_running_loop()
         self.clock: Callable[[], float] = lambda: 1_000.0 * loop.time()
-        self.quotas = NodeQuotas(lambda: self.replicas, lambda _: alive, self._send, BOUNDS, self.clock)
+        self.is_alive = alive
+        self.quotas = NodeQuotas(self, BOUNDS, self.clock)
+
+    def alive(self, _: str) -> bool:
+        """Whether it is there."""
+        return self.is_alive
 
-    def _send(self, address: str, message: Struct) -> bool:
+    def send(self, address: str, message: Struct) -> bool:
         assert isinstance(message, TakeQuota)
         self.asked += 1
         amount = message.amount if self.granting else 0.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -169,11 +169,16 @@
 
     def __init__(self, answer_ms: float, alive: bool = True) -> None:
         self.answer_ms = answer_ms
+        self.is_alive = alive
         self.sent: list[Struct] = []
-        replicas = Replicas(1, CHAIN, CHAIN, 10)
-        self.advice = Advice(lambda: replicas, lambda _: alive, self._send)
+        self.replicas = Replicas(1, CHAIN, CHAIN, 10)
+        self.advice = Advice(self)
 
-    def _send(self, address: str, message: Struct) -> bool:
+    def alive(self, _: str) -> bool:
+        """Whether it is there."""
+        return self.is_alive
+
+    def send(self, address: str, message: Struct) -> bool:
         self.sent.append(message)
         if isinstance(message, Place):
             placed = Placed(message.number, message.service, "i-1")
--- a/tests/test_streams_anew.py
+++ b/tests/test_streams_anew.py
@@ -8,26 +8,24 @@
 import pytest
 
 from dunlinloft.coordination.stream import Alive, ConfigurationId
-from dunlinloft.dataplane.control import Subscriptions
+from dunlinloft.dataplane.control import NodeSide, Subscriptions
 from dunlinloft.transport.lines import encoded, read_messages
 from dunlinloft.transport.tasks import guarded
 
 
 def _subscriptions() -> Subscriptions:
     seeds = ("127.0.0.1:1",)
-    return Subscriptions(
-        "node",
-        "a",
-        lambda: seeds,
-        lambda *_: None,
-        lambda _: None,
-        ConfigurationId,
-        tuple,
-        lambda: True,
-        lambda *_: False,
-        lambda _: {},
-        dict,
+    side = NodeSide(
+        take=lambda *_: None,
+        lost=lambda _: None,
+        held=ConfigurationId,
+        digests=tuple,
+        has_servers=lambda: True,
+        hears=lambda *_: False,
+        shares=lambda _: {},
+        reserves=dict,
     )
+    return Subscriptions("node", "a", lambda: seeds, side)
 
 
 @pytest.mark.parametrize("first", ["line", "cancel"])
