--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -14,17 +14,16 @@
 import msgspec
 from absl import logging
 
-from dunlinloft.configuration import NotTyped, Service, typed
+from dunlinloft.configuration import NotTyped, typed
 from dunlinloft.controlplane.disk import Disk
 from dunlinloft.controlplane.distribution import Distribution, NodeStream
 from dunlinloft.controlplane.links import Links
+from dunlinloft.controlplane.roles import Roles
 from dunlinloft.controlplane.server_list import ServerList
 from dunlinloft.coordination.actions import Action, Commit, Persist, Reply, Send
 from dunlinloft.coordination.calls import Invalid, Valid
 from dunlinloft.coordination.messages import Document, Durable, Member, Order
 from dunlinloft.coordination.nodes import Nodes
-from dunlinloft.coordination.placement import PlacementRequest, Placements
-from dunlinloft.coordination.quotas import NodeHoldings, QuotaAsk, QuotaLimit, QuotaOwner
 from dunlinloft.coordination.registry import Registry
 from dunlinloft.coordination.replica import FIRST_INCARNATION, Replica, first_view
 from dunlinloft.coordination.stream import (
@@ -40,9 +39,7 @@
     Place,
     PlaceBegan,
     PlaceChosen,
-    Placed,
     PlaceEnded,
-    QuotaGranted,
     QuotasHandedOver,
     Replicas,
     Servers,
@@ -65,7 +62,6 @@
 LEAVE_SHARE = 0.8  # of the grace period, for others to go on without this replica
 LEAVE_LOOK_S = 0.01
 BACKLOG = 512
-FULL_WAIT_MS = 30.0  # a patient request asks again after so long where no place was free
 
 _decoder = msgspec.json.Decoder(ToControl)
 
@@ -80,16 +76,8 @@
         self._registry = Registry(settings.heartbeat_interval_ms, now_ms())
         self._distribution = Distribution()
         self._nodes = Nodes()
-        bounds = settings.timing_bounds.quota_bounds()
-        self._quotas = QuotaOwner(
-            self._address,
-            now_ms(),
-            bounds,
-            self._nodes,
-            lambda address, now: self._replica.lease_over(address, now),
-        )
-        self._placements = Placements(
-            random.Random(secrets.randbits(64)), 1_000.0 * settings.timing_bounds.again_s
+        self._roles = Roles(
+            self._address, settings.timing_bounds, self._nodes, lambda: self._replica, self._links.send
         )
         self._calls: dict[str, asyncio.Future[Reply]] = {}
         self._numbers = itertools.count(1)
@@ -111,13 +99,13 @@
         known = await self._disk.known()
         self._registry.restore(known.servers, now_ms())
         self._nodes.seen(known.nodes, now_ms())
-        self._placements.follow(self._registry.records.values())
+        self._roles.placements.follow(self._registry.records.values())
         begins = settings.bootstrap and counts and self._address in settings.seeds()
         self._server_list = ServerList(
             self._address,
             self._registry,
             self._distribution,
-            self._placements,
+            self._roles.placements,
             lambda: self._replica.contact(now_ms()),
             self._replica.addresses,
             self._links.send,
@@ -198,10 +186,7 @@
         except NotTyped as error:
             logging.error("event=configuration_refused version=%d error=%s", state.version, error)
         else:
-            tenants = (tenant for tenant in configuration.tenants if tenant.rate_per_s)
-            limits = {tenant.name: QuotaLimit(tenant.rate_per_s, tenant.burst) for tenant in tenants}
-            self._quotas.set_limits(limits)
-            self._placements.set_memory(_memory(configuration.services))
+            self._roles.configure(configuration)
         logging.info("event=committed sequence=%d version=%d", state.sequence, state.version)
 
     def _persisted(self, token: int) -> None:
@@ -212,7 +197,7 @@
             self._perform(self._replica.tick(now_ms()))
             self._tell_replicas()
             self._distribution.set_confirmed(self._replica.confirmed(now_ms()))
-            self._quotas.settle(self._replica.leased(now_ms()), now_ms())
+            self._roles.settle()
             self._registry.expire(now_ms())
             self._server_list.flush()
             if not self._told_complete and self._registry.complete(now_ms()):
@@ -226,14 +211,9 @@
             return
         addresses = tuple(member.address for member in view.roster)
         chain = tuple(member.address for member in view.chain)
-        self._follow_chain(view.epoch, chain)
+        self._roles.follow(view)
         self._distribution.set_replicas(Replicas(view.epoch, addresses, chain, self._nodes.count()))
 
-    def _follow_chain(self, epoch: int, chain: tuple[str, ...]) -> None:
-        """Take the quotas that are this replica's now, and hand over those that no longer are."""
-        for address, levels in self._quotas.set_chain(epoch, chain, now_ms()).items():
-            self._links.send(address, QuotasHandedOver(epoch, levels))
-
     # Streams from nodes and other replicas.
 
     async def _on_stream(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -254,28 +234,27 @@
                 case Held() if stream is not None:
                     stream.held = message.id
                 case HoldsShares() if stream is not None:
-                    self._on_holdings(stream.node, message)
+                    self._roles.holds(stream.node, message)
                 case NodeEnds() if stream is not None:
                     self._nodes.ended(stream.node, now_ms())
                 case NodeAlive() if stream is not None:
                     self._nodes.heard(stream.node, message.hears, now_ms())
                 case TakeQuota() if stream is not None:
-                    out.send(self._take_quota(stream.node, message))
+                    out.send(self._roles.take_quota(stream.node, message))
                 case Place():
-                    out.send(self._place(number, message))
+                    out.send(self._roles.place(number, message))
                 case PlaceChosen():
-                    self._place_chosen(number, message)
+                    self._roles.chosen(number, message)
                 case PlaceBegan():
-                    self._placements.service(message.service).began((number, message.number))
+                    self._roles.began(number, message)
                 case PlaceEnded():
-                    placement = self._placements.service(message.service)
-                    placement.ended((number, message.number), message.failed, now_ms())
+                    self._roles.ended(number, message)
                 case Beats():
                     self._server_list.on_beats(message)
                 case BeatsTaken():
                     self._server_list.on_taken(message)
                 case QuotasHandedOver():
-                    self._quotas.hand_over(message.epoch, message.levels)
+                    self._roles.handed_over(message)
                 case NodesSeen():
                     self._nodes.seen(message.nodes, now_ms())
                 case _:
@@ -287,64 +266,19 @@
             out.abort()
             if stream is not None:
                 self._distribution.end(stream)
-                self._placements.stream_lost(number, now_ms())
+                self._roles.stream_lost(number)
         if reason == "not understood":
             logging.warning("event=refused_line peer=%s", writer.get_extra_info("peername"))
 
     def _subscribe(self, stream: NodeStream, message: Subscribe) -> None:
         now = now_ms()
-        self._quotas.node_seen(message.uptime_ms, now)
         self._nodes.heard(stream.node, False, now)
-        self._on_holdings(stream.node, message.shares)
+        self._roles.subscribed(stream.node, message.uptime_ms, message.shares)
         self._server_list.flush()
         ranges = self._registry.digests.differing(message.digests)
         servers = Servers(self._registry.complete(now), ranges, self._registry.in_ranges(ranges))
         self._distribution.subscribe(stream, servers)
 
-    def _on_holdings(self, node: str, message: HoldsShares) -> None:
-        self._quotas.holds(node, NodeHoldings(message.epoch, message.shares, message.reserves), now_ms())
-
-    def _take_quota(self, node: str, message: TakeQuota) -> QuotaGranted:
-        now = now_ms()
-        view = self._replica.view
-        if view is not None:  # learned a moment ago, it ends what this replica owned by the one before
-            self._follow_chain(view.epoch, tuple(member.address for member in view.chain))
-        ask = QuotaAsk(
-            node,
-            message.tenant,
-            message.amount,
-            message.reserve,
-            message.share,
-            message.alone,
-            message.returned,
-        )
-        taken = self._quotas.take(ask, self._replica.leased(now), now)
-        if taken is None:
-            return QuotaGranted(message.number, message.tenant, 0.0, 0.0, 0.0, 0.0, False)
-        amount = 0.0 if taken.wait_ms else message.amount
-        return QuotaGranted(
-            message.number,
-            message.tenant,
-            amount,
-            taken.reserve,
-            taken.share,
-            taken.wait_ms,
-            scarce=taken.scarce,
-        )
-
-    def _place(self, stream: int, message: Place) -> Placed:
-        needs = PlacementRequest(message.parts, message.answer_tokens, message.patient)
-        ticket = (stream, message.number)
-        placement = self._placements.service(message.service)
-        server_id = placement.place(ticket, needs, message.avoided, now_ms())
-        wait_ms = FULL_WAIT_MS if server_id is None and message.patient else 0.0
-        return Placed(message.number, message.service, server_id or "", wait_ms)
-
-    def _place_chosen(self, stream: int, message: PlaceChosen) -> None:
-        needs = PlacementRequest(message.parts, message.answer_tokens)
-        placement = self._placements.service(message.service)
-        placement.chosen((stream, message.number), needs, message.server_id, now_ms())
-
     async def _relays(self) -> None:
         while True:
             await asyncio.sleep(RELAY_S)
@@ -371,7 +305,7 @@
         while True:
             await asyncio.sleep(NODES_S)
             self._nodes.forget(now_ms())
-            self._quotas.forget(now_ms())
+            self._roles.forget()
             line = lines.encoded(NodesSeen(self._nodes.known(now_ms())))
             for address in self._replica.addresses():
                 self._links.send_line(address, line)
@@ -396,12 +330,6 @@
             await asyncio.sleep(LEAVE_LOOK_S)
 
 
-def _memory(services: tuple[Service, ...]) -> dict[str, int]:
-    """Tokens of memory of each service's servers, where its runtime tells."""
-    told = {service.name: (service.runtime or {}).get("kv_cache_tokens") for service in services}
-    return {name: tokens for name, tokens in told.items() if isinstance(tokens, int) and tokens > 0}
-
-
 def _judge(document: Document, order: Order) -> Valid | Invalid:
     """Check an order; what that needs is loaded with the first one, so that a start is quick."""
     from dunlinloft.validation import judge
