Revert "Listen for clients before the rest of a node is loaded"

A client whose connection is reset goes to another node at once and is in time; one that waits in the queue of a node that loads is late.

--- a/dunlinloft/dataplane/__main__.py
+++ b/dunlinloft/dataplane/__main__.py
@@ -11,16 +11,13 @@
 
 
 def load(settings: Settings) -> Program:
-    """The program; what it needs is imported here, while clients' connections already come up."""
+    """The program; what it needs is imported here."""
     from dunlinloft.transport.light import import_aiohttp
-    from dunlinloft.transport.listening import listen
 
-    assert settings.listeners_config.frontend is not None
-    frontend = listen(settings.listeners_config.frontend)
     import_aiohttp()
     from dunlinloft.dataplane.process import DataPlane
 
-    return DataPlane(settings, frontend)
+    return DataPlane(settings)
 
 
 if __name__ == "__main__":
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import signal
-import socket
 from typing import Any
 
 from absl import logging
@@ -39,11 +38,11 @@
 from dunlinloft.dataplane.upstream import Upstream
 from dunlinloft.settings import Settings, SettingsError, host_port, read_settings
 from dunlinloft.transport.clock import now_ms
-from dunlinloft.transport.listening import BACKLOG
 from dunlinloft.transport.tasks import guarded
 
 IDLE_S = 75.0  # clients' connections that rest longer are closed
 MOST_HEADER = 65_536
+BACKLOG = 1_024
 METRICS_PORT = 9464  # as in `deploy/system.toml`
 TICK_S = 0.1
 REREAD_MS = 2_000.0  # between looks at the settings while seeds are needed
@@ -54,10 +53,8 @@
 class DataPlane:
     """One data-plane node."""
 
-    def __init__(self, settings: Settings, frontend: socket.socket) -> None:
-        """`frontend` listens for clients already."""
+    def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        self._frontend_socket = frontend
         self._rng = random.Random(secrets.randbits(64))
         self._in_force = InForce(self._rng)
         self._servers = ServerTable(self._rng)
@@ -97,6 +94,7 @@
         loop.add_signal_handler(signal.SIGINT, stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         listeners = self._settings.listeners_config
+        assert listeners.frontend is not None
         front = Server(
             self._frontend.handle,
             handler_cancellation=True,
@@ -105,7 +103,8 @@
             max_line_size=MOST_HEADER,
             max_field_size=MOST_HEADER,
         )
-        listening = await loop.create_server(front, sock=self._frontend_socket, backlog=BACKLOG)
+        host, port = host_port(listeners.frontend)
+        listening = await loop.create_server(front, host, port, backlog=BACKLOG)
         if listeners.readiness is not None:
             host, port = host_port(listeners.readiness)
             await loop.create_server(Server(self._on_readiness, access_log=None), host, port)
