Wait for an owner only while it answers, and begin with more after the whole wait

Change: an owner that has answered nothing for 100 ms is not waited for; 0.2 s only where the wait was shortened.

--- a/dunlinloft/coordination/quota_holder.py
+++ b/dunlinloft/coordination/quota_holder.py
@@ -15,6 +15,7 @@
 from dunlinloft.coordination.quotas import QuotaBounds, QuotaLimit
 
 TELL_AFTER_MS = 150.0  # without its owner, before the node tells it so: most silences are shorter
+LATE_MS = 100.0  # without any answer from an owner, until when the next one is waited for
 ALONE_AFTER_MS = CONTACT_MS + 50.0  # before the standing share is added
 USEFUL_X = 1.0  # times the largest request of late that a reserve has to be able to hold, to be of any use
 FORGET_SIZE = 0.98  # of what is known of the largest request, with each further one
@@ -49,6 +50,11 @@
         """Whether an owner answers; told to it with each word."""
         return _short(self._silent_since_ms.get(owner), now_ms)
 
+    def answers(self, owner: str, now_ms: float) -> bool:
+        """Whether an owner answered what was asked a moment ago: a further answer may only be late."""
+        since_ms = self._silent_since_ms.get(owner)
+        return since_ms is None or now_ms - since_ms < LATE_MS
+
     def alone(self, tenant: str, now_ms: float) -> bool:
         """Whether a tenant's quota is, or soon will be, spent here without its owner; told with each ask."""
         return not _short(self._reserve(tenant).alone_since_ms, now_ms)
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -27,7 +27,8 @@
 HANDOVER_MS = 750.0  # a new owner waits so long; the old one stops `LEASE_MS` after it was last confirmed
 EXTRA_SHARE = 0.1  # of what a window may exceed the rate by, that a bucket holds beside the burst
 RESERVE_SHARE, RESERVE_TOLERANCE = 0.6, 0.6  # of that, and of the tolerance, in all nodes' reserves together
-FIRST_SECONDS = 0.2  # of the rate that a new owner begins with: nodes spent none of it for longer
+FIRST_SECONDS = 0.3  # of the rate that a new owner begins with: nodes spent none of it for longer,
+SOONER_SECONDS = 0.2  # and where it begins as soon as the lease before is over
 FIRST_TOLERANCE = 0.2  # of the tolerance that it begins with, too
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
@@ -57,9 +58,9 @@
         """The most that all nodes' reserves hold together."""
         return RESERVE_SHARE * self.spare(limit) + RESERVE_TOLERANCE * self.tolerance
 
-    def first_level(self, limit: QuotaLimit, together: bool) -> float:
-        """What an owner's bucket begins with; `together` with all nodes."""
-        seconds = TOGETHER_SECONDS if together else FIRST_SECONDS
+    def first_level(self, limit: QuotaLimit, together: bool, sooner: bool = False) -> float:
+        """What a bucket begins with: `together` with all nodes, or `sooner` than after the whole wait."""
+        seconds = TOGETHER_SECONDS if together else SOONER_SECONDS if sooner else FIRST_SECONDS
         level = seconds * limit.rate_per_s + FIRST_TOLERANCE * self.tolerance
         return min(level, self.bucket_least(limit))
 
@@ -171,6 +172,7 @@
         """`lease_over` tells whether the owner before, at an address, can grant no more at a time."""
         self._lease_over = lease_over
         self._owner_before: dict[str, str] = {}  # by tenant that came over and is waited for
+        self._sooner: set[str] = set()  # tenants that came over and whose wait ended early
         self._handed: dict[str, HandedOver] = {}  # by tenant: what its owner before left
         self._address = address
         self._began_ms = began_ms
@@ -231,6 +233,7 @@
                 if not began:
                     self._together = False
                     self._may_from_ms[tenant] = now_ms + HANDOVER_MS
+                    self._sooner.discard(tenant)
                     self._owner_before[tenant] = "" if skipped else owner_of(tenant, old) or ""
         return handed
 
@@ -296,7 +299,10 @@
             if tenant in self._buckets or not self._may_grant(tenant, now_ms):
                 continue
             handed = self._left_for(tenant)
-            level = self._bounds.first_level(limit, self._together) if handed is None else handed.level
+            if handed is None:
+                level = self._bounds.first_level(limit, self._together, tenant in self._sooner)
+            else:
+                level = handed.level
             least, pool = self._bounds.bucket_least(limit), self._bounds.reserve_most(limit)
             unknown = 0.0 if self._together else pool
             bucket = QuotaBucket(least, pool, level, TenantShares(), unknown=unknown)
@@ -315,6 +321,7 @@
         if not over:
             return False
         self._may_from_ms[tenant] = now_ms
+        self._sooner.add(tenant)
         return True
 
     def forget(self, now_ms: float) -> None:
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -205,7 +205,7 @@
         spent = self._from_reserve(ask.payment)
         if isinstance(spent, Granted):
             return spent
-        if self._streams.alive(owner):
+        if self._streams.alive(owner) and self._holder.answers(owner, self._clock()):
             # It is there: the answer is only late, and better than a refusal.
             await asyncio.wait((ask.answer,), timeout=ask.payment.answer_ms / 1_000.0 - ASK_S)
             if ask.answer.done():
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -472,7 +472,7 @@
 def test_an_owner_that_begins_full_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
     # With the wait alone or the level alone, nodes spend so much less meanwhile that the sum still holds.
     monkeypatch.setattr(quotas, "HANDOVER_MS", 0.0)
-    monkeypatch.setattr(QuotaBounds, "first_level", lambda self, limit, _: 2.0 * self.bucket_least(limit))
+    monkeypatch.setattr(QuotaBounds, "first_level", lambda self, limit, *_: 2.0 * self.bucket_least(limit))
     monkeypatch.setattr(QuotaOwner, "_left_for", lambda *_: None)
     with pytest.raises(Broken, match="were spent"):
         _owners_are_lost_one_after_the_other()
@@ -672,6 +672,20 @@
     run_virtually(play())
 
 
+def test_an_owner_that_answers_nobody_is_waited_for_a_moment_only() -> None:
+    async def play() -> None:
+        later = _Later(Replicas(1, CHAIN, CHAIN, 72), 10_000.0)
+        first, took_first_ms = await later.pay(9_000.0)
+        await asyncio.sleep(0.3)  # it isn't asked meanwhile
+        second, took_second_ms = await later.pay(9_000.0)
+        assert isinstance(first, OverQuota)
+        assert isinstance(second, OverQuota)
+        assert took_first_ms == pytest.approx(100.0, abs=5.0)
+        assert took_second_ms == pytest.approx(30.0, abs=5.0), "a quarter of the objective is 50 ms"
+
+    run_virtually(play())
+
+
 def test_a_late_answer_is_kept_where_the_reserve_was_spent_instead() -> None:
     async def play() -> None:
         later = _Later(Replicas(1, CHAIN, CHAIN, 2), 1.0)
