--- a/dunlinloft/coordination/quota_holder.py
+++ b/dunlinloft/coordination/quota_holder.py
@@ -17,8 +17,8 @@
 TELL_AFTER_MS = 150.0  # without its owner, before the node tells it so: most silences are shorter
 LATE_MS = 100.0  # without any answer from an owner, until when the next one is waited for
 ALONE_AFTER_MS = CONTACT_MS + 50.0  # before the standing share is added
-USEFUL_X = 1.0  # times the largest request of late that a reserve has to be able to hold, to be of any use
-FORGET_SIZE = 0.98  # of what is known of the largest request, with each further one
+USEFUL_X = 1.0  # times the mean request of late that a reserve has to be able to hold, to be of any use
+SIZE_WEIGHT = 0.1  # of a request in that mean
 WAIT_LEAST_MS, WAIT_MOST_MS = 100.0, 1_000.0  # that a refused request is told to wait
 
 
@@ -31,7 +31,7 @@
     share_until_ms: float = 0.0
     filled_ms: float = 0.0  # up to when the share has been added to the level
     alone_since_ms: float | None = None  # when what no owner has answered since was asked
-    largest: float = 0.0  # request of late
+    mean: float = 0.0  # request of late
 
     def share_at(self, now_ms: float) -> float:
         """The share that is held now."""
@@ -83,12 +83,12 @@
     def wanted(self, tenant: str, limit: QuotaLimit, amount: float, now_ms: float) -> float:
         """How much more the reserve should hold, as a request of an amount comes.
 
-        None where it could not hold a request: it would only keep from others what nobody can spend.
+        None where it could hold no usual request: it would only keep from others what nobody can spend.
         """
         reserve = self._reserve(tenant)
-        reserve.largest = max(amount, FORGET_SIZE * reserve.largest)
+        reserve.mean += (amount - reserve.mean) * (SIZE_WEIGHT if reserve.mean else 1.0)
         most = self._most(reserve, limit, now_ms)
-        return max(0.0, most - reserve.level) if most >= USEFUL_X * reserve.largest else 0.0
+        return max(0.0, most - reserve.level) if most >= USEFUL_X * reserve.mean else 0.0
 
     def reserves(self) -> dict[str, float]:
         """All reserves, by tenant."""
