--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -33,8 +33,10 @@
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
 SETTLE_MS = 10.0  # buckets fill in steps of so long: what that takes grows with nodes, not with requests
-SCARCE_X = 1.15  # times a tenant's rate that first tries ask for, from where on its quota is scarce:
-RETURNED_X = 4.0  # then a request that was refused before needs so many times its amount
+RETURNED_X = (
+    4.0  # times its amount that a request that was refused before needs: others are in time, it is late
+)
+SCARCE_X = 1.15  # times a tenant's rate that first tries ask for, from where on waiting is of no use
 RESERVE_ABOVE = 0.3  # a reserve is filled only while the bucket holds more than this share of its most
 
 
@@ -343,7 +345,7 @@
         if not ask.returned:
             bucket.asked.count(ask.amount, now_ms)
         scarce = bucket.asked.per_s(now_ms) > SCARCE_X * limit.rate_per_s
-        times = RETURNED_X if ask.returned and scarce else 1.0
+        times = RETURNED_X if ask.returned else 1.0
         wait_ms = bucket.take(ask.amount, limit.rate_per_s, times)
         reserve = 0.0 if wait_ms else bucket.take_reserve(ask.reserve)
         spent = 0.0 if wait_ms else ask.amount
