--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -78,5 +78,14 @@
     assert said in printed
 
 
+def test_what_fails_at_times_may_pass_and_is_printed_either_way(tmp_path: Path) -> None:
+    sometimes = RED.replace("it is red", "at times: why")
+    known = f"{sometimes}\n{OTHER}\ntests/test_it.py::test_good | at times: who | 23\n"
+    status, said = play(tmp_path, known)
+    assert status == 0
+    assert "KNOWN-RED tests/test_it.py::test_red: at times: why (21)" in said
+    assert "KNOWN-RED tests/test_it.py::test_good: passed this time, at times: who (23)" in said
+
+
 def test_a_chosen_part_of_the_tests_need_not_have_all_that_is_named(tmp_path: Path) -> None:
     assert play(tmp_path, f"{RED}\n{OTHER}\n", "-k", "good")[0] == 0
