Keep no late grant in a node's reserve

The bucket holds what is in no reserve, so it filled up again beside it: bucket and reserves together could hold more than the bound says.

--- a/dunlinloft/coordination/quota_holder.py
+++ b/dunlinloft/coordination/quota_holder.py
@@ -94,11 +94,6 @@
         """All reserves, by tenant."""
         return {tenant: reserve.level for tenant, reserve in self._reserves.items() if reserve.level}
 
-    def refund(self, tenant: str, limit: QuotaLimit, amount: float, now_ms: float) -> None:
-        """The owner's answer came late: what it took is kept, as far as the reserve may hold it."""
-        reserve = self._reserve(tenant)
-        reserve.level = max(reserve.level, min(self._most(reserve, limit, now_ms), reserve.level + amount))
-
     def drawn(
         self, tenant: str, limit: QuotaLimit, amount: float, share: float, asked_ms: float, now_ms: float
     ) -> None:
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -173,7 +173,7 @@
             case Placed():
                 self._advice.on_placed(source, message)
             case QuotaGranted():
-                self._quotas.on_granted(source, message)
+                self._quotas.on_granted(message)
             case Alive():
                 pass
         self._follow_start()
--- a/dunlinloft/dataplane/quota.py
+++ b/dunlinloft/dataplane/quota.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from boltons.cacheutils import LRU
 from msgspec import Struct
 
 from dunlinloft.coordination.quota_holder import QuotaHolder
@@ -24,7 +23,6 @@
 DENY_MOST_MS = 60.0  # so long a refusal of the owner stands for further requests
 AGAIN_SHARE = 0.45  # of the time left, that a request whose client has no further try is asked for again,
 AGAIN_TOTAL_MS = 1_000.0  # and no longer: clients give up a stream that says nothing for two seconds
-ASKS_MOST = 4_096  # questions that may be open
 AGAIN_LEAST_MS, AGAIN_MOST_MS = 20.0, 150.0  # between two such asks
 
 
@@ -74,15 +72,6 @@
     return Payment(tenant, amount, limit, answer_ms, again_ms, waited_ms > 0.0)
 
 
-@dataclass(slots=True)
-class _Ask:
-    """A question to an owner."""
-
-    payment: Payment
-    answer: asyncio.Future[QuotaGranted]
-    given_up: bool = False  # what it grants yet goes to the reserve
-
-
 class NodeQuotas:
     """Pays for requests."""
 
@@ -97,7 +86,7 @@
         self._streams = streams
         self._holder = QuotaHolder(bounds)
         self._denials: dict[str, _Denial] = {}
-        self._asks: LRU[int, _Ask] = LRU(ASKS_MOST)
+        self._waiting: dict[int, asyncio.Future[QuotaGranted]] = {}
         self._numbers = itertools.count(1)
         self._silent_until_ms: dict[str, float] = {}  # by owner
 
@@ -113,17 +102,14 @@
         """What this node drew from owners and has not spent."""
         return self._holder.reserves()
 
-    def on_granted(self, source: str, message: QuotaGranted) -> None:
-        """An owner's answer."""
-        ask = self._asks.pop(message.number, None)
-        if ask is None:
-            return
-        if not ask.given_up:
-            if not ask.answer.done():
-                ask.answer.set_result(message)
-        elif message.owner and message.amount and self._is_owner(source, message.tenant):
-            payment = ask.payment
-            self._holder.refund(payment.tenant, payment.limit, message.amount, self._clock())
+    def on_granted(self, message: QuotaGranted) -> None:
+        """An owner's answer; one that comes too late was paid for nothing.
+
+        It must not go to the reserve: the owner has not counted it as drawn, and holds as much again.
+        """
+        future = self._waiting.pop(message.number, None)
+        if future is not None and not future.done():
+            future.set_result(message)
 
     async def pay(self, payment: Payment) -> Granted | OverQuota:
         """Pay for a request."""
@@ -174,20 +160,16 @@
             return None
         number = next(self._numbers)
         asked_ms = self._clock()
-        ask = _Ask(payment, asyncio.get_running_loop().create_future())
-        self._asks[number] = ask
-        if not self._streams.send(owner, self._take_quota(number, payment)):
-            del self._asks[number]
-            self._holder.unanswered(owner, payment.tenant, asked_ms)
-            return None
+        future: asyncio.Future[QuotaGranted] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
         try:
-            answer = await self._waited(owner, ask, asked_ms)
-        except asyncio.CancelledError:
-            ask.given_up = True
-            raise
-        if not isinstance(answer, QuotaGranted):
-            ask.given_up = True
-        elif not answer.owner:
+            if not self._streams.send(owner, self._take_quota(number, payment)):
+                self._holder.unanswered(owner, payment.tenant, asked_ms)
+                return None
+            answer = await self._waited(owner, payment, future, asked_ms)
+        finally:
+            self._waiting.pop(number, None)
+        if isinstance(answer, QuotaGranted) and not answer.owner:
             self._holder.unanswered(owner, payment.tenant, asked_ms)
         return answer
 
@@ -197,18 +179,20 @@
         held, alone = self._holder.held(tenant, now), self._holder.alone(tenant, now)
         return TakeQuota(number, tenant, payment.amount, wanted, held, alone, payment.returned)
 
-    async def _waited(self, owner: str, ask: _Ask, asked_ms: float) -> QuotaGranted | Granted | None:
-        await asyncio.wait((ask.answer,), timeout=ASK_S)
-        if ask.answer.done():
-            return ask.answer.result()
-        self._holder.unanswered(owner, ask.payment.tenant, asked_ms)
-        spent = self._from_reserve(ask.payment)
+    async def _waited(
+        self, owner: str, payment: Payment, future: asyncio.Future[QuotaGranted], asked_ms: float
+    ) -> QuotaGranted | Granted | None:
+        await asyncio.wait((future,), timeout=ASK_S)
+        if future.done():
+            return future.result()
+        self._holder.unanswered(owner, payment.tenant, asked_ms)
+        spent = self._from_reserve(payment)
         if isinstance(spent, Granted):
             return spent
         if self._streams.alive(owner) and self._holder.answers(owner, self._clock()):
             # It is there: the answer is only late, and better than a refusal.
-            await asyncio.wait((ask.answer,), timeout=ask.payment.answer_ms / 1_000.0 - ASK_S)
-            if ask.answer.done():
-                return ask.answer.result()
+            await asyncio.wait((future,), timeout=payment.answer_ms / 1_000.0 - ASK_S)
+            if future.done():
+                return future.result()
         self._silent_until_ms[owner] = self._clock() + SILENT_MS
         return None
