--- a/dunlinloft/controlplane/roles.py
+++ b/dunlinloft/controlplane/roles.py
@@ -64,8 +64,8 @@
     def follow(self, view: View) -> None:
         """Take the quotas that are this replica's by a view, and hand over those that no longer are."""
         chain = tuple(member.address for member in view.chain)
-        for address, levels in self._quotas.set_chain(view.epoch, chain, now_ms()).items():
-            self._hand_over(address, QuotasHandedOver(view.epoch, levels))
+        for given_up in self._quotas.set_chain(view.epoch, chain, now_ms()):
+            self._hand_over(given_up.owner, QuotasHandedOver(view.epoch, given_up.levels))
 
     def settle(self) -> None:
         """Fill quotas for the time that has passed; to be called often."""
--- a/dunlinloft/coordination/quotas.py
+++ b/dunlinloft/coordination/quotas.py
@@ -33,9 +33,7 @@
 TOGETHER_SECONDS = 1.0  # of the rate it begins with where no node runs longer than it: all had been down
 TOGETHER_MS = 2_000.0  # a node that began no earlier than this before its owner began together with it
 SETTLE_MS = 10.0  # buckets fill in steps of so long: what that takes grows with nodes, not with requests
-RETURNED_X = (
-    4.0  # times its amount that a request that was refused before needs: others are in time, it is late
-)
+RETURNED_X = 4.0  # times its amount that has to be there for a request that was refused before: it is late
 SCARCE_X = 1.15  # times a tenant's rate that first tries ask for, from where on waiting is of no use
 RESERVE_ABOVE = 0.3  # a reserve is filled only while the bucket holds more than this share of its most
 
@@ -97,6 +95,14 @@
     reserves: dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """Tenants' quotas that have another owner from now on, and what is left of each."""
+
+    owner: str  # its address
+    levels: dict[str, float] = field(default_factory=dict)  # by tenant
+
+
 @dataclass(frozen=True, slots=True)
 class HandedOver:
     """What an owner had left of a tenant's quota as it gave it up: it has granted nothing since."""
@@ -211,24 +217,24 @@
             bucket.pool = self._bounds.reserve_most(limits[tenant])
             bucket.level = min(bucket.level, bucket.most)
 
-    def set_chain(self, epoch: int, chain: tuple[str, ...], now_ms: float) -> dict[str, dict[str, float]]:
+    def set_chain(self, epoch: int, chain: tuple[str, ...], now_ms: float) -> list[GivenUp]:
         """The control planes among which quotas are sharded now; what comes over is waited for.
 
-        What is to be handed over: by address of the next owner, what is left of each tenant's quota.
+        What this owner gives up by that is to be handed over.
         """
         if epoch == self._epoch:
-            return {}
+            return []
         began = not self._chain  # a restart: in this epoch nobody but this replica granted what is its own
         skipped = not began and epoch != self._epoch + 1  # in between there may have been another owner
         old, self._chain, self._epoch = self._chain, chain, epoch
-        handed: dict[str, dict[str, float]] = {}
+        given_up: dict[str, GivenUp] = {}
         for tenant in self._limits:
             owner = owner_of(tenant, chain)
             if owner != self._address:
                 bucket = self._buckets.pop(tenant, None)
                 self._owned_since.pop(tenant, None)
                 if bucket is not None and owner is not None and not skipped:
-                    handed.setdefault(owner, {})[tenant] = bucket.level
+                    given_up.setdefault(owner, GivenUp(owner)).levels[tenant] = bucket.level
             elif skipped or owner_of(tenant, old) != self._address:
                 self._buckets.pop(tenant, None)
                 self._owned_since[tenant] = epoch
@@ -237,7 +243,7 @@
                     self._may_from_ms[tenant] = now_ms + HANDOVER_MS
                     self._sooner.discard(tenant)
                     self._owner_before[tenant] = "" if skipped else owner_of(tenant, old) or ""
-        return handed
+        return list(given_up.values())
 
     def hand_over(self, epoch: int, levels: dict[str, float]) -> None:
         """The owner before gave these tenants' quotas up for an epoch, which may not be known here yet."""
--- a/dunlinloft/dataplane/advice.py
+++ b/dunlinloft/dataplane/advice.py
@@ -17,6 +17,7 @@
     Placed,
     PlaceEnded,
 )
+from dunlinloft.dataplane.servers import ServerNeeds
 from dunlinloft.dataplane.streams import ControlStreams
 
 ASK_LEAST_MS, ASK_SHARE = 20.0, 0.2  # of the objective: so long an answer is waited for; then the node picks
@@ -78,26 +79,23 @@
         replicas = self._streams.replicas
         return None if replicas is None else owner_of_service(service, replicas.chain)
 
-    def chose(
-        self, service: str, parts: tuple[tuple[str, int], ...], answer_tokens: int, server_id: str
-    ) -> Advised | None:
+    def chose(self, service: str, needs: ServerNeeds, server_id: str) -> Advised | None:
         """Tell the owner which server the node chose itself; None where there is no owner to tell."""
         owner = self._owner(service)
         if owner is None:
             return None
         number = next(self._numbers)
-        if not self._streams.send(owner, PlaceChosen(number, service, parts, answer_tokens, server_id)):
+        chosen = PlaceChosen(number, service, needs.parts, needs.answer_tokens, server_id)
+        if not self._streams.send(owner, chosen):
             return None
         return Advised(self, owner, service, number, server_id)
 
     async def ask(
         self,
         service: str,
-        parts: tuple[tuple[str, int], ...],
-        answer_tokens: int,
+        needs: ServerNeeds,
         avoided: Collection[str],
         patient: bool,
-        aim_ms: float,
         now_ms: float,
     ) -> Advised | Wait | None:
         """The server that a request should go to; None where there is no advice in time."""
@@ -108,11 +106,10 @@
         future: asyncio.Future[Placed] = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
         try:
-            if not self._streams.send(
-                owner, Place(number, service, parts, answer_tokens, tuple(avoided), patient)
-            ):
+            place = Place(number, service, needs.parts, needs.answer_tokens, tuple(avoided), patient)
+            if not self._streams.send(owner, place):
                 return None
-            async with asyncio.timeout(max(ASK_LEAST_MS, ASK_SHARE * aim_ms) / 1_000.0):
+            async with asyncio.timeout(max(ASK_LEAST_MS, ASK_SHARE * needs.aim_ms) / 1_000.0):
                 placed = await future
         except TimeoutError:
             if not self._streams.alive(owner):
--- a/dunlinloft/dataplane/attempts.py
+++ b/dunlinloft/dataplane/attempts.py
@@ -164,7 +164,7 @@
         if server is None:
             return None
         serving.metrics.placements["own"] += 1
-        told = serving.advice.chose(serving.service, needs.parts, needs.answer_tokens, server.record.id)
+        told = serving.advice.chose(serving.service, needs, server.record.id)
         if told is not None:
             self._advised[server.record.id] = told
         return server
@@ -176,9 +176,7 @@
         patient = self._request.client_waited_ms(began_ms) >= self._request.aim_ms
         until_ms = began_ms + PATIENT_SHARE * (self._request.ends_ms - began_ms)
         while True:
-            advice = await serving.advice.ask(
-                serving.service, needs.parts, needs.answer_tokens, avoided, patient, needs.aim_ms, now_ms()
-            )
+            advice = await serving.advice.ask(serving.service, needs, avoided, patient, now_ms())
             if not isinstance(advice, Wait):
                 return advice
             await asyncio.sleep(advice.wait_ms * (0.5 + serving.rng.random()) / 1_000.0)
--- a/lab/control/quota_cluster.py
+++ b/lab/control/quota_cluster.py
@@ -153,11 +153,11 @@
         if replica.view is None:
             return
         epoch, chain = replica.view.epoch, tuple(member.address for member in replica.view.chain)
-        for target, levels in self.sides[address].owner.set_chain(epoch, chain, self.now).items():
+        for given_up in self.sides[address].owner.set_chain(epoch, chain, self.now):
             self._to_replica(
                 address,
-                target,
-                lambda side, levels=levels: side.owner.hand_over(epoch, levels),  # type: ignore[misc]
+                given_up.owner,
+                lambda side, levels=given_up.levels: side.owner.hand_over(epoch, levels),  # type: ignore[misc]
             )
 
     def _told(self, machine: Machine, node: QuotaNode, told: Replicas) -> None:
--- a/tests/test_control_quotas.py
+++ b/tests/test_control_quotas.py
@@ -18,6 +18,7 @@
 from dunlinloft.coordination.quota_shares import MOST_X, SHARE_KEPT_MS, SHARE_VALID_MS, TenantShares
 from dunlinloft.coordination.quotas import (
     HANDOVER_MS,
+    GivenUp,
     NodeHoldings,
     QuotaAsk,
     QuotaBounds,
@@ -168,9 +169,9 @@
     owner.settle(True, 0.0)
     owner._buckets["tenant"].level = 54_321.0
     handed = owner.set_chain(2, left, 1_000.0)
-    assert handed == {heir_address: {"tenant": 54_321.0}}
+    assert handed == [GivenUp(heir_address, {"tenant": 54_321.0})]
     assert owner.take(_ask(1.0), True, 1_000.0) is None
-    heir.hand_over(2, handed[heir_address])  # before it knows of the epoch
+    heir.hand_over(2, handed[0].levels)  # before it knows of the epoch
     assert heir.take(_ask(1.0), True, 1_000.0) is None
     heir.set_chain(2, left, 1_001.0)
     assert heir.take(_ask(1.0), True, 1_002.0) is not None
@@ -188,7 +189,7 @@
 def test_an_owner_that_missed_an_epoch_begins_anew() -> None:
     owner = _owner(_owner_address())
     owner.settle(True, 0.0)
-    assert owner.set_chain(3, CHAIN, 1_000.0) == {}
+    assert owner.set_chain(3, CHAIN, 1_000.0) == []
     assert owner.take(_ask(1.0), True, 1_001.0) is None, "another may have owned the quota in between"
     assert owner.take(_ask(1.0), True, 1_000.0 + HANDOVER_MS) is not None
 
--- a/tests/test_control_world.py
+++ b/tests/test_control_world.py
@@ -390,13 +390,19 @@
     pytest.fail(f"not caught: {message}")
 
 
-def _order_at_a_head_alone() -> None:
-    """One is down, another's disk has stalled: the two left agree on a chain of one."""
-    cluster = Cluster(90)
+def _without(seed: int, place: int) -> Cluster:
+    """Three members, of which the one at a place is down, and the others go on without it."""
+    cluster = Cluster(seed)
     cluster.run(500.0)
-    head, second, third = cluster.seeds
-    cluster.kill(third)
+    cluster.kill(cluster.seeds[place])
     cluster.run(1_500.0)
+    return cluster
+
+
+def _order_at_a_head_alone() -> None:
+    """One is down, another's disk has stalled: the two left agree on a chain of one."""
+    cluster = _without(90, 2)
+    head, second, _ = cluster.seeds
     cluster.stall(second, True)
     for number in range(80):
         for version in range(1, 9):
@@ -477,11 +483,8 @@
 
 def test_a_disk_that_is_lost_before_the_commit_is_no_copy_too_few() -> None:
     """Seed 21547: on its way to a frozen tail as the head lost its disk; the tail commits once it is back."""
-    cluster = Cluster(92)
-    cluster.run(500.0)
-    head, second, tail = cluster.seeds
-    cluster.kill(second)
-    cluster.run(1_500.0)
+    cluster = _without(92, 1)
+    head, _, tail = cluster.seeds
     cluster.freeze(tail)
     cluster.call(head, small_order(1, 0), lambda _: None)
     cluster.run(50.0)
@@ -503,11 +506,8 @@
 
 def _with_a_member_outside() -> tuple[Cluster, Replica, Member]:
     """A chain of a complete head and a member behind it that is catching up; and one outside, complete."""
-    cluster = Cluster(91)
-    cluster.run(500.0)
+    cluster = _without(91, 2)
     _, second, third = cluster.seeds
-    cluster.kill(third)
-    cluster.run(1_500.0)
     for version in range(1, 9):
         cluster.order(small_order(version, version - 1), lambda _: None)
         cluster.run(300.0)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -18,6 +18,7 @@
     ServerRecord,
 )
 from dunlinloft.dataplane.advice import Advice, Advised
+from dunlinloft.dataplane.servers import ServerNeeds
 from tests.virtual_time import run_virtually
 
 LONG = PlacementRequest((("system", 2_500), ("handbook", 3_800), ("own", 2_900)), 60)
@@ -164,6 +165,9 @@
 CHAIN = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
 
 
+NEEDS = ServerNeeds(200.0, parts=LONG.parts, answer_tokens=60)
+
+
 class _Owner:
     """An owner that answers after a while, in virtual time."""
 
@@ -189,7 +193,7 @@
     async def ask(self) -> bool:
         """Ask with an objective of 200 ms; whether advice came in time."""
         now = 1_000.0 * asyncio.get_running_loop().time()
-        advised = await self.advice.ask("pool", LONG.parts, 60, (), False, 200.0, now)
+        advised = await self.advice.ask("pool", NEEDS, (), False, now)
         return isinstance(advised, Advised)
 
 
@@ -217,7 +221,7 @@
 
 def test_a_choice_of_its_own_is_told_and_its_end_too() -> None:
     owner = _Owner(5.0)
-    told = owner.advice.chose("pool", LONG.parts, 60, "i-2")
+    told = owner.advice.chose("pool", NEEDS, "i-2")
     assert told is not None
     told.ended(False)
     chosen, ended = owner.sent
