Let no member alone suffice for a shared verdict, whatever classes it lost attempts of

Odds were capped by row (server and class), but a verdict adds up the classes: one member that lost one attempt of each of two classes (5.0 + 2.9) reached the threshold of 7 alone, against the stated rule. A starved stand-in was ruled out as the only cause: 23 plays of the real processes beside load up to 12 copies and 8 busy processes, late by up to 3 s, avoided one server at most.

Change: what a member says of a server is added up over the classes and capped once, errors and losses together.

--- a/dunlinloft/fleet/shared_state/verdicts.py
+++ b/dunlinloft/fleet/shared_state/verdicts.py
@@ -34,6 +34,7 @@
 # Members of the own zone that have to agree where no other zone does.
 MIN_ZONE_MEMBERS = 2
 OWN_ZONE_WEIGHT = 1.5  # of the own zone's losses, as its links are the ones in use
+MIN_LOSER_ODDS = 1.0  # by losses, from which a member counts among those
 MAX_AVOIDED_SHARE = 0.5  # of the servers
 # An avoided server is tried by some member at intervals of this share of the time since it is avoided, within
 # the bounds: by all members together, and ever more rarely.
@@ -64,6 +65,15 @@
     failure_age_ms: float
 
 
+class _Contribution(NamedTuple):
+    """What one member's report says of a server, weighted, over all classes."""
+
+    zone: str
+    errors: float
+    losses: float
+    successes: float
+
+
 class _Slow(NamedTuple):
     """A slow server: its delay over its peers', and when that was last reported."""
 
@@ -83,6 +93,19 @@
     successes: float = 0.0
     own_zone_successes: float = 0.0
 
+    def add(self, contribution: _Contribution, own_zone: str) -> None:
+        """Add what one member says; it counts for no more than `MAX_ODDS`, so that none suffices alone."""
+        errors = min(contribution.errors, MAX_ODDS)
+        losses = min(contribution.losses, MAX_ODDS - errors)
+        self.errors += errors
+        self.successes += contribution.successes
+        if contribution.zone == own_zone:
+            self.own_zone_errors += errors
+            self.own_zone_successes += contribution.successes
+            self.own_zone_losers += losses > MIN_LOSER_ODDS
+        if losses:
+            self.losses[contribution.zone] = max(self.losses.get(contribution.zone, 0.0), losses)
+
     def odds(self, zone: str) -> float:
         """Log odds, for members of this zone, that it fails half of its attempts, not as its peers do."""
         overall = self.errors + sum(self.losses.values()) - SUCCESS_EVIDENCE * self.successes
@@ -98,6 +121,13 @@
         return max(own_zone, overall)
 
 
+class _Pooled(NamedTuple):
+    """All members' statistics, by server and class, and by server over all its classes."""
+
+    by_class: dict[tuple[int, int], _PooledOdds]
+    by_server: dict[int, _PooledOdds]
+
+
 class VerdictPool:
     """One process's verdicts, from its own report and those of others."""
 
@@ -130,16 +160,14 @@
         pooled = self._pool(reports, start_ids, now)
         self.doubted = {
             server
-            for (server, class_hash), odds in pooled.items()
+            for (server, class_hash), odds in pooled.by_class.items()
             if odds.errors + sum(odds.losses.values())
             >= (SLOW_ODDS if class_hash == ALL_CLASSES else DOUBT_ODDS)
         } | {server for server, _ in self._avoided}
         self._judge(pooled, start_ids, now)
         return self._verdicts(elapsed_ms, now)
 
-    def _pool(
-        self, received: list[ReceivedReport], start_ids: dict[int, int], now: float
-    ) -> dict[tuple[int, int], _PooledOdds]:
+    def _pool(self, received: list[ReceivedReport], start_ids: dict[int, int], now: float) -> _Pooled:
         rows = [
             _Row(writer, report, row, age_ms + row.failure_age_ms)
             for writer, age_ms, report in received
@@ -150,44 +178,37 @@
         for _, _, row, _ in rows:
             key = row.server, row.class_hash
             successes[key] = successes.get(key, 0.0) + row.successes / 10.0
-        pooled: dict[tuple[int, int], _PooledOdds] = {}
+        pooled = _Pooled({}, {})
+        by_member: dict[tuple[int, str], _Contribution] = {}  # by server and member, over all classes
         for writer, report, row, failure_age_ms in rows:
-            key = row.server, row.class_hash
             self._users.setdefault(row.server, {})[writer] = now
             weight = 1.0 / (1.0 + 0.5 * report.health)
             if row.error_odds or row.loss_odds:
-                weight *= _freshness(row, failure_age_ms, successes[key] - row.successes / 10.0)
-            self._add(pooled.setdefault(key, _PooledOdds()), report.zone, row, weight / 10.0)
+                others = successes[row.server, row.class_hash] - row.successes / 10.0
+                weight *= _freshness(row, failure_age_ms, others)
+            contribution = _contribution(report.zone, row, weight / 10.0)
+            odds = pooled.by_class.setdefault((row.server, row.class_hash), _PooledOdds())
+            odds.add(contribution, self._zone)
+            odds.weighted_slowdown += contribution.errors * row.slowdown / 10.0
+            if row.class_hash != ALL_CLASSES:
+                member = row.server, writer
+                by_member[member] = _sum(by_member.get(member), contribution)
+        for (server, _), contribution in by_member.items():
+            pooled.by_server.setdefault(server, _PooledOdds()).add(contribution, self._zone)
         return pooled
 
-    def _add(self, pooled: _PooledOdds, zone: str, row: ServerStatistics, weight: float) -> None:
-        # No row counts for more than one process may observe, whatever it claims.
-        max_tenths = round(10.0 * MAX_ODDS)
-        errors = min(row.error_odds, max_tenths)
-        losses = min(row.loss_odds, max_tenths)
-        pooled.errors += weight * errors
-        pooled.weighted_slowdown += weight * errors * row.slowdown / 10.0
-        pooled.successes += weight * row.successes
-        if zone == self._zone:
-            pooled.own_zone_errors += weight * errors
-            pooled.own_zone_successes += weight * row.successes
-            pooled.own_zone_losers += row.loss_odds > 10
-        if losses:
-            pooled.losses[zone] = max(pooled.losses.get(zone, 0.0), weight * losses)
-
-    def _judge(
-        self, pooled: dict[tuple[int, int], _PooledOdds], start_ids: dict[int, int], now: float
-    ) -> None:
+    def _judge(self, pooled: _Pooled, start_ids: dict[int, int], now: float) -> None:
         """Update which servers are avoided, for which classes; the worst first, within the share allowed."""
         candidates: dict[tuple[int, int], float] = {}  # with the odds
-        self._judge_delays(pooled, start_ids, now)
-        for server, by_class in self._odds_by_server(pooled).items():
-            candidates |= self._judge_server(server, by_class)
+        self._judge_delays(pooled.by_class, start_ids, now)
+        for server, by_class in self._odds_by_server(pooled.by_class).items():
+            total = pooled.by_server[server].odds(self._zone)
+            candidates |= self._judge_server(server, total, by_class)
             if any(odds > 0.0 for odds in by_class.values()):
                 self._accused_ms[server] = now
         for server, class_hash in self._avoided:
             # Without a report nobody has tried the server, which is evidence of nothing.
-            unreported = all(key[0] != server or key[1] == ALL_CLASSES for key in pooled)
+            unreported = server not in pooled.by_server
             recent = now - self._accused_ms.get(server, -math.inf) < VERDICT_EXPIRY_MS
             if unreported and server in start_ids and recent:
                 candidates[server, class_hash] = KEEP_ODDS
@@ -221,9 +242,16 @@
                 found.setdefault(server, {})[class_hash] = odds.odds(self._zone)
         return found
 
-    def _judge_server(self, server: int, by_class: dict[int, float]) -> dict[tuple[int, int], float]:
-        """What is avoided of one server: all classes (0), some, or none."""
-        total = sum(by_class.values())
+    def _judge_server(
+        self, server: int, total: float, by_class: dict[int, float]
+    ) -> dict[tuple[int, int], float]:
+        """What is avoided of one server: all classes (0), some, or none.
+
+        Parameters
+        ----------
+        total, by_class
+            The pooled odds over all classes, and of each.
+        """
         responding = any(odds < -SUCCESS_EVIDENCE for odds in by_class.values())
         avoided = (server, 0) in self._avoided
         if not responding and (avoided or total >= AVOID_ODDS):
@@ -263,6 +291,26 @@
                 del self._users[server]
 
 
+def _contribution(zone: str, row: ServerStatistics, weight: float) -> _Contribution:
+    """What a row says; none counts for more than one process may observe, whatever it claims."""
+    max_tenths = round(10.0 * MAX_ODDS)
+    errors = weight * min(row.error_odds, max_tenths)
+    losses = weight * min(row.loss_odds, max_tenths)
+    return _Contribution(zone, errors, losses, weight * row.successes)
+
+
+def _sum(known: _Contribution | None, added: _Contribution) -> _Contribution:
+    """Add up what one member says of a server's classes."""
+    if known is None:
+        return added
+    return _Contribution(
+        added.zone,
+        known.errors + added.errors,
+        known.losses + added.losses,
+        known.successes + added.successes,
+    )
+
+
 def _is_healthy(report: ObservationReport) -> bool:
     """Whether the reporting member is not faulty itself: one that sees most of its servers fail."""
     return 2 * report.failing <= report.used
