Separate files, startup and the node's control side from what surrounds them; read seeds again

Change: a file layer below the data directory; start_components for all of a control plane but its HTTP API; control_clients for a node's side towards the control plane; live settings in the transport, so that a control plane without a view reads its seeds again (every 2 s, and on SIGHUP). Streams and relays go through addresses in order, not in that of a set's hashes.

--- a/dunlinloft/controlplane/components.py
+++ b/dunlinloft/controlplane/components.py
@@ -27,6 +27,7 @@
 from dunlinloft.coordination.views import Member
 from dunlinloft.settings import Settings
 from dunlinloft.transport.clock import now_ms
+from dunlinloft.transport.live_settings import LiveSettings
 
 
 class Components(Struct, frozen=True):
@@ -45,6 +46,7 @@
     publisher: NodePublisher
     quotas: QuotaService
     placement: PlacementService
+    settings: LiveSettings
 
     def stream_services(self) -> StreamServices:
         """What the internal listener's sessions hand messages to."""
@@ -75,7 +77,7 @@
 
 
 def build_components(
-    settings: Settings,
+    live_settings: LiveSettings,
     started_ms: float,
     replica: Replica,
     disk: DiskWriter,
@@ -91,6 +93,7 @@
     members:
         The servers and nodes known before this start.
     """
+    settings = live_settings.current
     address = settings.control_address(settings.ip_address)
     registry = ServerRegistry(settings.heartbeat_interval_ms, started_ms)
     publisher = NodePublisher()
@@ -125,6 +128,7 @@
         publisher=publisher,
         quotas=quotas,
         placement=placement,
+        settings=live_settings,
     )
 
 
--- a/dunlinloft/controlplane/data_directory.py
+++ b/dunlinloft/controlplane/data_directory.py
@@ -19,6 +19,7 @@
 from msgspec import Struct
 
 from dunlinloft.controlplane.exceptions import UnsupportedFormatError
+from dunlinloft.controlplane.file_layer import SYSTEM_FILES, FileLayer
 from dunlinloft.coordination.records import DurableState, Record, apply_record
 
 FORMAT_VERSION = 1
@@ -89,7 +90,7 @@
     return folder / f"log-{slot}"
 
 
-def read_snapshot(path: Path) -> Snapshot | None:
+def read_snapshot(path: Path, files: FileLayer = SYSTEM_FILES) -> Snapshot | None:
     """Read a snapshot; None where it is missing or torn, as one of the two may be at any time.
 
     Raises
@@ -99,9 +100,8 @@
     OSError
         The file can't be read.
     """
-    try:
-        data = path.read_bytes()
-    except FileNotFoundError:
+    data = files.read(path)
+    if data is None:
         return None
     bodies = intact_frames(data)
     if not bodies:
@@ -115,14 +115,13 @@
     return snapshot
 
 
-def read_log(path: Path, generation: int) -> list[Record]:
+def read_log(path: Path, generation: int, files: FileLayer = SYSTEM_FILES) -> list[Record]:
     """Read the records that follow a snapshot of this generation, up to the first missing or torn one.
 
     Raises `OSError` where the file is there and can't be read.
     """
-    try:
-        data = path.read_bytes()
-    except FileNotFoundError:
+    data = files.read(path)
+    if data is None:
         return []
     records: list[Record] = []
     for body in intact_frames(data):
@@ -136,7 +135,7 @@
     return records
 
 
-def recover(folder: Path) -> RecoveredState | None:
+def recover(folder: Path, files: FileLayer = SYSTEM_FILES) -> RecoveredState | None:
     """Recover the state in a data directory; None where there is none.
 
     Raises
@@ -146,7 +145,7 @@
     OSError
         A file can't be read.
     """
-    snapshots = [read_snapshot(snapshot_path(folder, slot)) for slot in SLOTS]
+    snapshots = [read_snapshot(snapshot_path(folder, slot), files) for slot in SLOTS]
     newest: Snapshot | None = None
     slot = 0
     for candidate_slot, candidate in enumerate(snapshots):
@@ -155,6 +154,6 @@
             slot = candidate_slot
     if newest is None:
         return None
-    for record in read_log(log_path(folder, slot), newest.generation):
+    for record in read_log(log_path(folder, slot), newest.generation, files):
         apply_record(newest.durable, record)
     return RecoveredState(newest.durable, slot, newest.generation)
--- a/dunlinloft/controlplane/disk_writer.py
+++ b/dunlinloft/controlplane/disk_writer.py
@@ -6,12 +6,14 @@
 from collections.abc import AsyncIterator, Callable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 
 from absl import logging
 
+from dunlinloft.controlplane.file_layer import SYSTEM_FILES, FileLayer
 from dunlinloft.controlplane.member_cache import CachedMembers, MemberCache
-from dunlinloft.controlplane.store import ReplicaStore
+from dunlinloft.controlplane.store import MAX_LOG_BYTES, ReplicaStore
 from dunlinloft.coordination.actions import Persist
 from dunlinloft.coordination.records import DurableState, Record
 
@@ -95,14 +97,19 @@
 
 
 @asynccontextmanager
-async def open_disk(folder: Path | None, first_incarnation: str | None) -> AsyncIterator[DiskWriter]:
+async def open_disk(
+    folder: Path | None,
+    first_incarnation: str | None,
+    files: FileLayer = SYSTEM_FILES,
+    max_log_bytes: int = MAX_LOG_BYTES,
+) -> AsyncIterator[DiskWriter]:
     """Recover a data directory and write to it until the context ends; a write in progress is waited for.
 
     Parameters
     ----------
     folder:
         The data directory; None for a process whose state doesn't outlive it.
-    first_incarnation:
+    first_incarnation, files, max_log_bytes:
         See `ReplicaStore`.
 
     Raises
@@ -114,20 +121,21 @@
         if folder is None:
             yield DiskWriter(executor, DurableState(first_incarnation or ""))
             return
-        store = await _open_store(executor, folder, first_incarnation)
+        loop = asyncio.get_running_loop()
+        open_store = partial(ReplicaStore, folder, first_incarnation, files, max_log_bytes)
+        store = await _open_store(executor, open_store)
         try:
-            yield DiskWriter(executor, store.durable, store, MemberCache(folder))
+            yield DiskWriter(executor, store.durable, store, MemberCache(folder, files))
         finally:
-            executor.submit(store.close)  # queued behind the write in progress, which needs the file open
+            # Queued behind the write in progress, which needs the file open.
+            loop.run_in_executor(executor, store.close)
 
 
-async def _open_store(
-    executor: ThreadPoolExecutor, folder: Path, first_incarnation: str | None
-) -> ReplicaStore:
+async def _open_store(executor: ThreadPoolExecutor, open_store: Callable[[], ReplicaStore]) -> ReplicaStore:
     loop = asyncio.get_running_loop()
     while True:
         try:
-            return await loop.run_in_executor(executor, ReplicaStore, folder, first_incarnation)
+            return await loop.run_in_executor(executor, open_store)
         except OSError as error:
             logging.error("event=disk_refused at=open error=%s", error)
             await asyncio.sleep(DISK_RETRY_INTERVAL_S)
--- a/dunlinloft/controlplane/loops.py
+++ b/dunlinloft/controlplane/loops.py
@@ -57,10 +57,14 @@
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def _follow_view(self) -> None:
-        """Shard quotas by the view in force, and send nodes the replicas in it."""
+        """Shard quotas by the view in force, and send nodes the replicas in it.
+
+        Without a view nobody has answered yet: the seeds in the settings file may have changed meanwhile.
+        """
         components = self._components
         view = components.replica.view
         if view is None:
+            components.replica.set_seeds(components.settings.seeds())
             return
         addresses = tuple(member.address for member in view.roster)
         chain = tuple(member.address for member in view.chain)
@@ -91,7 +95,7 @@
             components.nodes.expire(now_ms())
             components.quotas.drop_expired()
             frame = message_stream.encode_frame(NodeSightings(components.nodes.sightings(now_ms())))
-            for address in components.replica.peer_addresses():
+            for address in sorted(components.replica.peer_addresses()):
                 components.peers.send_frame(address, frame)
 
     async def _cache_members(self) -> None:
--- a/dunlinloft/controlplane/member_cache.py
+++ b/dunlinloft/controlplane/member_cache.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from dunlinloft.controlplane.exceptions import MemberCacheError
+from dunlinloft.controlplane.file_layer import SYSTEM_FILES, FileLayer, write_fully
 from dunlinloft.coordination.stream import NodeSighting, ServerRecord
 
 FORMAT_VERSION = 2
@@ -40,21 +41,22 @@
 class MemberCache:
     """The cache files of one data directory. Its methods wait for the disk; `DiskWriter` calls them."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, files: FileLayer = SYSTEM_FILES) -> None:
+        self._files = files
         self._paths = (folder / "servers-0", folder / "servers-1")
         self._generation = 0
 
     def read(self) -> CachedMembers:
         """The members of the newest file that can be read; none where there is no such file."""
-        files = []
+        found = []
         for path in self._paths:
             try:
-                files.append(_read_file(path))
+                found.append(_read_file(path, self._files))
             except MemberCacheError:
                 continue
-        if not files:
+        if not found:
             return CachedMembers()
-        newest = max(files, key=lambda file: file.generation)
+        newest = max(found, key=lambda file: file.generation)
         self._generation = newest.generation
         return newest.known
 
@@ -63,13 +65,21 @@
         self._generation += 1
         body = msgspec.json.encode(_CacheFile(FORMAT_VERSION, self._generation, members))
         path = self._paths[self._generation % 2]
-        path.write_bytes(b"%d\n" % zlib.crc32(body) + body)
+        file = self._files.open(path)
+        try:
+            self._files.truncate(file)
+            write_fully(self._files, file, b"%d\n" % zlib.crc32(body) + body, 0)
+        finally:
+            self._files.close(file)
 
 
-def _read_file(path: Path) -> _CacheFile:
+def _read_file(path: Path, files: FileLayer) -> _CacheFile:
     """Read and check one cache file. Raises `MemberCacheError`."""
     try:
-        checksum, _, body = path.read_bytes().partition(b"\n")
+        data = files.read(path)
+        if data is None:
+            raise MemberCacheError(path, "no such file")
+        checksum, _, body = data.partition(b"\n")
         if int(checksum) != zlib.crc32(body):
             raise MemberCacheError(path, "wrong checksum")
         file = _decoder.decode(body)
--- a/dunlinloft/controlplane/process.py
+++ b/dunlinloft/controlplane/process.py
@@ -6,20 +6,13 @@
 import signal
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
-from pathlib import Path
 
-from absl import logging
-
-from dunlinloft.controlplane.components import Components, build_components, build_replica
-from dunlinloft.controlplane.disk_writer import open_disk
-from dunlinloft.controlplane.loops import PeriodicLoops
-from dunlinloft.controlplane.peer_connections import PeerConnections
-from dunlinloft.controlplane.stream_server import serve_streams
-from dunlinloft.coordination.views import FIRST_INCARNATION, initial_view
+from dunlinloft.controlplane.components import Components
+from dunlinloft.controlplane.startup import start_components
 from dunlinloft.settings import Settings, split_host_port
 from dunlinloft.transport.aiohttp_import import import_aiohttp
 from dunlinloft.transport.clock import now_ms
-from dunlinloft.transport.tasks import BackgroundTasks, run_essential
+from dunlinloft.transport.live_settings import LiveSettings
 
 LEAVE_GRACE_FRACTION = 0.8  # of the grace period, for the others to go on without this replica
 HTTP_LISTEN_BACKLOG = 512  # connections not accepted yet: all servers may turn to this replica at once
@@ -29,7 +22,7 @@
     """The program; everything it uses is opened in `run` and closed when that ends, in reverse order."""
 
     def __init__(self, settings: Settings) -> None:
-        self._settings = settings
+        self._settings = LiveSettings(settings)
         self._started_ms = now_ms()
 
     async def run(self) -> None:
@@ -42,52 +35,31 @@
         OSError
             A listener's address can't be used.
         """
-        stop = _stop_event()
+        stop = self._stop_event()
         async with AsyncExitStack() as stack:
             components = await self._start(stack)
             await stop.wait()
-            grace_period_s = self._settings.timing_bounds.grace_period_s
+            grace_period_s = self._settings.current.timing_bounds.grace_period_s
             await components.replica_host.leave(LEAVE_GRACE_FRACTION * grace_period_s)
 
-    async def _start(self, stack: AsyncExitStack) -> Components:
-        """Open and build everything.
+    def _stop_event(self) -> asyncio.Event:
+        """An event that SIGTERM or SIGINT sets; SIGHUP has the settings file read again."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGINT, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._settings.reload)
+        return stop
 
-        The order matters: nothing is sent before the durable state is recovered, and the HTTP API comes last,
-        as replicas and nodes wait for the rest at a start.
-        """
-        settings = self._settings
-        holds_state = settings.counts_for_quorum
-        folder = Path(settings.data_directory) if settings.data_directory and holds_state else None
-        first_incarnation = FIRST_INCARNATION if settings.bootstrap else None
-        disk = await stack.enter_async_context(open_disk(folder, first_incarnation))
-        replica = build_replica(settings, disk.durable)
-        members = await disk.read_members()
-        peers = await stack.enter_async_context(PeerConnections())
-        components = build_components(settings, self._started_ms, replica, disk, peers, members)
-        address = settings.control_address(settings.ip_address)
-        begins = settings.bootstrap and holds_state and address in settings.seed_addresses()
-        components.replica_host.begin(initial_view(settings.seed_addresses()) if begins else None)
-        host, port = split_host_port(address)
-        await stack.enter_async_context(serve_streams(components.stream_services(), host, port))
-        logging.info("event=started node=%s member=%s", settings.node_name, replica.me.id)
-        tasks = await stack.enter_async_context(BackgroundTasks())
-        for loop in PeriodicLoops(components).coroutines():
-            tasks.start(run_essential(loop, settings.node_name))
-        assert settings.listeners_config.control_plane is not None
-        await stack.enter_async_context(_serve_http(components, settings.listeners_config.control_plane))
+    async def _start(self, stack: AsyncExitStack) -> Components:
+        """Open and start everything; the HTTP API comes last, as replicas and nodes wait for the rest."""
+        components = await start_components(self._settings, self._started_ms, stack)
+        control_plane = self._settings.current.listeners_config.control_plane
+        assert control_plane is not None
+        await stack.enter_async_context(_serve_http(components, control_plane))
         return components
 
 
-def _stop_event() -> asyncio.Event:
-    """An event that SIGTERM or SIGINT sets. SIGHUP is for nodes, and must not end a control plane."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    return stop
-
-
 @asynccontextmanager
 async def _serve_http(components: Components, address: str) -> AsyncIterator[None]:
     """Serve the HTTP API until the context ends; then open connections are closed without an answer.
--- a/dunlinloft/controlplane/replica_host.py
+++ b/dunlinloft/controlplane/replica_host.py
@@ -5,7 +5,6 @@
 import asyncio
 import itertools
 import secrets
-import time
 from collections.abc import Callable
 from typing import cast
 
@@ -79,8 +78,8 @@
         enough others have it.
         """
         self._perform(self._replica.leave(now_ms()))
-        deadline_s = time.monotonic() + timeout_s
-        while time.monotonic() < deadline_s and not self._replica.can_stop():
+        deadline_ms = now_ms() + 1_000.0 * timeout_s
+        while now_ms() < deadline_ms and not self._replica.can_stop():
             await asyncio.sleep(LEAVE_POLL_INTERVAL_S)
 
     def _perform(self, actions: list[Action]) -> None:
--- /dev/null
+++ b/dunlinloft/controlplane/startup.py
@@ -0,0 +1,66 @@
+"""The order in which a control plane's parts are opened and started: all but the HTTP API."""
+
+from __future__ import annotations
+
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+from absl import logging
+
+from dunlinloft.controlplane.components import Components, build_components, build_replica
+from dunlinloft.controlplane.disk_writer import open_disk
+from dunlinloft.controlplane.file_layer import SYSTEM_FILES, FileLayer
+from dunlinloft.controlplane.loops import PeriodicLoops
+from dunlinloft.controlplane.peer_connections import PeerConnections
+from dunlinloft.controlplane.store import MAX_LOG_BYTES
+from dunlinloft.controlplane.stream_server import serve_streams
+from dunlinloft.coordination.views import FIRST_INCARNATION, initial_view
+from dunlinloft.settings import split_host_port
+from dunlinloft.transport.live_settings import LiveSettings
+from dunlinloft.transport.tasks import BackgroundTasks, run_essential
+
+
+async def start_components(
+    live_settings: LiveSettings,
+    started_ms: float,
+    stack: AsyncExitStack,
+    files: FileLayer = SYSTEM_FILES,
+    max_log_bytes: int = MAX_LOG_BYTES,
+) -> Components:
+    """Open, build and start a control plane; `stack` closes everything in reverse order.
+
+    The order matters: nothing is sent before the durable state is recovered.
+
+    Parameters
+    ----------
+    started_ms:
+        When the process started, on the clock of `now_ms`.
+    files, max_log_bytes:
+        See `ReplicaStore`.
+
+    Raises
+    ------
+    StoreError
+        The data directory was written in another format.
+    OSError
+        The internal listener's address can't be used.
+    """
+    settings = live_settings.current
+    holds_state = settings.counts_for_quorum
+    folder = Path(settings.data_directory) if settings.data_directory and holds_state else None
+    first_incarnation = FIRST_INCARNATION if settings.bootstrap else None
+    disk = await stack.enter_async_context(open_disk(folder, first_incarnation, files, max_log_bytes))
+    replica = build_replica(settings, disk.durable)
+    members = await disk.read_members()
+    peers = await stack.enter_async_context(PeerConnections())
+    components = build_components(live_settings, started_ms, replica, disk, peers, members)
+    address = settings.control_address(settings.ip_address)
+    begins = settings.bootstrap and holds_state and address in settings.seed_addresses()
+    components.replica_host.begin(initial_view(settings.seed_addresses()) if begins else None)
+    host, port = split_host_port(address)
+    await stack.enter_async_context(serve_streams(components.stream_services(), host, port))
+    logging.info("event=started node=%s member=%s", settings.node_name, replica.me.id)
+    tasks = await stack.enter_async_context(BackgroundTasks())
+    for loop in PeriodicLoops(components).coroutines():
+        tasks.start(run_essential(loop, settings.node_name))
+    return components
--- a/dunlinloft/controlplane/store.py
+++ b/dunlinloft/controlplane/store.py
@@ -19,6 +19,7 @@
     recover,
     snapshot_path,
 )
+from dunlinloft.controlplane.file_layer import SYSTEM_FILES, FileLayer, write_fully
 from dunlinloft.coordination.records import DurableState, Record, apply_record
 from dunlinloft.coordination.views import Member, View
 
@@ -33,7 +34,13 @@
     closes its file at the end.
     """
 
-    def __init__(self, folder: Path, first_incarnation: str | None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        first_incarnation: str | None,
+        files: FileLayer = SYSTEM_FILES,
+        max_log_bytes: int = MAX_LOG_BYTES,
+    ) -> None:
         """Recover the directory's state, or begin one, and write it to the other slot.
 
         Parameters
@@ -41,6 +48,10 @@
         first_incarnation:
             The incarnation of a directory without a state at the very first start of the control plane.
             None: such a directory begins a new incarnation, which has promised nothing.
+        files:
+            Makes the file operations.
+        max_log_bytes:
+            A longer log is compacted into the other slot.
 
         Raises
         ------
@@ -50,8 +61,10 @@
             The directory was written in another format.
         """
         self._folder = folder
-        folder.mkdir(parents=True, exist_ok=True)
-        recovered = recover(folder)
+        self._files = files
+        self._max_log_bytes = max_log_bytes
+        files.make_folder(folder)
+        recovered = recover(folder, files)
         if recovered is None:
             recovered = RecoveredState(DurableState(first_incarnation or secrets.token_hex(8)), 1, 0)
         self.durable = recovered.durable
@@ -76,7 +89,7 @@
     def close(self) -> None:
         """Close the log. Everything appended is synced already."""
         if self._log is not None:
-            os.close(self._log)
+            self._files.close(self._log)
             self._log = None
 
     def append(self, records: list[Record]) -> None:
@@ -84,7 +97,7 @@
 
         Raises `OSError` where the disk refuses; the same call may then be retried.
         """
-        if self._log_bytes > MAX_LOG_BYTES:
+        if self._log_bytes > self._max_log_bytes:
             self._switch_slot()
         assert self._log is not None
         number = self._next_number
@@ -92,8 +105,8 @@
         for record in records:
             data += encode_frame(msgspec.json.encode(LogRecord(self._generation, number, record)))
             number += 1
-        _write_fully(self._log, data, self._log_bytes)
-        os.fdatasync(self._log)
+        write_fully(self._files, self._log, data, self._log_bytes)
+        self._files.sync_data(self._log)
         self._log_bytes += len(data)
         self._next_number = number
         for record in records:
@@ -111,13 +124,13 @@
         slot = 1 - self._slot
         generation = self._generation + 1
         body = msgspec.json.encode(Snapshot(FORMAT_VERSION, generation, self.durable))
-        _write_file(snapshot_path(self._folder, slot), encode_frame(body))
-        log = os.open(log_path(self._folder, slot), os.O_RDWR | os.O_CREAT, 0o644)
+        self._write_file(snapshot_path(self._folder, slot), encode_frame(body))
+        log = self._files.open(log_path(self._folder, slot))
         try:
-            os.ftruncate(log, 0)
-            os.fsync(log)
+            self._files.truncate(log)
+            self._files.sync(log)
         except OSError:
-            os.close(log)
+            self._files.close(log)
             raise
         self.close()
         self._log = log
@@ -125,7 +138,17 @@
         self._generation = generation
         self._next_number = 0
         self._log_bytes = 0
-        _sync_folder(self._folder)
+        self._files.sync_folder(self._folder)
+
+    def _write_file(self, path: Path, data: bytes) -> None:
+        """Replace a file's content and sync it."""
+        file = self._files.open(path)
+        try:
+            self._files.truncate(file)
+            write_fully(self._files, file, data, 0)
+            self._files.sync(file)
+        finally:
+            self._files.close(file)
 
 
 def begin_new_epoch(folder: Path, address: str, epoch: int) -> Member:
@@ -157,32 +180,3 @@
         log.flush()
         os.fsync(log.fileno())
     return member
-
-
-def _write_file(path: Path, data: bytes) -> None:
-    """Replace a file's content and sync it."""
-    file = os.open(path, os.O_RDWR | os.O_CREAT, 0o644)
-    try:
-        os.ftruncate(file, 0)
-        _write_fully(file, data, 0)
-        os.fsync(file)
-    finally:
-        os.close(file)
-
-
-def _sync_folder(folder: Path) -> None:
-    """Sync a folder's entries, so that files created in it are found after a crash."""
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def _write_fully(file: int, data: bytes, offset: int) -> None:
-    """Write all of `data` at an offset; `pwrite` may write less than it is given."""
-    remaining = memoryview(data)
-    while remaining:
-        written = os.pwrite(file, remaining, offset)
-        remaining = remaining[written:]
-        offset += written
--- a/dunlinloft/coordination/heartbeat_exchange.py
+++ b/dunlinloft/coordination/heartbeat_exchange.py
@@ -61,6 +61,10 @@
             self.send_to_all(now_ms)
             self._failure_detector.forget_stale(now_ms)
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other addresses of replicas to send heartbeats to while no replica is known."""
+        self._seeds = seeds
+
     def send_with_next_tick(self) -> None:
         """Have heartbeats sent with the next tick, as there is something new in them."""
         self._sent_ms = -HEARTBEAT_INTERVAL_MS
--- a/dunlinloft/coordination/replica.py
+++ b/dunlinloft/coordination/replica.py
@@ -165,6 +165,10 @@
         self._heartbeats.send_to_all(now_ms)
         return self._finish_event()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds: those that a newcomer started with may be gone by now."""
+        self._heartbeats.set_seeds(seeds)
+
     # Questions of the host. They change nothing.
 
     def has_lease(self, now_ms: float) -> bool:
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -13,33 +13,24 @@
 from aiohttp.web_response import Response, StreamResponse
 from aiohttp.web_server import Server
 
-from dunlinloft.dataplane.active_configuration import ActiveConfiguration
 from dunlinloft.dataplane.client_request import ClientRequest
+from dunlinloft.dataplane.control_clients import build_control_clients
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.frontend import Frontend
 from dunlinloft.dataplane.graceful_shutdown import GracefulShutdown
-from dunlinloft.dataplane.live_settings import LiveSettings
 from dunlinloft.dataplane.metrics import Metrics
-from dunlinloft.dataplane.node_state import NodeState
-from dunlinloft.dataplane.placement_client import PlacementClient
-from dunlinloft.dataplane.quota_client import QuotaClient
-from dunlinloft.dataplane.replica_streams import ReplicaStreams
-from dunlinloft.dataplane.server_table import ServerTable
 from dunlinloft.dataplane.service_context import ServiceContexts
-from dunlinloft.dataplane.subscriptions import Subscriptions
-from dunlinloft.quota_bounds import quota_bounds
 from dunlinloft.settings import Settings, split_host_port
 from dunlinloft.transport.clock import now_ms
+from dunlinloft.transport.live_settings import LiveSettings
 from dunlinloft.transport.tasks import BackgroundTasks, run_essential
 
 CLIENT_IDLE_TIMEOUT_S = 75.0  # persistent client connections idle for longer are closed
 MAX_HEADER_BYTES = 65_536  # of one header line of a client
 LISTEN_BACKLOG = 1_024  # connections
 METRICS_PORT = 9464  # as in `deploy/system.toml`
-TICK_INTERVAL_S = 0.1
 DRAIN_POLL_INTERVAL_S = 0.05
 FAREWELL_FLUSH_S = 0.05  # for the announcement that this process ends to be sent
-LISTING_RETENTION_HEARTBEATS = 4.0  # heartbeat intervals that a lost stream's server listing is kept for
 
 
 class DataPlane:
@@ -52,21 +43,11 @@
         self._shutdown = GracefulShutdown(1_000.0 * bounds.grace_period_s)
         self._serving = asyncio.Event()  # set once the node has what it needs to serve
         self._metrics = Metrics()
-        configuration = ActiveConfiguration(rng)
-        servers = ServerTable(rng)
-        streams = ReplicaStreams()
-        quotas = QuotaClient(streams, quota_bounds(bounds))
-        placement = PlacementClient(streams)
-        self._state = NodeState(configuration, servers, quotas, placement, streams, self._serving)
-        self._subscriptions = Subscriptions(
-            settings.node_name, settings.zone, self._settings.seeds, streams, self._state
-        )
-        self._contexts = ServiceContexts(
-            self._settings, configuration, servers, placement, streams, rng, self._metrics
-        )
+        self._clients = build_control_clients(self._settings, rng, self._serving)
+        self._contexts = ServiceContexts(self._clients, rng, self._metrics)
         self._frontend = Frontend(
-            lambda: configuration.table,
-            quotas,
+            lambda: self._clients.configuration.table,
+            self._clients.quotas,
             self._create_exchange,
             self._shutdown,
             self._serving,
@@ -97,11 +78,11 @@
             frontend_listener = await self._listen(frontend_server, listeners)
             logging.info("event=started node=%s", node)
             async with BackgroundTasks() as tasks:
-                tasks.start(run_essential(self._subscriptions.run(), node))
-                tasks.start(run_essential(self._tick_forever(), node))
+                tasks.start(run_essential(self._clients.subscriptions.run(), node))
+                tasks.start(run_essential(self._clients.tick_forever(), node))
                 await stop.wait()
                 await self._drain(frontend_server, frontend_listener)
-            await self._subscriptions.close()
+            await self._clients.subscriptions.close()
 
     async def _listen(self, frontend_server: Server, listeners: contextlib.ExitStack) -> asyncio.Server:
         """Open all listeners; `listeners` closes them at the end. Returns the frontend's."""
@@ -139,15 +120,9 @@
         self._frontend.close_connections(frontend_server.connections)
         while self._frontend.in_flight and now_ms() < self._shutdown.deadline_ms:
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        self._subscriptions.stop()
+        self._clients.subscriptions.stop()
         await asyncio.sleep(FAREWELL_FLUSH_S)
 
-    async def _tick_forever(self) -> None:
-        retention_ms = LISTING_RETENTION_HEARTBEATS * self._settings.current.heartbeat_interval_ms
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            self._state.on_tick(retention_ms)
-
     @property
     def ready(self) -> bool:
         """Whether the platform should send connections."""
--- a/dunlinloft/dataplane/server_table.py
+++ b/dunlinloft/dataplane/server_table.py
@@ -56,7 +56,8 @@
         """
         self._stream_lost_ms.pop(replica, None)
         old = self._listed.get(replica, {})
-        new = {record.id: record for record in self._known() if range_of(record.id) not in set(ranges)}
+        listed_ranges = frozenset(ranges)
+        new = {record.id: record for record in self._known() if range_of(record.id) not in listed_ranges}
         new.update({record.id: record for record in records})
         self._unconfirmed[replica] = {i: record for i, record in old.items() if i not in new}
         self._listed[replica] = {**old, **new}
--- a/dunlinloft/dataplane/service_context.py
+++ b/dunlinloft/dataplane/service_context.py
@@ -5,14 +5,11 @@
 import random
 from dataclasses import dataclass
 
-from dunlinloft.dataplane.active_configuration import ActiveConfiguration
-from dunlinloft.dataplane.control_streams import ControlStreams
-from dunlinloft.dataplane.live_settings import LiveSettings
+from dunlinloft.dataplane.control_clients import ControlClients
 from dunlinloft.dataplane.metrics import Metrics
 from dunlinloft.dataplane.placement_client import PlacementClient
 from dunlinloft.dataplane.retry_budget import RetryBudget
 from dunlinloft.dataplane.server_pool import ServerPool
-from dunlinloft.dataplane.server_table import ServerTable
 from dunlinloft.dataplane.upstream import Upstream
 
 DEFAULT_MAX_CONNECTIONS = 64  # of a service that the active configuration no longer names; as in `Service`
@@ -39,21 +36,8 @@
     `DataPlane` takes a context from here for each exchange.
     """
 
-    def __init__(
-        self,
-        settings: LiveSettings,
-        configuration: ActiveConfiguration,
-        servers: ServerTable,
-        placement: PlacementClient,
-        streams: ControlStreams,
-        rng: random.Random,
-        metrics: Metrics,
-    ) -> None:
-        self._settings = settings
-        self._configuration = configuration
-        self._servers = servers
-        self._placement = placement
-        self._streams = streams
+    def __init__(self, clients: ControlClients, rng: random.Random, metrics: Metrics) -> None:
+        self._clients = clients
         self._rng = rng
         self._metrics = metrics
         self._upstreams: dict[str, Upstream] = {}  # by service
@@ -67,13 +51,13 @@
             self._upstreams[service] = upstream
         budget = self._budgets.get(service)
         if budget is None:
-            bounds = self._settings.current.timing_bounds
+            bounds = self._clients.settings.current.timing_bounds
             budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_window_s, bounds.retry_allowance)
             self._budgets[service] = budget
         return ServiceContext(
             service,
-            self._servers.pool(service),
-            self._placement,
+            self._clients.servers.pool(service),
+            self._clients.placement,
             upstream,
             budget,
             self._node_count(),
@@ -83,12 +67,13 @@
 
     def _create_upstream(self, service: str) -> Upstream:
         """Divide the connections that a server accepts evenly among the nodes."""
-        assert self._configuration.table is not None
-        configured = self._configuration.table.services.get(service)
+        table = self._clients.configuration.table
+        assert table is not None
+        configured = table.services.get(service)
         max_connections = DEFAULT_MAX_CONNECTIONS if configured is None else configured.max_connections
         return Upstream(max(MIN_REQUESTS_PER_SERVER, max_connections // max(1, self._node_count())))
 
     def _node_count(self) -> int:
         """The number of nodes in the fleet, as the control plane announces it; 1 before that."""
-        view = self._streams.view
+        view = self._clients.streams.view
         return 1 if view is None else view.node_count
--- a/dunlinloft/dataplane/subscriptions.py
+++ b/dunlinloft/dataplane/subscriptions.py
@@ -113,9 +113,9 @@
 
     def _reconcile(self) -> None:
         wanted = self._wanted()
-        for address in wanted - self._tasks.keys():
+        for address in sorted(wanted - self._tasks.keys()):
             self._tasks[address] = asyncio.create_task(self._maintain(address))
-        for address in self._tasks.keys() - wanted:
+        for address in sorted(self._tasks.keys() - wanted):
             task = self._tasks.pop(address)
             self._cancelled.add(task)
             task.add_done_callback(self._cancelled.discard)
--- a/dunlinloft/dataplane/live_settings.py
+++ b/dunlinloft/transport/live_settings.py
@@ -1,7 +1,9 @@
-"""The settings file while the process runs: seeds may change in it with or without a signal."""
+"""The settings file while a process runs: seeds may change in it with or without a signal."""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from absl import logging
 
 from dunlinloft.exceptions import SettingsError
@@ -18,8 +20,10 @@
     of new retry budgets are those of `current`.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, read: Callable[[str], Settings] = read_settings) -> None:
+        """Begin with the settings that were read at the start; `read` reads their file again."""
         self.current = settings
+        self._read = read
         self._read_ms = now_ms()
 
     def seeds(self) -> tuple[str, ...]:
@@ -35,6 +39,6 @@
         if path is None:
             return
         try:
-            self.current = read_settings(path)
+            self.current = self._read(path)
         except SettingsError as error:
             logging.error("event=settings_refused error=%s", error)
