Record in the replicated history that a change on a future version was rejected

Cause: rejections were remembered by the head's process alone. A copy forwarded to the next head, once its base version was current, was taken although its operator had been told 412.

Old bases never become current, and what is invalid on its base stays so.

--- a/dunlinloft/controlplane/http_api.py
+++ b/dunlinloft/controlplane/http_api.py
@@ -126,7 +126,7 @@
         reply = await self._call(None)
         if reply.status != 200:
             return json_response(reply.status, reply.reason)
-        if not reply.document:
+        if not reply.version:
             return json_response(404, "no configuration has been taken yet")
         body = msgspec.json.encode(reply.document)
         return Response(status=200, body=body, content_type="application/json")
--- a/dunlinloft/coordination/change_queue.py
+++ b/dunlinloft/coordination/change_queue.py
@@ -3,6 +3,10 @@
 One change at a time, so that each is validated against a committed state. A rejection is answered only once a
 majority has confirmed the epoch (`epoch_confirmation`); an acceptance only once this epoch's tail has
 committed the change.
+
+A rejected change must never be accepted later, by any head. One on an old base version can't be, as versions
+rise; one that is invalid on its base version stays so. One whose base version does not exist yet might be,
+once that is current: its rejection is recorded in the replicated history, and answered once committed.
 """
 
 from __future__ import annotations
@@ -16,7 +20,7 @@
 from dunlinloft.coordination.call_status import CallStatus
 from dunlinloft.coordination.chain import ChainReplica
 from dunlinloft.coordination.epoch_confirmation import ConfirmationRound, EpochConfirmation
-from dunlinloft.coordination.history import next_entry
+from dunlinloft.coordination.history import is_recorded_as_rejected, next_entry, rejection_entry
 from dunlinloft.coordination.state import ConfigurationChange, Document
 from dunlinloft.coordination.verdicts import Invalid, Validator
 from dunlinloft.coordination.views import Member, View
@@ -60,7 +64,7 @@
 
     change: ConfigurationChange
     callers: list[Caller]
-    sequence: int = 0  # of the entry that it waits for
+    sequence: int = 0  # of the entry that it waits for; 0 for none
     rejection: _Rejection | None = None
     confirmation: ConfirmationRound = field(default_factory=ConfirmationRound)
 
@@ -129,6 +133,8 @@
             queued.sequence = state.sequence
         elif rejection is not None:
             queued.rejection = rejection
+        elif is_recorded_as_rejected(state, queued.change):
+            queued.rejection = _Rejection(CallStatus.BASE_NOT_CURRENT, "its base version was not current")
         else:
             self._validate_and_append(queued)
         return True
@@ -139,6 +145,8 @@
         if change.base_version != state.version:
             reason = f"version {state.version} is current"
             queued.rejection = _Rejection(CallStatus.BASE_NOT_CURRENT, reason)
+            if change.base_version > state.version:
+                self._reject_future_base(queued)
             return
         verdict = self._validate(state.document, change)
         if isinstance(verdict, Invalid):
@@ -150,20 +158,25 @@
             queued.sequence = state.sequence + 1
             self._chain.append(next_entry(state, verdict.version, change))
 
+    def _reject_future_base(self, queued: _QueuedChange) -> None:
+        """Record the rejection of a change whose base version may become current later."""
+        state = self._chain.state
+        queued.sequence = state.sequence + 1
+        self._chain.append(rejection_entry(state, queued.change))
+
     def _finish(self, queued: _QueuedChange, view: View, now_ms: float) -> bool:
         """Answer a change that is committed, or rejected and confirmed; return whether it was."""
         version = self._chain.committed.version
+        if self._chain.committed.sequence < queued.sequence:
+            return False
         rejection = queued.rejection
-        if rejection is not None:
-            if not self._confirmation.is_confirmed(queued.confirmation, view, now_ms):
-                return False
-            # For good: a late copy of the change may find its base version current.
-            self._rejections[queued.change.digest] = rejection
-            self._answer(queued, Outcome(rejection.status, rejection.reason, version))
+        if rejection is None:
+            self._answer(queued, Outcome(CallStatus.OK, "taken", version))
             return True
-        if self._chain.committed.sequence < queued.sequence:
+        if not queued.sequence and not self._confirmation.is_confirmed(queued.confirmation, view, now_ms):
             return False
-        self._answer(queued, Outcome(CallStatus.OK, "taken", version))
+        self._rejections[queued.change.digest] = rejection
+        self._answer(queued, Outcome(rejection.status, rejection.reason, version))
         return True
 
     def _answer(self, queued: _QueuedChange, outcome: Outcome) -> None:
