Bound unreported shares by the fewest nodes of late, and let one owner a window begin with a level

Cause: a new owner bounded what nodes hold that have not reported by its own count, while a share was granted for fewer nodes; each owner that began in a window took its first level out of the same margin, used up by the third.

--- a/dunlinloft/coordination/quota/owner.py
+++ b/dunlinloft/coordination/quota/owner.py
@@ -11,6 +11,7 @@
 from dunlinloft.coordination.quota.bounds import BucketStart, QuotaBounds, QuotaLimit
 from dunlinloft.coordination.quota.bucket import QuotaBucket
 from dunlinloft.coordination.quota.demand import NotQuotaOwner, QuotaDecision, QuotaDemand, QuotaHoldings
+from dunlinloft.coordination.quota.node_counts import NodeCountHistory
 from dunlinloft.coordination.quota.ownership import OwnershipChange, QuotaOwnership, ReleasedQuotas
 from dunlinloft.coordination.quota.shares import MAX_SHARE_MULTIPLE, TenantShares
 
@@ -64,6 +65,7 @@
         self._refilled_ms = started_ms
         self._was_leased = False  # at the last refill
         self._node_count = 1
+        self._node_counts = NodeCountHistory(started_ms)
 
     # What the host learns: nodes, limits, chains.
 
@@ -74,7 +76,7 @@
         if self._fleet_restarted:
             self._fleet_restarted = False
             for tenant, bucket in self._buckets.items():
-                level = self._bounds.initial_level(self._limits[tenant], BucketStart.AFTER_WAIT)
+                level = self._bounds.initial_level(self._limits[tenant], self._start_of(tenant, now_ms))
                 bucket.level = min(bucket.level, level)
 
     def set_limits(self, limits: dict[str, QuotaLimit]) -> None:
@@ -152,7 +154,7 @@
         self._was_leased = leased
         if leased:
             self._open_buckets(now_ms)
-        self._update_unreported()
+        self._update_unreported(now_ms)
 
     def _open_buckets(self, now_ms: float) -> None:
         for tenant, limit in self._limits.items():
@@ -160,7 +162,7 @@
                 continue
             level = self._ownership.handed_over_level(tenant)
             if level is None:
-                level = self._bounds.initial_level(limit, self._start_of(tenant))
+                level = self._bounds.initial_level(limit, self._start_of(tenant, now_ms))
             pool = self._bounds.reserve_pool(limit)
             unreported = 0.0 if self._fleet_restarted else pool
             bucket = QuotaBucket(
@@ -174,18 +176,26 @@
             for node, holdings in self._holdings.items():
                 self._account(tenant, bucket, node, holdings, now_ms)
 
-    def _start_of(self, tenant: str) -> BucketStart:
-        return BucketStart.FLEET_RESTART if self._fleet_restarted else self._ownership.start_of(tenant)
+    def _start_of(self, tenant: str, now_ms: float) -> BucketStart:
+        """Return how a bucket starts: with a level of its own only where no other owner had one lately."""
+        if self._fleet_restarted:
+            return BucketStart.FLEET_RESTART
+        window_ms = 1_000.0 * self._bounds.window_s
+        if now_ms - self._started_ms < window_ms:
+            return BucketStart.REPEATED  # who owned it before this process is not known
+        return self._ownership.start_of(tenant, window_ms)
 
-    def _update_unreported(self) -> None:
+    def _update_unreported(self, now_ms: float) -> None:
         """Bound what those nodes may hold that have not reported since a tenant's quota came here."""
         nodes = self._nodes.active_names()
         self._node_count = max(1, len(nodes))
+        self._node_counts.record(self._node_count, now_ms)
+        fewest = self._node_counts.fewest(now_ms)
         reported = [self._holdings[node].epoch if node in self._holdings else -1 for node in nodes]
         for tenant, bucket in self._buckets.items():
             since = self._ownership.owned_since(tenant) or 0
             missing = 0 if self._fleet_restarted else sum(epoch < since for epoch in reported)
-            bucket.shares.max_unreported = min(1.0, MAX_SHARE_MULTIPLE * missing / max(1, len(nodes)))
+            bucket.shares.max_unreported = min(1.0, MAX_SHARE_MULTIPLE * missing / fewest)
             bucket.unreported_reserves = bucket.reserve_pool * bucket.shares.max_unreported
 
     def expire(self, now_ms: float) -> None:
@@ -215,5 +225,7 @@
         wait_ms = bucket.withdraw(demand.amount, limit.rate_per_s, required_multiple)
         reserve = 0.0 if wait_ms else bucket.draw_reserve(demand.wanted_reserve)
         spent = 0.0 if wait_ms else demand.amount
-        share = bucket.shares.grant(demand.node, spent, self._node_count, now_ms)
+        # After a restart of the whole fleet nobody holds a share that its granter computed with more nodes.
+        may_grow = self._fleet_restarted or self._node_counts.knows_nodes(now_ms)
+        share = bucket.shares.grant(demand.node, spent, self._node_count, now_ms, may_grow)
         return QuotaDecision(wait_ms, reserve, share, scarce)
--- a/dunlinloft/coordination/quota/ownership.py
+++ b/dunlinloft/coordination/quota/ownership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -56,6 +57,14 @@
     epoch_skipped: bool
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerMoves:
+    """When a tenant's quota last moved to another owner, and when before that; in ms."""
+
+    last_ms: float
+    before_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReleasedQuotas:
     """Tenants' quotas that moved to another owner, to be handed over to it with what is left of each."""
@@ -86,6 +95,7 @@
         self._grants_from_ms: dict[str, float] = {}  # by tenant
         self._lease_shown_expired: set[str] = set()  # tenants whose wait ended early
         self._handed_over: dict[str, HandedOverLevel] = {}  # by tenant
+        self._moves: dict[str, OwnerMoves] = {}  # by tenant
 
     def set_chain(
         self, epoch: int, chain: tuple[str, ...], tenants: Iterable[str], now_ms: float
@@ -102,6 +112,9 @@
         gained: list[str] = []
         for tenant in tenants:
             owner = quota_owner_address(tenant, chain)
+            self._note_move(
+                tenant, epoch_skipped or owner != quota_owner_address(tenant, previous_chain), now_ms
+            )
             if owner != self._address:
                 lost[tenant] = owner
                 self._owned_since.pop(tenant, None)
@@ -116,6 +129,12 @@
                     self._previous_owner[tenant] = "" if epoch_skipped else previous_owner or ""
         return OwnershipChange(lost, tuple(gained), first_chain, epoch_skipped)
 
+    def _note_move(self, tenant: str, moved: bool, now_ms: float) -> None:
+        """Note when a tenant's quota moved to another owner, whoever that is."""
+        if moved:
+            moves = self._moves.get(tenant)
+            self._moves[tenant] = OwnerMoves(now_ms, -math.inf if moves is None else moves.last_ms)
+
     def on_handover(self, epoch: int, levels: dict[str, float]) -> None:
         """Take what a previous owner gave up for an epoch, which may not be known here yet."""
         for tenant, level in levels.items():
@@ -130,8 +149,11 @@
             return None
         return handed_over.level
 
-    def start_of(self, tenant: str) -> BucketStart:
+    def start_of(self, tenant: str, window_ms: float) -> BucketStart:
         """Return how a tenant that came over with no level handed over is started."""
+        moves = self._moves.get(tenant)
+        if moves is not None and moves.last_ms - moves.before_ms < window_ms:
+            return BucketStart.REPEATED
         if tenant in self._lease_shown_expired:
             return BucketStart.AFTER_LEASE_EXPIRED
         return BucketStart.AFTER_WAIT
--- a/dunlinloft/coordination/quota/shares.py
+++ b/dunlinloft/coordination/quota/shares.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -75,15 +76,18 @@
         node_share.reported_ms = now_ms
         self._outstanding += node_share.outstanding - outstanding_before
 
-    def grant(self, node: str, spent: float, node_count: int, now_ms: float) -> float:
-        """Return the share that a node holds from now on; it has just reported, and spent an amount."""
+    def grant(self, node: str, spent: float, node_count: int, now_ms: float, may_grow: bool = True) -> float:
+        """Return the share that a node holds from now on; it has just reported, and spent an amount.
+
+        Where it may not grow, the owner does not know yet how many nodes there are.
+        """
         node_share = self._by_node[node]
         node_share.usage.add(spent, now_ms)
         self._usage.add(spent, now_ms)
         outstanding_before = node_share.outstanding
         free = 1.0 - (self._outstanding - outstanding_before) - self._unreported()
         # What the node holds already may stay: that counts as outstanding in any case.
-        permitted = max(free, node_share.reported)
+        permitted = max(free, node_share.reported) if may_grow else node_share.reported
         node_share.granted = max(0.0, min(self._target(node_share, node_count, now_ms), permitted))
         self._outstanding += node_share.outstanding - outstanding_before
         return node_share.granted
@@ -104,7 +108,8 @@
         that have not reported.
         """
         node_shares = (self._by_node.get(node) for node in self._autonomous.union(disconnected))
-        outstanding = sum(node_share.outstanding for node_share in node_shares if node_share is not None)
+        # Exact, and so the same in whatever order the set is visited.
+        outstanding = math.fsum(each.outstanding for each in node_shares if each is not None)
         return min(1.0, outstanding + self._unreported())
 
     def _unreported(self) -> float:
