Play whole control planes and nodes in virtual time, by seed

Cause: the world played replicas and quotas alone, on a modelled disk (docs/control-state.md, Not done).

--- a/dunlinloft/controlplane/node_publisher.py
+++ b/dunlinloft/controlplane/node_publisher.py
@@ -41,7 +41,7 @@
     """
 
     def __init__(self) -> None:
-        self.subscriptions: set[NodeSubscription] = set()
+        self.subscriptions: dict[NodeSubscription, None] = {}  # in the order of subscribing
         self._state = ChainState()
         self._id = ConfigurationId()
         self._base_id = ConfigurationId()  # of the configuration that `_update` changed
@@ -52,7 +52,7 @@
 
     def subscribe(self, subscription: NodeSubscription, servers: ServerSnapshot) -> None:
         """Add a node, and send it what it lacks: the replicas, servers, then the configuration."""
-        self.subscriptions.add(subscription)
+        self.subscriptions[subscription] = None
         if self._view is not None:
             subscription.writer.send(self._view)
         subscription.writer.send(servers)
@@ -63,7 +63,7 @@
 
     def unsubscribe(self, subscription: NodeSubscription) -> None:
         """Remove a node whose stream ended."""
-        self.subscriptions.discard(subscription)
+        self.subscriptions.pop(subscription, None)
 
     def publish_state(self, state: ChainState, entry: LogEntry | None) -> None:
         """Publish a newly committed state.
--- a/dunlinloft/controlplane/server_registrar.py
+++ b/dunlinloft/controlplane/server_registrar.py
@@ -161,5 +161,5 @@
         received = self._registry.drain_heartbeats()
         if received.records or received.deregistered:
             message = ServerHeartbeats(received.records, received.deregistered)
-            for address in self._peer_addresses():
+            for address in sorted(self._peer_addresses()):
                 self._send(address, message)
--- a/lab/control/faults.py
+++ b/lab/control/faults.py
@@ -7,19 +7,21 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Protocol
 
-from lab.control.cluster import Cluster
+from dunlinloft.coordination.replica import Replica
 
 RESYNC_MS = 4_000.0  # everything up and connected for so long: lost disks have been replaced
 GRACE_MS = 8_000.0  # from SIGTERM to the end of the process
+MIN_DURATION_MS = 50.0  # of a fault
 SYNC_SLOWDOWN = 60.0  # factor on the syncs of a slow disk
 
 
 class FaultKind(StrEnum):
-    """What fails. Their order is part of a seed's schedule."""
+    """What fails. The order of `REPLICA_FAULTS` is part of a seed's schedule."""
 
     KILL = "kill"
     POWER = "power"
@@ -40,6 +42,20 @@
     BEHIND = "behind"
     RELIEVE = "relieve"
     SEEDS = "seeds"
+    # Of whole processes alone (`lab.simulation`).
+    FULL_DISK = "full_disk"
+    NODE_KILL = "node_kill"
+    NODE_FREEZE = "node_freeze"
+    NODE_PARTITION = "node_cut"
+    NODE_RESTART = "node_restart"
+    MASS_KILL = "mass_kill"
+    POWER_EVERYTHING = "power_everything"
+    DAMAGE = "damage"
+    DELAY = "delay"
+
+
+ALL_FAULTS = tuple(FaultKind)
+REPLICA_FAULTS = ALL_FAULTS[: ALL_FAULTS.index(FaultKind.SEEDS) + 1]
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,25 +74,127 @@
         )
 
 
-def draw_schedule(seed: int, length_ms: float, max_faults: int) -> tuple[Fault, ...]:
-    """Return the schedule of a seed: 1 to `max_faults` faults, sorted by time."""
+@dataclass(frozen=True, slots=True)
+class ScheduleBounds:
+    """From which faults a schedule is drawn. Times in milliseconds."""
+
+    first_ms: float  # no fault begins earlier
+    last_ms: float  # nor later
+    max_duration_ms: float  # of one fault
+    max_faults: int
+
+
+def draw_schedule(
+    seed: int, bounds: ScheduleBounds, kinds: tuple[FaultKind, ...] = REPLICA_FAULTS
+) -> tuple[Fault, ...]:
+    """Return the schedule of a seed: 1 to `bounds.max_faults` faults, sorted by time."""
     rng = random.Random(seed)
     faults = [
         Fault(
-            rng.uniform(2_500.0, length_ms),
-            rng.choice(tuple(FaultKind)),
-            rng.uniform(50.0, 6_000.0),
+            rng.uniform(bounds.first_ms, bounds.last_ms),
+            rng.choice(kinds),
+            rng.uniform(MIN_DURATION_MS, bounds.max_duration_ms),
             rng.getrandbits(16),
         )
-        for _ in range(rng.randint(1, max_faults))
+        for _ in range(rng.randint(1, bounds.max_faults))
     ]
     return tuple(sorted(faults, key=lambda fault: fault.at_ms))
 
 
+class FaultyMachine(Protocol):
+    """What a fault looks at and sets of a machine."""
+
+    sync_slowdown: float
+
+    @property
+    def address(self) -> str:
+        """Of the replica's internal listener."""
+
+    @property
+    def stateful(self) -> bool:
+        """Whether it has a disk."""
+
+    @property
+    def removed(self) -> bool:
+        """Whether it was removed for good."""
+
+    @property
+    def frozen(self) -> bool:
+        """Whether its process is suspended."""
+
+    @property
+    def stalled(self) -> bool:
+        """Whether its disk hangs."""
+
+    @property
+    def replica(self) -> Replica | None:
+        """The running replica; None: its process is down."""
+
+
+class FaultyCluster(Protocol):
+    """The machines that faults befall; see `lab.control.cluster.Cluster` for its methods."""
+
+    configured_seeds: tuple[str, ...]
+
+    @property
+    def now(self) -> float:
+        """Milliseconds since the start."""
+
+    @property
+    def machines(self) -> Mapping[str, FaultyMachine]:
+        """By address."""
+
+    @property
+    def disconnected(self) -> object:
+        """True where any link is blocked."""
+
+    def after(self, delay_ms: float, action: Callable[[], None]) -> None:
+        """Schedule an action."""
+
+    def start(self, address: str) -> None:
+        """Start a process."""
+
+    def add(self, address: str) -> None:
+        """Add and start a machine with an empty disk."""
+
+    def kill(self, address: str) -> None:
+        """Kill a process."""
+
+    def power_off(self, address: str) -> None:
+        """Cut a machine's power."""
+
+    def wipe(self, address: str) -> None:
+        """End a process and lose its disk."""
+
+    def remove(self, address: str) -> None:
+        """Remove a machine for good."""
+
+    def freeze(self, address: str) -> None:
+        """Suspend a process."""
+
+    def thaw(self, address: str) -> None:
+        """Resume a process."""
+
+    def stall(self, address: str, stalled: bool) -> None:
+        """Have a disk hang, or go on."""
+
+    def leave(self, address: str, grace_ms: float) -> None:
+        """Send SIGTERM."""
+
+    def disconnect(self, one: str, other: str, both: bool = True) -> None:
+        """Block a link."""
+
+    def reconnect(self, one: str, other: str, both: bool = True) -> None:
+        """Withdraw one `disconnect`."""
+
+    def heal(self) -> None:
+        """Restore all links."""
+
+
 class FaultInjector:
     """Injects faults into a cluster and ends them; never loses more disks than the tolerance."""
 
-    def __init__(self, cluster: Cluster, tolerance: int) -> None:
+    def __init__(self, cluster: FaultyCluster, tolerance: int) -> None:
         self._cluster = cluster
         self._tolerance = tolerance
         self._lost_disks: list[float] = []  # when each was lost
--- a/lab/control/invariants.py
+++ b/lab/control/invariants.py
@@ -7,7 +7,7 @@
 from dunlinloft.coordination.records import DurableState
 from dunlinloft.coordination.state import ChainState, ConfigurationChange
 from dunlinloft.coordination.views import View
-from lab.control.machine import Machine
+from lab.control.machine import ObservedMachine
 
 
 class InvariantViolation(AssertionError):
@@ -25,6 +25,7 @@
         self._tolerance = tolerance
         self._views: dict[int, View] = {}
         self._history: dict[int, str] = {}  # the digest of each committed sequence
+        self.committed_sequences: dict[str, int] = {}  # by digest of the history up to there
         self._committed_versions: dict[str, int] = {}  # by digest of a committed change
         self._refused: set[str] = set()
         self._acked: dict[str, ConfigurationChange] = {}
@@ -41,7 +42,7 @@
         self._lost_disks += 1
         self._changes_on_lost_disks.append(frozenset(applied.digest for applied in durable.state.applied))
 
-    def check_views(self, machines: Mapping[str, Machine]) -> None:
+    def check_views(self, machines: Mapping[str, ObservedMachine]) -> None:
         """Check that an epoch identifies one view on all machines."""
         for machine in machines.values():
             if machine.replica is None or machine.replica.view is None:
@@ -51,7 +52,9 @@
             if known is not view and known != view:
                 raise InvariantViolation(f"two views in epoch {view.epoch}: {known} and {view}")
 
-    def on_commit(self, state: ChainState, machine: Machine, machines: Mapping[str, Machine]) -> None:
+    def on_commit(
+        self, state: ChainState, machine: ObservedMachine, machines: Mapping[str, ObservedMachine]
+    ) -> None:
         """Check a state that a replica considers committed.
 
         One history, no regression in a process, no refused change applied; the first commit of a sequence
@@ -62,6 +65,7 @@
             self.check_first_commit(state, machines)
         self._check_epoch_sealed(machine, machines)
         known = self._history.setdefault(state.sequence, state.chain_digest)
+        self.committed_sequences[state.chain_digest] = state.sequence
         if known != state.chain_digest:
             raise InvariantViolation(f"two histories at sequence {state.sequence}")
         process = (machine.address, machine.generation)
@@ -73,7 +77,7 @@
             if applied.digest in self._refused:
                 raise InvariantViolation(f"the refused order {applied.digest} is in force")
 
-    def _check_epoch_sealed(self, machine: Machine, machines: Mapping[str, Machine]) -> None:
+    def _check_epoch_sealed(self, machine: ObservedMachine, machines: Mapping[str, ObservedMachine]) -> None:
         """Check that no process commits in an epoch whose sealer has accepted the next view."""
         replica = machine.replica
         if replica is None or replica.view is None:
@@ -86,7 +90,7 @@
             if epoch == accepted.view.epoch - 1 and replica.chain.epoch == epoch:
                 raise InvariantViolation(f"epoch {epoch} committed after its witness had accepted the next")
 
-    def check_first_commit(self, state: ChainState, machines: Mapping[str, Machine]) -> None:
+    def check_first_commit(self, state: ChainState, machines: Mapping[str, ObservedMachine]) -> None:
         """Check that a newly committed change is on more disks than may be lost; disks lost since count.
 
         Seed 21547: its second replica was in flight to a frozen member as the disk with the first was lost.
@@ -117,16 +121,18 @@
         self._acked[change.digest] = change
         self.newest_acked = max(self.newest_acked, version)
 
-    def replicas_holding(self, machines: Mapping[str, Machine], change: ConfigurationChange) -> int:
+    def replicas_holding(self, machines: Mapping[str, ObservedMachine], change: ConfigurationChange) -> int:
         """Return the number of disks that hold a change."""
         return self._disks_holding(machines, change.digest)
 
-    def _disks_holding(self, machines: Mapping[str, Machine], digest: str) -> int:
+    def _disks_holding(self, machines: Mapping[str, ObservedMachine], digest: str) -> int:
         """Return the number of disks that hold the change with this digest."""
         disks = (machine.durable for machine in machines.values())
         return sum(disk is not None and any(t.digest == digest for t in disk.state.applied) for disk in disks)
 
-    def check_acknowledged(self, machines: Mapping[str, Machine], change: ConfigurationChange) -> None:
+    def check_acknowledged(
+        self, machines: Mapping[str, ObservedMachine], change: ConfigurationChange
+    ) -> None:
         """Check that a change just acknowledged is on more disks than may be lost.
 
         Disks lost since its commit count.
--- a/lab/control/machine.py
+++ b/lab/control/machine.py
@@ -4,11 +4,32 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from dunlinloft.coordination.records import DurableState, Record
 from dunlinloft.coordination.replica import Replica
 
 
+class ObservedMachine(Protocol):
+    """What `InvariantChecker` looks at, whatever simulates the machine."""
+
+    @property
+    def address(self) -> str:
+        """Of the replica's internal listener."""
+
+    @property
+    def durable(self) -> DurableState | None:
+        """The disk's contents; None: empty."""
+
+    @property
+    def replica(self) -> Replica | None:
+        """The running replica; None: its process is down."""
+
+    @property
+    def generation(self) -> int:
+        """Of the process."""
+
+
 @dataclass(slots=True)
 class Machine:
     """One machine: its disk outlives its process. Changed by `Cluster`, inspected by `InvariantChecker`."""
--- a/lab/control/world.py
+++ b/lab/control/world.py
@@ -12,12 +12,12 @@
 
 from dunlinloft.coordination.actions import Reply
 from lab.control.cluster import Cluster
-from lab.control.faults import Fault, FaultInjector, draw_schedule
+from lab.control.faults import Fault, FaultInjector, ScheduleBounds, draw_schedule
 from lab.control.invariants import InvariantViolation
 from lab.control.operators import Operator
 
 LENGTH_MS = 14_000.0  # in which faults begin
-MAX_FAULTS = 6  # in one schedule
+SCHEDULE_BOUNDS = ScheduleBounds(2_500.0, LENGTH_MS, 6_000.0, 6)
 FAULT_END_MS = 7_000.0  # the last faults may last so long
 RECOVERY_MS = 12_000.0  # `recovery_timeout_s`
 PROGRESS_MS = 4_000.0  # in which changes are acknowledged, and every machine reads them
@@ -87,7 +87,7 @@
         cluster.after(300.0 + 200.0 * rng.random(), operator.change)
         operator.read()
     injector = FaultInjector(cluster, deployment.tolerance)
-    for fault in draw_schedule(seed, LENGTH_MS, MAX_FAULTS) if schedule is None else schedule:
+    for fault in draw_schedule(seed, SCHEDULE_BOUNDS) if schedule is None else schedule:
         cluster.after(fault.at_ms, lambda fault=fault: injector.begin(fault))  # type: ignore[misc]
     cluster.run(LENGTH_MS + FAULT_END_MS)
     injector.end_all()
@@ -122,7 +122,7 @@
 
 def run_seed(seed: int) -> SeedResult:
     """Run a seed and shorten the schedule of a violation; called in the processes of `play_all`."""
-    schedule = draw_schedule(seed, LENGTH_MS, MAX_FAULTS)
+    schedule = draw_schedule(seed, SCHEDULE_BOUNDS)
     try:
         return SeedResult(seed, "", schedule, play(seed, schedule))
     except InvariantViolation as violation:
--- /dev/null
+++ b/lab/simulation/transport.py
@@ -0,0 +1,262 @@
+"""One end of a simulated TCP connection, as asyncio's streams use it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from lab.simulation.process import SimulatedProcess
+
+if TYPE_CHECKING:
+    from lab.simulation.network import Network
+
+TIMEOUT_TOLERANCE_S = 0.000_001  # rounding of sums of times
+USER_TIMEOUT_S = 1.0  # `TCP_USER_TIMEOUT` of the programs: data unacknowledged for longer ends a connection
+
+
+@dataclass(frozen=True, slots=True)
+class _Data:
+    """Bytes on their way."""
+
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class _Established:
+    """The answer to a request to connect: the first thing on the way back."""
+
+    future: asyncio.Future[SimulatedTransport]
+
+
+@dataclass(frozen=True, slots=True)
+class _Closed:
+    """The end of the connection, with a reset or in order."""
+
+    reset: bool
+
+
+_Content = _Data | _Established | _Closed
+
+
+@dataclass(frozen=True, slots=True)
+class _Segment:
+    """What is sent, and when it arrives if the link lets it."""
+
+    due_s: float
+    content: _Content
+
+
+class SimulatedTransport(asyncio.Transport):
+    """An end of a connection; what it sends is queued here until the other end has it."""
+
+    def __init__(self, network: Network, process: SimulatedProcess, host: str, peer_host: str) -> None:
+        super().__init__()
+        self.process = process
+        self.peer: SimulatedTransport | None = None
+        self._network = network
+        self._loop = network.loop
+        self._host = host
+        self._peer_host = peer_host
+        self._protocol: asyncio.Protocol | None = None
+        self._early: list[_Data | _Closed] = []  # arrived before there was a protocol
+        self._queue: deque[_Segment] = deque()
+        self._pump_scheduled = False
+        self._last_due_s = 0.0
+        self._unacknowledged_since_s: float | None = None
+        self._timeout_armed = False
+        self._closing = False
+        self._lost = False  # this end's kernel knows the connection no more
+
+    # What asyncio's streams call, in the process's context.
+
+    def begin(self, protocol: asyncio.BaseProtocol) -> None:
+        """The connection is made, and this end's process has taken it."""
+        assert isinstance(protocol, asyncio.Protocol)
+        self._protocol = protocol
+        protocol.connection_made(self)
+        early = self._early
+        self._early = []
+        for content in early:
+            self._take(content)
+
+    def write(self, data: Any) -> None:
+        """Send bytes."""
+        if self._closing or not self.process.alive:
+            return
+        content = bytes(data)
+        if self._network.damages(self._host):
+            self._send_damaged(content)
+            return
+        self._enqueue(_Data(content))
+
+    def close(self) -> None:
+        """Send what is queued, then end the connection."""
+        self._end(_Closed(reset=False))
+
+    def abort(self) -> None:
+        """End the connection at once."""
+        if self._network.blocked(self._host, self._peer_host):
+            self._queue.clear()  # what a blocked link holds up is lost
+        self._end(_Closed(reset=True))
+
+    def is_closing(self) -> bool:
+        """Return whether this end is closed or closing."""
+        return self._closing
+
+    def get_write_buffer_size(self) -> int:
+        """Return how many bytes wait to be sent."""
+        return sum(
+            len(segment.content.content) for segment in self._queue if isinstance(segment.content, _Data)
+        )
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Return nothing: there is no socket."""
+        return default
+
+    def pause_reading(self) -> None:
+        """Do nothing: streams here never hold so much."""
+
+    def resume_reading(self) -> None:
+        """Do nothing, as reading is never paused."""
+
+    # Sending.
+
+    def establish(self, future: asyncio.Future[SimulatedTransport]) -> None:
+        """Answer a request to connect, from the accepting side."""
+        self._enqueue(_Established(future))
+
+    def _send_damaged(self, content: bytes) -> None:
+        """Send half of it and break the connection, or send it with bytes exchanged."""
+        rng = self._network.rng
+        if rng.random() < 0.5:
+            self._enqueue(_Data(content[: rng.randrange(len(content))]))
+            self._enqueue(_Closed(reset=True))
+            self._lose(ConnectionResetError(104, "connection reset"))
+            return
+        start = rng.randrange(len(content))
+        noise = rng.randbytes(rng.randint(1, 8)).replace(b"\n", b"\xff")
+        self._enqueue(_Data(content[:start] + b'"\xfe' + noise + content[start:]))
+
+    def _enqueue(self, content: _Content) -> None:
+        now_s = self._loop.now_s
+        due_s = max(self._last_due_s, now_s + self._network.delay_s(self._host, self._peer_host))
+        self._last_due_s = due_s
+        self._queue.append(_Segment(due_s, content))
+        if self._unacknowledged_since_s is None:
+            self._unacknowledged_since_s = now_s
+            self._arm_timeout(USER_TIMEOUT_S)
+        self._schedule_pump()
+
+    def _schedule_pump(self) -> None:
+        if self._queue and not self._pump_scheduled:
+            self._pump_scheduled = True
+            self._loop.after(max(0.0, self._queue[0].due_s - self._loop.now_s), self._pump)
+
+    def _pump(self) -> None:
+        self._pump_scheduled = False
+        if not self._queue or self._network.blocked(self._host, self._peer_host):
+            return  # `resume` goes on
+        segment = self._queue.popleft()
+        self._arrive(segment.content)
+        if not self._queue and not self._network.blocked(self._peer_host, self._host):
+            self._unacknowledged_since_s = None
+        self._schedule_pump()
+
+    def resume(self) -> None:
+        """Go on where a link had been blocked."""
+        self._schedule_pump()
+        if not self._queue and not self._network.blocked(self._peer_host, self._host):
+            self._unacknowledged_since_s = None
+
+    def _arm_timeout(self, delay_s: float) -> None:
+        if not self._timeout_armed:
+            self._timeout_armed = True
+            self._loop.after(delay_s, self._check_timeout)
+
+    def _check_timeout(self) -> None:
+        self._timeout_armed = False
+        if self._lost or self._unacknowledged_since_s is None:
+            return
+        age_s = self._loop.now_s - self._unacknowledged_since_s
+        if age_s >= USER_TIMEOUT_S - TIMEOUT_TOLERANCE_S:
+            self._lose(TimeoutError(110, "connection timed out"))
+        else:
+            self._arm_timeout(USER_TIMEOUT_S - age_s)
+
+    # Arriving at the other end.
+
+    def _arrive(self, content: _Content) -> None:
+        peer = self.peer
+        assert peer is not None
+        if isinstance(content, _Established):
+            if content.future.done() or not peer.process.alive:
+                peer._lost = True
+                self._on_reset()
+            else:
+                content.future.set_result(peer)
+            return
+        if not self._network.powered(self._peer_host):
+            self._queue.clear()
+            self._unacknowledged_since_s = self._loop.now_s
+            self._arm_timeout(USER_TIMEOUT_S)
+        elif peer._lost or not peer.process.alive:
+            if isinstance(content, _Data):
+                self._loop.after(self._network.delay_s(self._peer_host, self._host), self._on_reset)
+        else:
+            self._loop.call_in(peer.process, peer._take, content)
+
+    def _on_reset(self) -> None:
+        if not self._lost:
+            self._lose(ConnectionResetError(104, "connection reset"))
+
+    def _take(self, content: _Data | _Closed) -> None:
+        """Hand the process what arrived, in its context."""
+        if self._lost:
+            return
+        if self._protocol is None:
+            self._early.append(content)
+        elif isinstance(content, _Data):
+            self._protocol.data_received(content.content)
+        elif content.reset:
+            self._lose(ConnectionResetError(104, "connection reset"))
+        else:
+            self._protocol.eof_received()
+            self._lose(None)
+
+    # Ends.
+
+    def _end(self, closed: _Closed) -> None:
+        if self._closing or not self.process.alive:
+            return
+        self._enqueue(closed)
+        self._lose(None)
+
+    def _lose(self, error: Exception | None) -> None:
+        """This end is gone for its process; what is queued still goes out."""
+        if isinstance(error, TimeoutError):
+            self._queue.clear()
+        self._closing = True
+        if self._lost:
+            return
+        self._lost = True
+        if self._protocol is not None:
+            self._loop.call_in(self.process, self._protocol.connection_lost, error)
+        self._forget_when_over()
+
+    def on_process_ended(self, power_lost: bool) -> None:
+        """The process has ended, and with it this end."""
+        already_lost = self._lost
+        self._lost = True
+        self._closing = True
+        if power_lost:
+            self._queue.clear()
+        elif not already_lost:
+            self._enqueue(_Closed(reset=self._network.rng.random() < 0.5))
+        self._forget_when_over()
+
+    def _forget_when_over(self) -> None:
+        if self._lost and self.peer is not None and self.peer._lost:
+            self._network.forget(self)
+            self._network.forget(self.peer)
--- /dev/null
+++ b/lab/simulation/world.py
@@ -0,0 +1,169 @@
+"""Whole processes of the control side under a schedule of overlapping faults, by seed.
+
+Real control planes and the nodes' side towards them run in virtual time, with their stores, streams and
+timers. A violated invariant raises `InvariantViolation`, as does a lack of progress once all faults have
+ended; a process that ends by itself raises `ProcessFailure`.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import secrets
+import sys
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass
+from unittest import mock
+
+from absl import logging
+
+from dunlinloft.transport import clock
+from lab.control.faults import ALL_FAULTS, Fault, ScheduleBounds, draw_schedule
+from lab.control.invariants import InvariantViolation
+from lab.simulation.calm import CONTACT_WINDOW_S
+from lab.simulation.cluster import SimulatedCluster
+from lab.simulation.deployment import deployment_of
+from lab.simulation.event_loop import ProcessFailure, SimulatedEventLoop
+from lab.simulation.faults import ProcessFaultInjector
+from lab.simulation.operators import Operator
+from lab.simulation.progress import ProgressChecker
+
+SCHEDULE_BOUNDS = ScheduleBounds(1_200.0, 4_600.0, 2_900.0, 4)
+FAULTS_END_MS = 7_500.0  # by when all faults have ended
+RECOVERY_MS = 12_000.0  # `recovery_timeout_s`
+STEP_MS = 250.0  # between two looks whether everything works again
+CALM_MS = 1_000.0 * CONTACT_WINDOW_S + 1_000.0  # checked in the end, while nothing fails
+IDLE_MS = 500.0  # without requests, until owners count none in flight
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """What happened in one run."""
+
+    acknowledged: int  # changes
+    served: int  # requests
+    checked: int  # times that a node in touch was looked at
+    recovery_ms: float  # from the end of all faults until everything had worked once
+
+
+@dataclass(frozen=True, slots=True)
+class SeedResult:
+    """The outcome of one seed, with the shortest schedule found if it violates an invariant."""
+
+    seed: int
+    violation: str  # empty if there was none
+    schedule: tuple[Fault, ...]
+    summary: Summary | None
+
+
+class _SimulatedTime:
+    """Stands for the module `time` where the programs read their clock."""
+
+    def __init__(self, loop: SimulatedEventLoop) -> None:
+        self.monotonic = loop.time
+
+
+@contextmanager
+def _simulated(seed: int, loop: SimulatedEventLoop) -> Iterator[None]:
+    """Take clocks and random bits from the simulation, and collect no garbage before its end."""
+    rng = random.Random(seed)
+    state = random.getstate()
+    random.seed(seed)
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    unraisable = sys.unraisablehook
+    gc.disable()
+    try:
+        with (
+            mock.patch.object(clock, "time", _SimulatedTime(loop)),
+            mock.patch.object(secrets, "token_hex", lambda size: rng.randbytes(size).hex()),
+            mock.patch.object(secrets, "randbits", rng.getrandbits),
+        ):
+            yield
+    finally:
+        # Coroutines of killed processes are closed here; what they would do then has no effect.
+        sys.unraisablehook = lambda _: None
+        loop.close()
+        gc.enable()
+        gc.collect()
+        sys.unraisablehook = unraisable
+        logging.set_verbosity(verbosity)
+        random.setstate(state)
+
+
+def play(seed: int, schedule: Sequence[Fault] | None = None) -> Summary:
+    """Run a seed with its own or a given schedule.
+
+    Raises
+    ------
+    InvariantViolation
+        A rule is broken, or nothing goes on although no fault is left.
+    ProcessFailure
+        A process ended by itself.
+    """
+    if schedule is None:
+        schedule = draw_schedule(seed, SCHEDULE_BOUNDS, ALL_FAULTS)
+    loop = SimulatedEventLoop()  # type: ignore[abstract]
+    with _simulated(seed, loop):
+        return _play(seed, schedule, loop)
+
+
+def _play(seed: int, schedule: Sequence[Fault], loop: SimulatedEventLoop) -> Summary:
+    deployment = deployment_of(seed)
+    cluster = SimulatedCluster(seed, deployment, loop)
+    rng = random.Random(seed)
+    operators = [Operator(cluster, random.Random(rng.getrandbits(64))) for _ in range(rng.randint(1, 2))]
+    for operator in operators:
+        loop.start_outside(operator.change_forever())
+        loop.start_outside(operator.read_forever())
+    cluster.node_checker.begin()
+    injector = ProcessFaultInjector(cluster, deployment.tolerance)
+    for fault in schedule:
+        cluster.after(fault.at_ms, lambda fault=fault: injector.begin(fault))  # type: ignore[misc]
+    cluster.run(FAULTS_END_MS)
+    injector.end_all()
+    progress = ProgressChecker(cluster, operators)
+    while not progress.complete():
+        if progress.elapsed_ms >= RECOVERY_MS:
+            raise InvariantViolation(f"{progress.missing()} although nothing fails any more")
+        cluster.run(STEP_MS)
+    recovery_ms = progress.elapsed_ms
+    cluster.run(max(0.0, CALM_MS - recovery_ms))
+    for node in cluster.nodes.values():
+        node.sends_requests = False
+    cluster.run(IDLE_MS)
+    progress.check_idle()
+    return Summary(
+        sum(operator.acknowledged for operator in operators),
+        sum(node.progress.served for node in cluster.nodes.values()),
+        cluster.node_checker.checked,
+        recovery_ms,
+    )
+
+
+def run_seed(seed: int) -> SeedResult:
+    """Run a seed and shorten the schedule of a violation; called in the processes of `play_all`."""
+    schedule = draw_schedule(seed, SCHEDULE_BOUNDS, ALL_FAULTS)
+    try:
+        return SeedResult(seed, "", schedule, play(seed, schedule))
+    except (InvariantViolation, ProcessFailure) as violation:
+        return SeedResult(seed, str(violation), _shortened(seed, schedule), None)
+
+
+def _shortened(seed: int, schedule: tuple[Fault, ...]) -> tuple[Fault, ...]:
+    """Return the schedule without the faults that the violation does not need."""
+    for index in range(len(schedule) - 1, -1, -1):
+        shorter = schedule[:index] + schedule[index + 1 :]
+        try:
+            play(seed, shorter)
+        except (InvariantViolation, ProcessFailure):
+            schedule = shorter
+    return schedule
+
+
+def play_all(seeds: Sequence[int], jobs: int) -> Iterator[SeedResult]:
+    """Run many seeds over several processes; yields results in the order of the seeds."""
+    with ProcessPoolExecutor(jobs) as pool:
+        yield from pool.map(run_seed, seeds, chunksize=8)
