--- a/dunlinloft/cli/handlers/simulated_world.py
+++ b/dunlinloft/cli/handlers/simulated_world.py
@@ -1,24 +1,28 @@
-"""`dunlinloft world`: seeds of the simulated control plane, and the shortest schedule of each violation."""
+"""`dunlinloft world`: seeds of the simulated control side, and the shortest schedule of each violation."""
 
 from __future__ import annotations
 
+import resource
 import time
 from collections.abc import Sequence
 
 from dunlinloft.cli.consoles import plain_stdout
 from dunlinloft.cli.exit_codes import ExitCode
-from lab.control.world import deployment_of, play_all
+from lab.control import world as replicas
+from lab.control.faults import Fault
+from lab.simulation import world as processes
+from lab.simulation.deployment import deployment_of
 
+KIB_PER_MIB = 1024
 
-def play(seeds: Sequence[int], jobs: int) -> ExitCode:
-    """Play seeds in several processes; fails where one violates a rule."""
+
+def play_replicas(seeds: Sequence[int], jobs: int) -> ExitCode:
+    """Play the replicas' state machines alone; fails where a seed violates a rule."""
     started_s = time.monotonic()
-    results = play_all(seeds, jobs)
+    results = replicas.play_all(seeds, jobs)
     violations = [result for result in results if result.violation]
     for result in violations:
-        plain_stdout.print(f"seed {result.seed}, {deployment_of(result.seed)}: {result.violation}")
-        for fault in result.schedule:
-            plain_stdout.print(f"    {fault}")
+        _print_violation(result.seed, replicas.deployment_of(result.seed), result.violation, result.schedule)
     acknowledged = sum(result.acknowledged for result in results)
     elapsed_s = time.monotonic() - started_s
     plain_stdout.print(
@@ -26,3 +30,34 @@
         f" {elapsed_s:.0f} s"
     )
     return ExitCode.CHECK_FAILED if violations else ExitCode.SUCCESS
+
+
+def play_processes(seeds: Sequence[int], jobs: int) -> ExitCode:
+    """Play whole processes; prints a violation as soon as it is found, and fails where there is one."""
+    started_s = time.monotonic()
+    broken = 0
+    acknowledged = 0
+    served = 0
+    slowest_recovery_ms = 0.0
+    for result in processes.play_all(seeds, jobs):
+        if result.summary is None:
+            broken += 1
+            _print_violation(result.seed, deployment_of(result.seed), result.violation, result.schedule)
+            continue
+        acknowledged += result.summary.acknowledged
+        served += result.summary.served
+        slowest_recovery_ms = max(slowest_recovery_ms, result.summary.recovery_ms)
+    elapsed_s = time.monotonic() - started_s
+    peak_mib = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / KIB_PER_MIB
+    plain_stdout.print(
+        f"{broken} of {len(seeds)} seeds broken; {acknowledged} orders acknowledged,"
+        f" {served} requests served; all works again after {slowest_recovery_ms:.0f} ms at most; {elapsed_s:.0f} s,"
+        f" {peak_mib:.0f} MiB a job"
+    )
+    return ExitCode.CHECK_FAILED if broken else ExitCode.SUCCESS
+
+
+def _print_violation(seed: int, deployment: object, violation: str, schedule: Sequence[Fault]) -> None:
+    plain_stdout.print(f"seed {seed}, {deployment}: {violation}")
+    for fault in schedule:
+        plain_stdout.print(f"    {fault}")
--- a/lab/simulation/world.py
+++ b/lab/simulation/world.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import gc
+import multiprocessing
+import os
 import random
 import secrets
 import sys
@@ -30,6 +32,7 @@
 from lab.simulation.operators import Operator
 from lab.simulation.progress import ProgressChecker
 
+HASH_SEED = "0"
 SCHEDULE_BOUNDS = ScheduleBounds(1_200.0, 4_600.0, 2_900.0, 4)
 FAULTS_END_MS = 7_500.0  # by when all faults have ended
 RECOVERY_MS = 12_000.0  # `recovery_timeout_s`
@@ -164,6 +167,12 @@
 
 
 def play_all(seeds: Sequence[int], jobs: int) -> Iterator[SeedResult]:
-    """Run many seeds over several processes; yields results in the order of the seeds."""
-    with ProcessPoolExecutor(jobs) as pool:
+    """Run many seeds over several processes; yields results in the order of the seeds.
+
+    The processes hash strings alike, so that a seed is the same run wherever it is played.
+    """
+    with (
+        mock.patch.dict(os.environ, {"PYTHONHASHSEED": HASH_SEED}),
+        ProcessPoolExecutor(jobs, mp_context=multiprocessing.get_context("spawn")) as pool,
+    ):
         yield from pool.map(run_seed, seeds, chunksize=8)
--- /dev/null
+++ b/tests/test_simulated_processes.py
@@ -0,0 +1,222 @@
+"""Whole processes of the control side under faults in virtual time, and each checker with a planted bug."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from dunlinloft.controlplane.loops import PeriodicLoops
+from dunlinloft.controlplane.node_publisher import NodePublisher
+from dunlinloft.controlplane.placement_service import PlacementService
+from dunlinloft.controlplane.quota_service import QuotaService
+from dunlinloft.controlplane.server_registrar import ServerRegistrar
+from dunlinloft.coordination import server_registry
+from dunlinloft.coordination.chain import ChainReplica
+from dunlinloft.coordination.quota.bucket import QuotaBucket
+from dunlinloft.coordination.server_registry import ServerRegistry
+from dunlinloft.coordination.stream import ConfigurationId, QuotaGrant, QuotaRequest
+from dunlinloft.transport.live_settings import LiveSettings
+from lab.control.faults import Fault, FaultKind
+from lab.control.invariants import InvariantViolation
+from lab.simulation.cluster import SimulatedCluster
+from lab.simulation.deployment import deployment_of
+from lab.simulation.event_loop import ProcessFailure
+from lab.simulation.files import SimulatedFiles
+from lab.simulation.world import play, run_seed
+
+SEEDS = int(os.environ.get("SIMULATION_SEEDS", "25"))  # `dunlinloft world` plays thousands
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_no_random_schedule_of_faults_breaks_a_rule(seed: int) -> None:
+    summary = play(seed)
+    assert summary.acknowledged > 0
+    assert summary.served > 0
+    assert summary.checked > 0
+
+
+def test_a_seed_is_reproducible() -> None:
+    assert play(7) == play(7)
+
+
+# One seed each that broke a rule once.
+
+
+def test_a_change_that_was_rejected_too_early_is_not_taken_by_the_next_head() -> None:
+    """The head's process alone remembered it; seeds 19 and 51 of the first schedules."""
+    behind = Fault(5_817.012458479109, FaultKind.BEHIND, 526.719346794428, 13_074)
+    assert play(19, (behind,)).acknowledged > 0
+
+
+# Planted bugs, without and with faults.
+
+
+def _planted(owner: Any, name: str, value: Any) -> Plant:
+    return lambda monkeypatch: monkeypatch.setattr(owner, name, value)
+
+
+def _no_node_is_sent_changes(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(NodePublisher, "_publish_current", lambda _: None)
+
+
+def _draining_is_not_passed_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = ServerRegistry.on_heartbeat
+
+    def forgetful(self: ServerRegistry, record: Any, now_ms: float, relayed: bool = False) -> None:
+        real(self, msgspec.structs.replace(record, state="ready"), now_ms, relayed)
+
+    monkeypatch.setattr(ServerRegistry, "on_heartbeat", forgetful)
+
+
+def _nobody_owns_a_quota(monkeypatch: pytest.MonkeyPatch) -> None:
+    def refuse(_: QuotaService, __: str, message: QuotaRequest) -> QuotaGrant:
+        return QuotaGrant(message.request_id, message.tenant, 0.0, 0.0, 0.0, 0.0, False)
+
+    monkeypatch.setattr(QuotaService, "grant", refuse)
+
+
+def _no_placement_is_given(monkeypatch: pytest.MonkeyPatch) -> None:
+    real = PlacementService.choose_server
+
+    def silent(self: PlacementService, number: int, message: Any) -> Any:
+        return msgspec.structs.replace(real(self, number, message), server_id="")
+
+    monkeypatch.setattr(PlacementService, "choose_server", silent)
+
+
+async def _refuse(*_: Any) -> bool:
+    return False
+
+
+async def _fail(_: PeriodicLoops) -> None:
+    raise RuntimeError("planted")
+
+
+def _commit_at_once(chain: ChainReplica) -> None:
+    chain._commit(chain.state.sequence)
+
+
+PLANTED: dict[str, tuple[Plant, str]] = {
+    "no node is sent changes": (_no_node_is_sent_changes, "serves by version"),
+    "draining is not passed on": (_draining_is_not_passed_on, "after its drain was acknowledged"),
+    "a server expires between two heartbeats": (
+        _planted(server_registry, "EXPIRY_INTERVALS", 0.5),
+        "which beats",
+    ),
+    "a deregistration is ignored": (
+        _planted(ServerRegistry, "on_deregistration", lambda *_, **__: None),
+        "which deregistered",
+    ),
+    "a server never expires": (_planted(ServerRegistry, "expire", lambda *_: None), "stopped beating"),
+    "heartbeats are not acknowledged": (
+        _planted(ServerRegistrar, "heartbeat", _refuse),
+        "no heartbeat of",
+    ),
+    "nobody owns a quota": (_nobody_owns_a_quota, "is granted no quota by an owner"),
+    "no placement is given": (_no_placement_is_given, "gets no placement from an owner"),
+    "completed requests stay in flight": (
+        _planted(PlacementService, "on_completed", lambda *_: None),
+        "requests that are not in flight",
+    ),
+    "an owner grants what it does not have": (
+        _planted(QuotaBucket, "withdraw", lambda *_: 0.0),
+        "were spent in a window",
+    ),
+    "a lone replica commits": (_planted(ChainReplica, "_on_progress", _commit_at_once), "with 1 copies"),
+}
+
+
+def _violation(seeds: range, schedule: tuple[Fault, ...] | None = ()) -> str:
+    """The first violation that one of these seeds shows."""
+    for seed in seeds:
+        try:
+            play(seed, schedule)
+        except InvariantViolation as violation:
+            return str(violation)
+    return ""
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_a_planted_bug_is_detected(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant, message = PLANTED[name]
+    plant(monkeypatch)
+    assert message in _violation(range(12))
+
+
+def test_a_node_that_goes_back_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ConfigurationId, "supersedes", lambda *_: True)
+    damage = Fault(1_500.0, FaultKind.DAMAGE, 4_000.0, 256)
+    partition = Fault(1_300.0, FaultKind.PARTITION, 4_000.0, 0)
+    assert "went back" in _violation(range(12), (partition, damage))
+
+
+def test_a_disk_that_does_not_sync_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(SimulatedFiles, "sync_data", lambda *_: None)
+    power = tuple(Fault(1_500.0 + 700.0 * n, FaultKind.POWER, 200.0, n) for n in range(4))
+    assert "recovered sequence" in _violation(range(8), power)
+
+
+def test_a_successor_that_never_becomes_synced_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ChainReplica, "on_predecessor_position", lambda *_: None)
+    wipe = Fault(1_500.0, FaultKind.WIPE, 900.0, 1)
+    assert "although nothing fails any more" in _violation(range(3), (wipe,))
+
+
+def test_a_loop_that_fails_ends_its_process_and_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(PeriodicLoops, "_keep_alive", _fail)
+    with pytest.raises(ProcessFailure, match="ended by itself"):
+        play(0, ())
+
+
+def test_a_violation_is_reported_with_the_shortest_schedule(monkeypatch: pytest.MonkeyPatch) -> None:
+    _no_node_is_sent_changes(monkeypatch)
+    result = run_seed(2)
+    assert "serves by version" in result.violation
+    assert result.schedule == ()
+    assert result.summary is None
+
+
+# A newcomer whose seeds are all gone.
+
+
+@pytest.mark.parametrize("reads_again", [True, False])
+def test_a_newcomer_finds_the_others_once_its_settings_name_them(
+    reads_again: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if not reads_again:
+        monkeypatch.setattr(LiveSettings, "reload", lambda _: None)
+    joined: list[bool] = []
+    real = SimulatedCluster.run
+
+    def run(self: SimulatedCluster, for_ms: float) -> None:
+        """Before the run proper: a newcomer with stale seeds, whose settings are mended 2 s later."""
+        if not joined:
+            joined.append(False)
+            real(self, 1_000.0)
+            seeds = self.configured_seeds
+            self.configured_seeds = ("10.9.9.8:7000", "10.9.9.9:7000")
+            self.add("10.0.1.9:7000")
+            self.configured_seeds = seeds
+            real(self, 1_500.0)
+            newcomer = self.machines["10.0.1.9:7000"]
+            assert newcomer.replica is not None
+            assert newcomer.replica.view is None
+            self.update_seeds()
+            real(self, 3_500.0)
+            joined[0] = newcomer.replica is not None and newcomer.replica.view is not None
+        real(self, for_ms)
+
+    monkeypatch.setattr(SimulatedCluster, "run", run)
+    if reads_again:
+        play(0, ())
+    else:
+        with pytest.raises(InvariantViolation, match="answer no read"):
+            play(0, ())
+    assert joined == [reads_again]
+    assert deployment_of(0).control_machines == 3
