--- a/dunlinloft/cli/handlers/capacity.py
+++ b/dunlinloft/cli/handlers/capacity.py
@@ -31,7 +31,7 @@
     """The time that `fleet members` takes to print a node's view, and the bytes printed."""
     host = Host(members)
     fill(host.core, members)
-    document = decode_document(host.peers.show()[1], MembershipDocument)
+    document = decode_document(host.peers.status()[1], MembershipDocument)
     printed = io.StringIO()
 
     def write() -> None:
--- a/dunlinloft/cli/handlers/simulated_world.py
+++ b/dunlinloft/cli/handlers/simulated_world.py
@@ -51,8 +51,8 @@
     peak_mib = resource.getrusage(resource.RUSAGE_CHILDREN).ru_maxrss / KIB_PER_MIB
     plain_stdout.print(
         f"{broken} of {len(seeds)} seeds broken; {acknowledged} orders acknowledged,"
-        f" {served} requests served; all works again after {slowest_recovery_ms:.0f} ms at most; {elapsed_s:.0f} s,"
-        f" {peak_mib:.0f} MiB a job"
+        f" {served} requests served; all works again after {slowest_recovery_ms:.0f} ms at most;"
+        f" {elapsed_s:.0f} s, {peak_mib:.0f} MiB a job"
     )
     return ExitCode.CHECK_FAILED if broken else ExitCode.SUCCESS
 
--- a/dunlinloft/node/__main__.py
+++ b/dunlinloft/node/__main__.py
@@ -99,9 +99,10 @@
     processes = 1 + len(siblings.others())
     accepting = False
 
-    def look() -> None:
+    def update_processes() -> None:
+        """Publish the sockets in use here, and share the limits with the processes that there are."""
         nonlocal processes
-        siblings.tell(node.sockets())
+        siblings.publish_socket_count(node.sockets())
         others = siblings.others()
         if 1 + len(others) != processes:
             processes = 1 + len(others)
@@ -109,9 +110,10 @@
         node.share(others)
 
     async def watch() -> None:
+        """Look for other processes at intervals."""
         while True:
             await asyncio.sleep(SIBLINGS_S)
-            look()
+            update_processes()
 
     watching = loop.create_task(watch())
     while not stopping.is_set():
@@ -123,7 +125,7 @@
             logs.info("started", text, descriptor=handed.fileno())
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(stopping.wait(), None if accepting else SIBLINGS_S / 2.0)
-    look()
+    update_processes()
     logs.info("stopping", "stopping, %(others)d others serve on", others=processes - 1)
     node.depart(handing_over=processes > 1)
     node.frontend.stop_accepting(processes > 1)
--- a/dunlinloft/node/config.py
+++ b/dunlinloft/node/config.py
@@ -1,19 +1,13 @@
-"""What a node is told at its start: NODE_CONFIG's JSON as typed values.
-
-Lists of servers have the same form here and at discovery, so they are read here for both.
-"""
+"""A node's configuration: the JSON file that NODE_CONFIG names, as typed values."""
 
 from __future__ import annotations
 
-import hashlib
 import json
 import os
 import re
-import time
-import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Any, TypeVar
+from dataclasses import dataclass
+from typing import TypeVar
 
 from dunlinloft.balancer import interface as api
 from dunlinloft.balancer.settings import (
@@ -28,175 +22,79 @@
     required,
 )
 from dunlinloft.node import logs
+from dunlinloft.node.addresses import Address, address_at, parse_address
+from dunlinloft.node.fleet_config import FleetConfig, read_fleet
+from dunlinloft.node.server_list import ServerList, read_server_list
 
-Address = tuple[str, int]
-T = TypeVar("T")
-
-STATUSES = {
-    "active": api.Health.IN_SERVICE,
-    "leaving": api.Health.DRAINING,
-    "left": api.Health.TERMINATED,
-}
+DEFAULT_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192
+MANAGEMENT_VARIABLE = "NODE_MANAGEMENT"  # overrides the file's address of the admin endpoint
+# Keys that may come and go with each start.
+OPTIONAL_KEYS = frozenset({"known", "management", "log"})
 
-
-SHARED = ("verdicts", "limits", "affinity", "releases")
-CELL_SHARE = frozenset(("verdicts",))  # what is shared in a cell: the others need to see all members
-CELL, LEAST_CELL, MOST_CELL = 100, 4, 1000  # members of a cell: usual, and the bounds of what may be set
-PLAIN_NAME = "[A-Za-z0-9._-]{1,64}"
-LEAST_AFFINE = 3  # nodes: of two, one that hears nothing of the other can't know who is cut off
+T = TypeVar("T")
 
 
 class BadConfig(Exception):
-    """A configuration that no node can be started with."""
-
-
-@dataclass(slots=True)
-class Listing:
-    """A list of servers, or the part of it that changed."""
-
-    index: int
-    whole: bool
-    entries: list[api.ServerEntry]
-    addresses: dict[int, Address]
-    # A mark of each server's start, the same at all nodes; and when it was, in Unix time.
-    starts: dict[int, int] = field(default_factory=dict)
-    since_ms: dict[int, float] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class CellsConfig:
-    """Membership bounded to cells: whose, how large, and where the directory is."""
-
-    service: str
-    region: str
-    most: int  # members of a cell; beyond that it is cut
-    directory: list[str]  # addresses of its processes; any of them will do
-
-
-@dataclass(slots=True)
-class FleetConfig:
-    """Where this process meets the others of its fleet."""
-
-    name: str
-    bind: str  # host:port, for datagrams and streams
-    advertise: str  # what the others are told
-    seeds: list[str]  # addresses that are asked who is there
-    voters: list[str]  # names of those whose majority gives duties; none: there are no duties
-    share: frozenset[str] = frozenset()  # what it shares with them: see `SHARED`
-    groups: tuple[str, ...] = ()  # zones that keyed requests have their homes in, the same at all nodes
-    cells: CellsConfig | None = None  # None: one view of all members
+    """A configuration that no node can be started with; its text is one line for operators."""
 
 
 @dataclass(slots=True)
 class Config:
-    """All that a node knows when it starts."""
+    """All that a node knows when it starts.
+
+    Attributes
+    ----------
+    management
+        Address of the operators' admin endpoint; None where there is none.
+    known
+        The servers that were known before this start.
+    keys
+        Which keys the file has, as paths.
+    log
+        The form in which the log is written, one of `logs.FORMS`.
+    fleet
+        None: the node is alone, and nothing of the fleet is loaded.
+    """
 
     name: str
     listen: Address
     discovery: Address
     seed: int
-    management: Address | None  # where the operators' staff call; None: nowhere
+    management: Address | None
     sockets: int
     memory_mb: float
-    known: Listing
+    known: ServerList
     settings: api.Settings
-    keys: frozenset[str]  # which the file has, as paths
-    log: str = logs.TEXT  # how the log is written
-    fleet: FleetConfig | None = None  # None: the node is alone, and nothing of the fleet is loaded
-
-
-def now_ms() -> float:
-    """The node's clock: monotonic, in milliseconds."""
-    return time.monotonic() * 1000.0
-
-
-def server_id(name: str) -> int:
-    """A server's number, the same at every node: the module cuts the fleet among the nodes by it.
-
-    Of 64 bits, so that two names never share one; `hash()` differs from one process to the next.
-    """
-    return key_id(name.encode())
-
-
-def key_id(key: bytes) -> int:
-    """What a request is about, as a number of 64 bits that is the same at all nodes."""
-    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "big")
-
-
-def start_mark(since_ms: float) -> int:
-    """Two bytes that tell one start of a server from the next, at all nodes alike; 0: long ago."""
-    return 1 + zlib.crc32(str(int(since_ms)).encode()) % 65535 if since_ms > 0 else 0
-
-
-def address(text: str) -> Address:
-    """Split host:port."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise Malformed(f"{text!r:.60} is no address of the form host:port")
-    return host.strip("[]"), int(port)
+    keys: frozenset[str]
+    log: str = logs.TEXT
+    fleet: FleetConfig | None = None
 
 
-def address_at(obj: Json, key: str) -> Address:
-    """The address that an object holds under a key."""
-    text = required(obj, key, str)
-    try:
-        return address(text)
-    except Malformed as problem:
-        raise Malformed(f"{key!r}: {problem}", Location(obj, key, "127.0.0.1:9000")) from None
-
+@dataclass(slots=True)
+class DirectoryConfig:
+    """All that a process of the directory knows when it starts; its seeds are other such processes."""
 
-def hex_digits(obj: Json, key: str) -> int:
-    """A number written in hex digits and nothing else."""
-    text = required(obj, key, str)
-    if not re.fullmatch("[0-9a-fA-F]+", text):
-        raise Malformed(f"{key!r} must be hex digits, not {text!r:.60}", Location(obj, key, "0"))
-    return int(text, 16)
+    name: str
+    seed: int
+    management: Address | None
+    zone: str
+    fleet: FleetConfig
+    log: str = logs.TEXT
 
 
-def read_listing(obj: Json) -> Listing:
-    """Read a list as discovery writes it. `since_ms` is Unix time; the module's clock is monotonic."""
-    offset_ms = now_ms() - time.time() * 1000.0
-    entries: list[api.ServerEntry] = []
-    addresses: dict[int, Address] = {}
-    starts: dict[int, int] = {}
-    since: dict[int, float] = {}
-    for item in object_list(obj, "endpoints"):
-        server = server_id(required(item, "name", str))
-        since_ms = optional(item, "since_ms", NUMBER, 0)
-        entries.append(
-            api.ServerEntry(
-                server=server,
-                zone=optional(item, "zone", str, ""),
-                kind=optional(item, "type", str, ""),
-                cell=optional(item, "group", int, 0),
-                health=choice(item, "status", STATUSES),
-                share=optional(item, "weight", NUMBER, 1.0),
-                started_ms=since_ms + offset_ms if since_ms > 0 else None,
-            )
-        )
-        addresses[server] = address_at(item, "address")
-        starts[server], since[server] = start_mark(since_ms), float(since_ms)
-    return Listing(
-        required(obj, "index", int), required(obj, "snapshot", bool), entries, addresses, starts, since
-    )
+def read_config(path: str) -> Config:
+    """Read a node's file. Raises `BadConfig`."""
+    return _read_file(path, parse_config)
 
 
-def key_paths(obj: Json) -> frozenset[str]:
-    """The keys that a configuration has, but for what may come and go with each start."""
-    settings = optional(obj, "settings", dict, {})
-    parts = {"": obj, "settings.": settings}
-    parts |= {f"settings.{name}.": optional(settings, name, dict, {}) for name in ("permissions", "rules")}
-    paths = {
-        prefix + key for prefix, part in parts.items() for key, value in part.items() if value is not None
-    }
-    classes = object_list(settings, "classes") if settings.get("classes") else []
-    if classes and all("importance" in cls for cls in classes):
-        paths.add("settings.classes.importance")
-    return frozenset(paths - {"known", "management", "log"})
+def read_directory(path: str) -> DirectoryConfig:
+    """Read the file of a directory's process. Raises `BadConfig`."""
+    return _read_file(path, parse_directory)
 
 
 def read_change(path: str, old: Config) -> Config:
-    """Read the file again: it must have all that the one in force has, as a part of it may be lost."""
+    """Read the file again; it must have all keys of the one in force. Raises `BadConfig`."""
     config = read_config(path)
     missing = sorted(old.keys - config.keys)
     if missing:
@@ -204,11 +102,6 @@
     return config
 
 
-def read_config(path: str) -> Config:
-    """Read a node's file; `BadConfig` says in one line what is wrong with it."""
-    return _read_file(path, parse_config)
-
-
 def _read_file(path: str, parse: Callable[[Json], T]) -> T:
     try:
         with open(path, encoding="utf-8") as file:
@@ -228,136 +121,62 @@
 
 
 def _located(root: Json, problem: Malformed) -> str:
-    """What is wrong, behind the whole path of where it is."""
-    where = path_in(root, problem.location.container, problem.location.key) if problem.location else None
+    """Return what is wrong, behind the full path of where it is."""
+    if problem.location is None:
+        return str(problem)
+    where = path_in(root, problem.location.container, problem.location.key)
     return f"{where}: {problem}" if where else str(problem)
 
 
-def path_in(value: Any, holder: Any, key: str | int, at: str = "") -> str | None:
-    """Where in a JSON value an object's or array's key is; None if that isn't in there."""
-    if value is holder:
-        return f"{at}[{key}]" if isinstance(key, int) else f"{at}.{key}".lstrip(".")
+def path_in(value: object, container: object, key: str | int, path: str = "") -> str | None:
+    """Return the path to a key of an object or array within a JSON value; None where it isn't in there."""
+    if value is container:
+        return f"{path}[{key}]" if isinstance(key, int) else f"{path}.{key}".lstrip(".")
     if isinstance(value, dict):
-        children = [(f"{at}.{name}".lstrip("."), child) for name, child in value.items()]
+        children = [(f"{path}.{name}".lstrip("."), child) for name, child in value.items()]
     elif isinstance(value, list):
-        children = [(f"{at}[{n}]", child) for n, child in enumerate(value)]
+        children = [(f"{path}[{number}]", child) for number, child in enumerate(value)]
     else:
         return None
-    return next((p for where, child in children if (p := path_in(child, holder, key, where))), None)
+    found = (path_in(child, container, key, child_path) for child_path, child in children)
+    return next((each for each in found if each), None)
 
 
-def read_fleet(obj: Json) -> FleetConfig | None:
-    """The `fleet` object, where there is one; refused where the settings allow no peers."""
-    fleet = optional(obj, "fleet", dict, None)
-    if fleet is None:
-        return None
-    allow = optional(optional(obj, "settings", dict, {}), "permissions", dict, {})
-    if optional(allow, "peers", bool, True) is False:
-        raise Malformed(
-            "'fleet' must be absent: settings.permissions.peers is false", Location(obj, "fleet", None)
-        )
-    seeds = required(fleet, "seeds", list)
-    for n, seed in enumerate(seeds):
-        if not isinstance(seed, str):
-            raise Malformed(
-                f"seeds[{n}] must be a string, not {seed!r:.60}", Location(seeds, n, "127.0.0.1:7400")
-            )
-        address(seed)
-    voters = optional(fleet, "voters", list, [])
-    if len(voters) not in (0, 3, 5, 7) or not all(isinstance(name, str) for name in voters):
-        raise Malformed(
-            f"'voters' must be 3, 5 or 7 names, not {voters!r:.60}", Location(fleet, "voters", [])
-        )
-    if len(set(voters)) < len(voters):
-        raise Malformed("'voters' names one twice", Location(fleet, "voters", []))
-    address_at(fleet, "bind")
-    advertise = fleet["bind"] if fleet.get("advertise") is None else required(fleet, "advertise", str)
-    address(advertise)
-    share, groups = _read_shared(fleet, optional(obj, "settings", dict, {}))
-    if "releases" in share and not voters:
-        raise Malformed("'voters' must be named to share releases", Location(fleet, "voters", []))
-    cells = _read_cells(fleet, share, voters)
-    return FleetConfig(
-        required(fleet, "name", str), fleet["bind"], advertise, seeds, voters, share, groups, cells
-    )
-
-
-def _read_cells(fleet: Json, share: frozenset[str], voters: list[str]) -> CellsConfig | None:
-    """The `cells` object, where there is one; refused beside what needs a view of all members."""
-    cells = optional(fleet, "cells", dict, None)
-    if cells is None:
-        return None
-    for key in ("service", "region"):
-        if not re.fullmatch(PLAIN_NAME, required(cells, key, str)):
-            text = f"{key!r} must be 1 to 64 of letters, digits, '.', '-' and '_', not {cells[key]!r:.60}"
-            raise Malformed(text, Location(cells, key, "a"))
-    most = optional(cells, "most", int, CELL)
-    if not LEAST_CELL <= most <= MOST_CELL:
-        text = f"'most' must be {LEAST_CELL} to {MOST_CELL} members of a cell, not {most!r:.60}"
-        raise Malformed(text, Location(cells, "most", CELL))
-    directory = optional(cells, "directory", list, [])
-    for n, place in enumerate(directory):
-        if not isinstance(place, str):
-            raise Malformed(
-                f"directory[{n}] must be a string, not {place!r:.60}",
-                Location(directory, n, "127.0.0.1:7400"),
-            )
-        try:
-            address(place)
-        except Malformed as problem:
-            raise Malformed(f"directory[{n}]: {problem}", Location(directory, n, "127.0.0.1:7400")) from None
-    if voters:
-        raise Malformed(
-            "'voters' must be absent: duties are not there beside 'cells'", Location(fleet, "voters", [])
-        )
-    if share - CELL_SHARE:
-        text = f"'share' may name verdicts alone beside 'cells', not {sorted(share)!r:.60}"
-        raise Malformed(text, Location(fleet, "share", []))
-    return CellsConfig(cells["service"], cells["region"], most, directory)
-
-
-def _read_shared(fleet: Json, settings: Json) -> tuple[frozenset[str], tuple[str, ...]]:
-    """What is shared, and the homes of keyed requests."""
-    share = optional(fleet, "share", list, [])
-    for n, part in enumerate(share):
-        if part not in SHARED:
-            text = f"share[{n}] is {part!r:.60}, which is none of {', '.join(SHARED)}"
-            raise Malformed(text, Location(share, n, SHARED[0]))
-    groups = optional(fleet, "groups", list, [])
-    if not all(isinstance(group, str) for group in groups) or len(set(groups)) < len(groups):
-        raise Malformed(
-            f"'groups' must be names of zones, each once, not {groups!r:.60}", Location(fleet, "groups", [])
-        )
-    if "affinity" in share:
-        if len(groups) < 2:
-            raise Malformed(
-                "'groups' must name the zones, two or more, to share affinity", Location(fleet, "groups", [])
-            )
-        if optional(settings, "siblings", int, 1) < LEAST_AFFINE:
-            text = f"share: affinity needs {LEAST_AFFINE} nodes or more in settings.siblings"
-            raise Malformed(text, Location(fleet, "share", []))
-    return frozenset(share), tuple(groups)
-
-
-@dataclass(slots=True)
-class DirectoryConfig:
-    """All that a process of the directory knows when it starts; its seeds are other such processes."""
-
-    name: str
-    seed: int
-    management: Address | None
-    zone: str
-    fleet: FleetConfig
-    log: str = logs.TEXT
+def key_paths(obj: Json) -> frozenset[str]:
+    """Return the keys that a configuration has, but for `OPTIONAL_KEYS`."""
+    settings = optional(obj, "settings", dict, {})
+    objects = {"": obj, "settings.": settings}
+    objects |= {f"settings.{name}.": optional(settings, name, dict, {}) for name in ("permissions", "rules")}
+    paths = {
+        prefix + key for prefix, each in objects.items() for key, value in each.items() if value is not None
+    }
+    classes = object_list(settings, "classes") if settings.get("classes") else []
+    if classes and all("importance" in cls for cls in classes):
+        paths.add("settings.classes.importance")
+    return frozenset(paths - OPTIONAL_KEYS)
 
 
-def read_directory(path: str) -> DirectoryConfig:
-    """Read the file of a directory's process; `BadConfig` says in one line what is wrong with it."""
-    return _read_file(path, parse_directory)
+def parse_config(obj: Json) -> Config:
+    """Parse the file's object. Raises `Malformed` or `ValueError`."""
+    limits = optional(obj, "limits", dict, {})
+    return Config(
+        name=required(obj, "name", str),
+        listen=address_at(obj, "listen"),
+        discovery=address_at(obj, "discovery"),
+        seed=_hex_digits(obj, "seed"),
+        management=_management(obj),
+        sockets=optional(limits, "sockets", int, DEFAULT_SOCKETS),
+        memory_mb=optional(limits, "memory_mb", NUMBER, DEFAULT_MEMORY_MB),
+        known=read_server_list(optional(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
+        settings=read_settings(required(obj, "settings", dict)),
+        keys=key_paths(obj),
+        fleet=read_fleet(obj),
+        log=_log_form(obj),
+    )
 
 
 def parse_directory(obj: Json) -> DirectoryConfig:
-    """Turn the file's object into a configuration; `Malformed` or `ValueError` says what is wrong with it."""
+    """Parse the object of a directory's file. Raises `Malformed` or `ValueError`."""
     fleet = read_fleet(obj)
     if fleet is None:
         raise Malformed(
@@ -371,36 +190,30 @@
             )
     return DirectoryConfig(
         name=required(obj, "name", str),
-        seed=hex_digits(obj, "seed"),
+        seed=_hex_digits(obj, "seed"),
         management=_management(obj),
         zone=optional(obj, "zone", str, ""),
         fleet=fleet,
-        log=choice(optional(obj, "log", dict, {"form": logs.TEXT}), "form", logs.FORMS),
+        log=_log_form(obj),
     )
 
 
+def _hex_digits(obj: Json, key: str) -> int:
+    """Return a number written in hex digits and nothing else."""
+    text = required(obj, key, str)
+    if not re.fullmatch("[0-9a-fA-F]+", text):
+        raise Malformed(f"{key!r} must be hex digits, not {text!r:.60}", Location(obj, key, "0"))
+    return int(text, 16)
+
+
 def _management(obj: Json) -> Address | None:
-    """Where operators call, by the environment or the file."""
-    management = os.environ.get("NODE_MANAGEMENT")
+    """Return the admin endpoint's address, by the environment or the file."""
+    management = os.environ.get(MANAGEMENT_VARIABLE)
     if management:
-        return address(management)
+        return parse_address(management)
     return address_at(obj, "management") if optional(obj, "management", str, None) else None
 
 
-def parse_config(obj: Json) -> Config:
-    """Turn the file's object into a configuration; `Malformed` or `ValueError` says what is wrong with it."""
-    limits = optional(obj, "limits", dict, {})
-    return Config(
-        name=required(obj, "name", str),
-        listen=address_at(obj, "listen"),
-        discovery=address_at(obj, "discovery"),
-        seed=hex_digits(obj, "seed"),
-        management=_management(obj),
-        sockets=optional(limits, "sockets", int, 1024),
-        memory_mb=optional(limits, "memory_mb", NUMBER, 192),
-        known=read_listing(optional(obj, "known", dict, {"index": 0, "snapshot": True, "endpoints": []})),
-        settings=read_settings(required(obj, "settings", dict)),
-        keys=key_paths(obj),
-        fleet=read_fleet(obj),
-        log=choice(optional(obj, "log", dict, {"form": logs.TEXT}), "form", logs.FORMS),
-    )
+def _log_form(obj: Json) -> str:
+    form: str = choice(optional(obj, "log", dict, {"form": logs.TEXT}), "form", logs.FORMS)
+    return form
--- a/dunlinloft/node/figures.py
+++ b/dunlinloft/node/figures.py
@@ -1,51 +1,60 @@
-"""What the operators' staff read: counts since the process started, and gauges asked for on reading.
+"""What operators read: counts since the process started, and gauges that are read on demand.
 
-Each count is raised in one place, where what it counts happens. Counts never fall, and a class that
-has vanished from the settings keeps its own.
+Each count is raised in one place, where what it counts happens. Counts never fall, and a class that is no
+longer in the settings keeps its own.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import Any
+
+from dunlinloft.node.admin_reply import JsonObject
 
 SUCCESS, BUSY, FAILURE = "success", "busy", "failure"
-REFUSALS = (429, 503)  # whoever gets one may try again
+OK_STATUS = 200
+BUSY_STATUSES = (429, 503)  # the caller may retry
 
 
 class Figures:
     """The counts of one process."""
 
     def __init__(self, classes: Iterable[str]) -> None:
-        self._calls: dict[str, dict[str, int]] = {}
-        self.backend_calls = self.reconfig_ok = self.reconfig_failed = 0
+        self._calls: dict[str, dict[str, int]] = {}  # by class and outcome
+        self.backend_calls = 0
+        self.reconfig_ok = 0
+        self.reconfig_failed = 0
         self._gauges: dict[str, Callable[[], int]] = {}
-        self.know(classes)
+        self.add_classes(classes)
 
-    def know(self, classes: Iterable[str]) -> None:
-        """Show these classes from now on, beside those known before."""
+    def add_classes(self, classes: Iterable[str]) -> None:
+        """Count these classes from now on, beside those known before."""
         for name in classes:
             self._calls.setdefault(name, {SUCCESS: 0, BUSY: 0, FAILURE: 0})
 
     def gauge(self, name: str, read: Callable[[], int]) -> None:
-        """Show what `read` says at the time."""
+        """Show what `read` returns whenever the figures are read."""
         self._gauges[name] = read
 
-    def ended(self, cls: str, status: int) -> None:
-        """A request has got its answer, or failed with one begun; of classes never known nothing is kept."""
+    def on_request_completed(self, cls: str, status: int) -> None:
+        """Count a request's response, or its failure; of unknown classes nothing is counted."""
         if cls in self._calls:
-            outcome = SUCCESS if status == 200 else BUSY if status in REFUSALS else FAILURE
-            self._calls[cls][outcome] += 1
+            self._calls[cls][_outcome(status)] += 1
 
-    def written(self) -> None:
-        """An attempt was written whole to a server."""
+    def on_attempt_written(self) -> None:
+        """Count an attempt that was written completely to a server."""
         self.backend_calls += 1
 
-    def read(self) -> dict[str, Any]:
-        """All of it, in the form that the admin endpoint shows."""
+    def to_json(self) -> JsonObject:
+        """Return everything, as the admin endpoint shows it."""
         return {
             "calls": {name: dict(counts) for name, counts in self._calls.items()},
             "backend_calls": self.backend_calls,
             "reconfig_ok": self.reconfig_ok,
             "reconfig_failed": self.reconfig_failed,
         } | {name: read() for name, read in self._gauges.items()}
+
+
+def _outcome(status: int) -> str:
+    if status == OK_STATUS:
+        return SUCCESS
+    return BUSY if status in BUSY_STATUSES else FAILURE
--- a/dunlinloft/node/fleet/cells.py
+++ b/dunlinloft/node/fleet/cells.py
@@ -1,4 +1,4 @@
-"""A node's part in cells: its membership in one, its wire, and its place among all of its service.
+"""A node's part in cells: its membership in one, its wire, and its position among all members of its service.
 
 Imported only where the configuration's `fleet` has `cells`.
 """
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from dunlinloft.fleet.cells.core import CellMembership
 from dunlinloft.fleet.cells.member_count import CellMemberCount
@@ -17,44 +17,53 @@
 from dunlinloft.fleet.cells.wire import CellWire
 from dunlinloft.fleet.messages import MetadataValue
 from dunlinloft.node import logs
-from dunlinloft.node.config import CellsConfig, FleetConfig, now_ms
+from dunlinloft.node.admin_reply import AdminReply
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.fleet_config import CellsConfig, FleetConfig
 
 if TYPE_CHECKING:
     from dunlinloft.node.fleet.peers import Own
 
 
-class Member(CellMembership):
-    """One whose budgets are parted by its census."""
+class CellMember(CellMembership):
+    """A member whose budgets are divided by its host's count of members."""
 
-    census: CellMemberCount
+    member_count: CellMemberCount
 
     def counted_members(self) -> int:
-        return self.census.cell()
+        """Return how many members of the cell share budgets."""
+        return self.member_count.cell()
 
 
 class CellHost:
     """This process in its cell."""
 
     def __init__(
-        self, own: Own, fleet: FleetConfig, cells: CellsConfig, uid: int, life: int, rng: random.Random,
+        self,
+        own: Own,
+        fleet: FleetConfig,
+        cells: CellsConfig,
+        uid: int,
+        incarnation: int,
+        rng: random.Random,
         facts: dict[str, MetadataValue],
-    ) -> None:  # fmt: skip
-        place = CellSettings(cells.service, cells.region, cells.most, list(cells.directory))
-        self.core = Member(own.name, fleet.advertise, fleet.seeds, uid, life, rng, facts, place)
-        self.census = self.core.census = CellMemberCount(own.name, own.number, own.nodes)
+    ) -> None:
+        settings = CellSettings(cells.service, cells.region, cells.max_members, list(cells.directory))
+        self.core = CellMember(own.name, fleet.advertise, fleet.seeds, uid, incarnation, rng, facts, settings)
+        self.member_count = self.core.member_count = CellMemberCount(own.name, own.number, own.nodes)
         self.wire = CellWire(fleet.name, cells.service, cells.region, lambda: self.core.partition)
         self._fallback: bool | None = None
 
-    def was_cut(self) -> None:
+    def on_partition_changed(self) -> None:
         """The cell is another: who is not of it any more is counted by its own."""
-        cut = self.core.partition
-        self.census.retain(lambda name: cut.includes_path(name_path(name)))
+        partition = self.core.partition
+        self.member_count.retain(lambda name: partition.includes_path(name_path(name)))
 
-    def see(self, here: set[str], now: float) -> None:
+    def observe_members(self, alive: set[str], now: float) -> None:
         """Take in who is there, and what the directory says of the others."""
-        self.census.observe(here, now, self.core.service_totals, self.core.partition)
-        if self.census.uses_fallback != self._fallback:
-            self._fallback = self.census.uses_fallback
+        self.member_count.observe(alive, now, self.core.service_totals, self.core.partition)
+        if self.member_count.uses_fallback != self._fallback:
+            self._fallback = self.member_count.uses_fallback
             text = "what the directory says is too old: parts of budgets do not grow"
             logs.info("cells fallback", text if self._fallback else "the directory's sums are in use")
 
@@ -69,23 +78,24 @@
         """Gauges beside the fleet's."""
         return {
             "fleet_cuts": lambda: self.core.partition_changes,
-            "fleet_cells_fallback": lambda: int(self.census.uses_fallback),
+            "fleet_cells_fallback": lambda: int(self.member_count.uses_fallback),
             "fleet_cells_age_ms": lambda: int(self.age_ms() or 0.0),
-            "fleet_service_members": lambda: self.census.total(),
+            "fleet_service_members": lambda: self.member_count.total(),
         }
 
-    def show(self) -> tuple[int, dict[str, Any]]:
+    def status(self) -> AdminReply:
         """All that the admin endpoint tells of the cell."""
         core, totals, age = self.core, self.core.service_totals, self.age_ms()
-        number, nodes = self.census.position()
+        number, nodes = self.member_count.position()
         found = totals.response if totals is not None else None
-        return 200, {
+        return AdminReply(200, {
             "service": core.settings.service, "region": core.settings.region,
             "most": core.settings.max_members,
             "cell": core.partition.text(), "epoch": core.partition.epoch, "members": core.alive_count(),
-            "counted": self.census.cell(), "reporter": core.is_reporter(), "cuts": core.partition_changes,
+            "counted": self.member_count.cell(), "reporter": core.is_reporter(),
+            "cuts": core.partition_changes,
             "strays": core.foreign_messages, "place": {"number": number, "nodes": nodes},
-            "fallback": self.census.uses_fallback,
+            "fallback": self.member_count.uses_fallback,
             "directory": {
                 "addresses": core.settings.directory,
                 "unanswered": core.lookup.consecutive_timeouts,
@@ -95,4 +105,4 @@
                 "service_members": found.service_members if found is not None else None,
                 "cells": found.cell_count if found is not None else None,
             },
-        }  # fmt: skip
+        })  # fmt: skip
--- a/dunlinloft/node/fleet/directory.py
+++ b/dunlinloft/node/fleet/directory.py
@@ -12,7 +12,6 @@
 import signal
 import sys
 from dataclasses import replace
-from typing import Any
 
 import uvloop
 
@@ -27,11 +26,13 @@
 from dunlinloft.fleet.shared_state import messages as shared
 from dunlinloft.fleet.wire import MessageRejected
 from dunlinloft.node import logs
-from dunlinloft.node.config import BadConfig, DirectoryConfig, now_ms, read_directory
+from dunlinloft.node.admin_reply import AdminReply, JsonObject
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.config import BadConfig, DirectoryConfig, read_directory
 from dunlinloft.node.fleet.peers import GOODBYE_S, Own, Peers
 from dunlinloft.node.management import AdminEndpoint
 
-SEEN_S = 1.0  # how often it is looked at which other processes are there
+OBSERVE_INTERVAL_S = 1.0  # how often it is looked at which other processes are there
 OWN_FLEET = "{}/directory"  # the name under which the directory's processes meet
 
 
@@ -44,62 +45,58 @@
         own = Own(config.name, config.seed, config.zone)
         self.peers = Peers(loop, own, fleet, lambda number, nodes: None, lambda: 0)
         self.peers.aside = self._datagram
-        self.peers.listeners.append(self._heard)
+        self.peers.listeners.append(self._on_message)
         self.wire = DirectoryWire(config.fleet.name)
-        life = self.peers.core.incarnation
-        self.core = cells.Directory(config.name, life, random.Random(config.seed), now_ms())
-        self._over = False
-        self.admin = AdminEndpoint(
-            loop,
-            {
-                "/admin/health": ("GET", self._health),
-                "/admin/directory": ("GET", self.show),
-                "/admin/fleet": ("GET", self.peers.show),
-            },
-        )
+        incarnation = self.peers.core.incarnation
+        self.core = cells.Directory(config.name, incarnation, random.Random(config.seed), now_ms())
+        self._closed = False
+        self.admin = AdminEndpoint(loop)
+        self.admin.add("/admin/health", "GET", self._health)
+        self.admin.add("/admin/directory", "GET", self.status)
+        self.admin.add("/admin/fleet", "GET", self.peers.status)
 
     async def start(self) -> None:
         """Meet the others and answer members; `OSError` where the admin endpoint's address is taken."""
         if self.config.management is not None:
             await self.admin.listen(self.config.management)
         self.peers.start()
-        self._do(self.core.start())
-        self._see()
+        self._perform(self.core.start())
+        self._observe_peers()
 
     async def stop(self) -> None:
         """Say goodbye to the other processes."""
-        self._over = True
+        self._closed = True
         self.peers.depart(handing_over=False)
         await asyncio.sleep(2.0 * GOODBYE_S)
 
-    def _see(self) -> None:
-        if self._over:
+    def _observe_peers(self) -> None:
+        if self._closed:
             return
         core = self.peers.core
-        here = {m.name: m.incarnation for m in core.view.members.values() if m.is_alive()}
-        self._give(cells.PeersObserved(core.incarnation, here))
-        self._loop.call_later(SEEN_S, self._see)
+        alive = {m.name: m.incarnation for m in core.view.members.values() if m.is_alive()}
+        self._handle(cells.PeersObserved(core.incarnation, alive))
+        self._loop.call_later(OBSERVE_INTERVAL_S, self._observe_peers)
 
-    def _give(self, event: cells.Event) -> None:
-        if self._over:
+    def _handle(self, event: cells.Event) -> None:
+        if self._closed:
             return
         try:
-            self._do(self.core.handle(event, now_ms()))
+            self._perform(self.core.handle(event, now_ms()))
         except Exception:
             self.peers.counts["errors"] += 1
             logs.exception("directory error", "handling %(what)s", what=type(event).__name__)
 
-    def _do(self, actions: list[cells.Action]) -> None:
+    def _perform(self, actions: list[cells.Action]) -> None:
         for action in actions:
             match action:
                 case api.SendDatagram():
                     if isinstance(action.message, CellMessage):
                         self.peers.send(self.wire.write(action.message), action.address)
                 case shared.SendMessage():
-                    self.peers.tell(action.recipient, action.message)
+                    self.peers.send_to_member(action.recipient, action.message)
                 case shared.SetTimer():
                     self._loop.call_later(
-                        action.delay_ms / 1000.0, self._give, shared.TimerFired(action.token)
+                        action.delay_ms / 1000.0, self._handle, shared.TimerFired(action.token)
                     )
 
     def _datagram(self, data: bytes, source: str) -> bool:
@@ -112,22 +109,22 @@
             self.peers.refuse(str(reason))
             return True
         if not isinstance(message, LookupResponse):
-            self._give(cells.MemberMessageReceived(message, source))
+            self._handle(cells.MemberMessageReceived(message, source))
         return True
 
-    def _heard(self, message: Message) -> None:
+    def _on_message(self, message: Message) -> None:
         if isinstance(message, ApplicationMessage) and isinstance(message.content, shared.Message):
-            self._give(shared.MessageReceived(message.content, message.header.name))
+            self._handle(shared.MessageReceived(message.content, message.header.name))
 
     # What operators see
 
-    def _health(self) -> tuple[int, dict[str, Any]]:
-        return 200, {"ready": self.core.is_ready(now_ms())}
+    def _health(self) -> AdminReply:
+        return AdminReply(200, {"ready": self.core.is_ready(now_ms())})
 
-    def show(self) -> tuple[int, dict[str, Any]]:
+    def status(self) -> AdminReply:
         """Services with their cells, and how old what is known of each is."""
         now, core = now_ms(), self.core
-        return 200, {
+        return AdminReply(200, {
             "name": self.config.name,
             "fleet": self.config.fleet.name,
             "learning": not core.is_ready(now),
@@ -138,14 +135,14 @@
             "services": {
                 name: _service(service, now) for name, service in sorted(core.index.services.items())
             },
-        }  # fmt: skip
+        })  # fmt: skip
 
 
-def _service(service: ServiceRecord, now: float) -> list[dict[str, Any]]:
+def _service(service: ServiceRecord, now: float) -> list[JsonObject]:
     return [_cell(cell, now) for _, cell in sorted(service.cells.items())]
 
 
-def _cell(cell: CellRecord, now: float) -> dict[str, Any]:
+def _cell(cell: CellRecord, now: float) -> JsonObject:
     youngest = cell.latest().summary
     return {
         "region": cell.region, "cell": cell.partition.text(), "epoch": cell.partition.epoch,
--- a/dunlinloft/node/fleet/peers.py
+++ b/dunlinloft/node/fleet/peers.py
@@ -36,10 +36,14 @@
 from dunlinloft.fleet.shared_state.core import RELEASES
 from dunlinloft.fleet.wire import MAX_STATE_BYTES, MessageRejected, RejectReason, Wire
 from dunlinloft.node import VERSION, logs
-from dunlinloft.node.config import Address, Config, FleetConfig, address, now_ms
-from dunlinloft.node.fleet.duties import DutyHost
+from dunlinloft.node.addresses import Address, parse_address
+from dunlinloft.node.admin_reply import AdminReply, error_reply
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.config import Config
 from dunlinloft.node.fleet.releases import Releases
 from dunlinloft.node.fleet.shared import SharedHost
+from dunlinloft.node.fleet.singleton_roles import RoleHost
+from dunlinloft.node.fleet_config import FleetConfig
 
 if TYPE_CHECKING:
     from dunlinloft.fleet.cells.member_count import CellMemberCount
@@ -120,40 +124,43 @@
         uid = wall_ms << 16 | rng.getrandbits(16)
         self.cells: CellHost | None = None
         self.core: Membership
-        self.census: MemberCount | CellMemberCount
+        self.member_count: MemberCount | CellMemberCount
         if fleet.cells is not None:
             from dunlinloft.node.fleet.cells import CellHost
 
             self.cells = CellHost(own, fleet, fleet.cells, uid, wall_ms, rng, facts)
-            self.core, self.census = self.cells.core, self.cells.census
+            self.core, self.member_count = self.cells.core, self.cells.member_count
         else:
             self.core = Membership(own.name, fleet.advertise, fleet.seeds, uid, wall_ms, rng, facts)
-            self.census = MemberCount(own.name, own.number, own.nodes)
+            self.member_count = MemberCount(own.name, own.number, own.nodes)
         self._tier = float(own.tier)
         # Who else wants what comes; and who wants datagrams that are not for the members.
         self.listeners: list[Callable[[Message], None]] = []
         self.aside: Callable[[bytes, str], bool] = lambda data, source: False
-        self.work: DutyHost | None = None
+        self.work: RoleHost | None = None
         if fleet.voters:
-            self.work = DutyHost(loop, self, own.name, own.zone, fleet.voters, rng)
-            self.listeners.append(self.work.heard)
+            self.work = RoleHost(loop, self, own.name, own.zone, fleet.voters, rng)
+            self.listeners.append(self.work.on_message)
         self.shared: SharedHost | None = None
         if fleet.share and balancer is not None and settings is not None:
             self.shared = SharedHost(loop, self, fleet, settings, balancer, told, rng)
-            self.listeners.append(self.shared.heard)
+            self.listeners.append(self.shared.on_message)
             if self.work is not None:
-                self.work.ordered = self.shared.ordered
+                self.work.on_limits_read = self.shared.on_operator_limits
         self.releases: Releases | None = None
         if self.shared is not None and self.work is not None and RELEASES in fleet.share:
             work = self.work
             self.releases = Releases(
                 self.shared.core,
-                work.entries,
-                self.shared.steer,
-                lambda: work.holder(STATE_TABLE_ROLE),
+                work.writes,
+                self.shared.on_release_order,
+                lambda: work.owner_of(STATE_TABLE_ROLE),
                 now_ms,
             )
-            self.work.on_open, self.work.on_close = self.releases.opened, self.releases.closed
+            self.work.on_open, self.work.on_close = (
+                self.releases.on_table_opened,
+                self.releases.on_table_closed,
+            )
         self._udp: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -176,7 +183,7 @@
         self._spawn(self._begin())
 
     async def _begin(self) -> None:
-        host, port = address(self._fleet.bind)
+        host, port = parse_address(self._fleet.bind)
         told = False
         while True:
             try:
@@ -215,17 +222,17 @@
         if self._over or self.releases is None or self.work is None:
             return
         try:
-            self.releases.look(self.work.holds(STATE_TABLE_ROLE))
+            self.releases.tick(self.work.holds(STATE_TABLE_ROLE))
         except Exception:
             self.counts["errors"] += 1
             logs.exception("fleet error", "the releases' part")
         self._loop.call_later(LOOK_INTERVAL_MS / 1000.0, self._look)
 
-    def show_releases(self) -> tuple[int, dict[str, Any]]:
+    def releases_status(self) -> AdminReply:
         """All that the admin endpoint tells of releases."""
         if self.releases is None or self.shared is None:
-            return 404, {"error": "no such path"}
-        return 200, self.releases.show(self.shared.classes())
+            return error_reply(404, "no such path")
+        return AdminReply(200, self.releases.status(self.shared.classes()))
 
     def handle(self, event: api.Event) -> None:
         """Give the core an event and do what it says; an error here is the fleet's and not the node's."""
@@ -254,7 +261,7 @@
                 self._call(action.address, self._probe(action))
             case api.MemberChanged():
                 if self.cells is not None and action.change is api.MemberChange.CELL:
-                    self.cells.was_cut()
+                    self.cells.on_partition_changed()
             case api.LogEvent():
                 text = "fleet: " + ", ".join(f"{name} %({name})s" for name in action.fields)
                 logs.info(f"fleet {action.event}", text, **action.fields)
@@ -266,7 +273,7 @@
         if self._udp is None or self._udp.is_closing():
             return
         try:
-            self._udp.sendto(data, address(target))
+            self._udp.sendto(data, parse_address(target))
         except (OSError, ValueError):
             self.counts["unsent"] += 1
             return
@@ -328,9 +335,11 @@
         self._spawn(work)
 
     async def _open(self, target: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        local = (address(self._fleet.bind)[0], 0)
+        local = (parse_address(self._fleet.bind)[0], 0)
         self.counts["streams"] += 1
-        return await asyncio.open_connection(*address(target), local_addr=local, limit=MAX_STATE_BYTES + 1024)
+        return await asyncio.open_connection(
+            *parse_address(target), local_addr=local, limit=MAX_STATE_BYTES + 1024
+        )
 
     async def _exchange(self, action: api.PushPull) -> None:
         data = await self._ask(action.address, STATE, self._write_state(action.state))
@@ -416,10 +425,10 @@
     def _recount(self) -> None:
         here = of_tier(self.core, self._tier)
         if self.cells is not None:
-            self.cells.see(here, now_ms())
+            self.cells.observe_members(here, now_ms())
         else:
-            self.census.observe(here, now_ms())
-        place = self.census.position()
+            self.member_count.observe(here, now_ms())
+        place = self.member_count.position()
         if place != self._place:
             self._place = place
             logs.info("place", "number %(number)d of %(nodes)d now", number=place[0], nodes=place[1])
@@ -427,7 +436,7 @@
 
     def told(self, number: int, nodes: int) -> None:
         """The file has new settings; what is in force follows from both."""
-        self.census.reconfigure(number, nodes)
+        self.member_count.reconfigure(number, nodes)
         self._place = number, nodes
         self._recount()
 
@@ -452,14 +461,14 @@
         """Let others know; who drains holds no duty."""
         self.handle(api.MetadataUpdated({"draining": draining}))
         if draining and self.work is not None:
-            self.work.give_all_back()
+            self.work.release_all()
 
     def depart(self, handing_over: bool) -> None:
         """The process goes: another of this node goes on as this member, or all are told."""
         if self._over:
             return
         if self.work is not None:
-            self.work.give_all_back()
+            self.work.release_all()
         if not handing_over:
             self.handle(api.LeaveRequested())
         self._over = True
@@ -475,17 +484,17 @@
         for task in self._tasks:
             task.cancel()
 
-    def tell(self, name: str, content: duties.Message | shared.Message) -> None:
+    def send_to_member(self, name: str, content: duties.Message | shared.Message) -> None:
         """Say something about a duty or shared state to a member, or of a duty to this process itself."""
         if name == self.core.name:
             if self.work is not None and isinstance(content, duties.Message):
-                self._loop.call_soon(self.work.take, content, name)
+                self._loop.call_soon(self.work.on_content, content, name)
             return
         member = self.core.view.get(name)
         if member is not None and member.is_alive() and not self.core.muted:
             self.send(self._write(ApplicationMessage(self.core.header(), content, [])), member.address)
 
-    def ask_view(self, name: str) -> None:
+    def request_view(self, name: str) -> None:
         """Have a member say which view it holds: its answer tells."""
         member = self.core.view.get(name)
         if member is not None and not self.core.muted:
@@ -510,7 +519,7 @@
             "fleet_sent_bytes": lambda: self.counts["sent_bytes"],
         }
 
-    def show(self) -> tuple[int, dict[str, Any]]:
+    def status(self) -> AdminReply:
         """All that the admin endpoint tells of the fleet."""
         core, now = self.core, now_ms()
         differ, longest = core.divergence(now)
@@ -530,7 +539,7 @@
             for m in sorted(core.view.members.values(), key=lambda m: m.name)
             if m.is_alive() or now - m.status_since_ms < RECORDED_MS
         ]
-        return 200, {
+        return AdminReply(200, {
             "fleet": self._fleet.name,
             "self": {
                 "name": core.name,
@@ -548,4 +557,4 @@
             "refuted": core.refutations, "buried": core.deaths_declared, "conflicts": core.name_conflicts,
             "messages_s": round(self._rates[0], 1), "bytes_s": round(self._rates[1], 1),
             "counts": self.counts, "refused_for": self.reasons, "members": members,
-        }  # fmt: skip
+        })  # fmt: skip
--- a/dunlinloft/node/fleet/releases.py
+++ b/dunlinloft/node/fleet/releases.py
@@ -1,10 +1,9 @@
-"""Hosts the steward of releases: joins the ledger, shared state and the operators' admin endpoint."""
+"""Hosts the controller of releases: joins the table, shared state and the operators' admin endpoint."""
 
 from __future__ import annotations
 
 import time
 from collections.abc import Callable
-from typing import Any
 from urllib.parse import parse_qs
 
 from dunlinloft.fleet.leases.table_primary import TablePrimary
@@ -14,96 +13,99 @@
 from dunlinloft.fleet.releases.traffic import MemberTally
 from dunlinloft.fleet.shared_state.core import SharedState
 from dunlinloft.fleet.shared_state.messages import TALLY, ReleaseOrderIssued
-from dunlinloft.node.config import server_id
-from dunlinloft.node.fleet.duties import Entries
+from dunlinloft.node.admin_reply import AdminReply, JsonObject, error_reply
+from dunlinloft.node.fleet.role_messaging import TableWrites
+from dunlinloft.node.server_list import server_id
 
-KEPT = 20  # releases that ended and are remembered
+MAX_HISTORY = 20  # releases that ended and are remembered
 
 
 class Releases:
-    """The steward, and what operators say to it and see of it."""
+    """The controller, and what operators say to it and see of it."""
 
     def __init__(
-        self, shared: SharedState, entries: Entries, give: Callable[[ReleaseOrderIssued], None],
-        holder: Callable[[], str], now: Callable[[], float],
+        self, shared: SharedState, writes: TableWrites, issue_order: Callable[[ReleaseOrderIssued], None],
+        table_owner: Callable[[], str], now: Callable[[], float],
     ) -> None:  # fmt: skip
-        self._shared, self._entries, self._give, self._now = shared, entries, give, now
-        self._holder = holder
-        self.steward = ReleaseController(self._write, server_id, lambda: int(time.time()))
+        self._shared, self._writes, self._issue_order, self._now = shared, writes, issue_order, now
+        self._table_owner = table_owner
+        self.controller = ReleaseController(self._write_plan, server_id, lambda: int(time.time()))
         self._history: list[Plan] = []
 
-    def opened(self, ledger: TablePrimary) -> None:
-        """This process holds the ledger, and it is open."""
-        rows = {
-            key: decode_plan(row.value) for key, row in ledger.rows.items() if key.startswith(RELEASE_KEY)
-        }
+    def on_table_opened(self, table: TablePrimary) -> None:
+        """This process holds the table, and it is open."""
+        rows = {key: decode_plan(row.value) for key, row in table.rows.items() if key.startswith(RELEASE_KEY)}
         past = [plan for key, plan in rows.items() if key != RELEASE_KEY and plan is not None]
         self._history = sorted(past, key=lambda plan: plan.id)
-        self.steward.start(ledger.token, rows.get(RELEASE_KEY), self._now())
+        self.controller.start(table.token, rows.get(RELEASE_KEY), self._now())
 
-    def closed(self) -> None:
-        """It holds the ledger no more."""
-        self.steward.stop()
+    def on_table_closed(self) -> None:
+        """It holds the table no more."""
+        self.controller.stop()
 
-    def _write(self, plan: Plan) -> None:
-        why = self._entries.keep(RELEASE_KEY, plan.encode(), self.steward.write_completed)
-        if why:
-            raise ReleaseRejected(why)
+    def _write_plan(self, plan: Plan) -> None:
+        rejection = self._writes.write(RELEASE_KEY, plan.encode(), self.controller.write_completed)
+        if rejection:
+            raise ReleaseRejected(rejection)
         if plan.state in TERMINAL_STATES:
-            self._entries.keep(f"{RELEASE_KEY}/{plan.id % KEPT}", plan.encode(), lambda kept: None)
-            self._history = [*self._history, plan][-KEPT:]
-
-    def look(self, holds: bool) -> None:
-        """To be called every so often; `holds`: this process holds the ledger at this instant."""
-        if not self.steward.token or not holds:
+            self._writes.write(
+                f"{RELEASE_KEY}/{plan.id % MAX_HISTORY}", plan.encode(), lambda committed: None
+            )
+            self._history = [*self._history, plan][-MAX_HISTORY:]
+
+    def tick(self, holds: bool) -> None:
+        """To be called every so often; `holds`: this process holds the table at this instant."""
+        if not self.controller.token or not holds:
             return
         now, store = self._now(), self._shared.store
-        told = [
+        tallies = [
             MemberTally(writer, held.incarnation, held.age_ms(now), held.content)
             for writer, held in store.read(TALLY, MAX_TALLY_AGE_MS, now)
             if isinstance(held.content, Tally) and held.content.tier == self._shared.tier
         ]
-        told.append(MemberTally(store.name, store.incarnation, 0.0, self._shared.follower.tally()))
-        order: Order | None = self.steward.look(told, self._shared.membership.member_count, now)
+        tallies.append(MemberTally(store.name, store.incarnation, 0.0, self._shared.follower.tally()))
+        order: Order | None = self.controller.look(tallies, self._shared.membership.member_count, now)
         if order is not None:
-            self._give(ReleaseOrderIssued(order))
+            self._issue_order(ReleaseOrderIssued(order))
 
     # At the admin endpoint
 
-    def start(self, query: str) -> tuple[int, dict[str, Any]]:
+    def start(self, query: str) -> AdminReply:
         """Begin a release of servers."""
-        asked = _asked(query)
+        parameters = _parameters(query)
         try:
-            wanted = parse_release_request(asked)
-            self.steward.start_release(wanted, asked.get("by", ""), asked.get("why", ""))
+            wanted = parse_release_request(parameters)
+            self.controller.start_release(wanted, parameters.get("by", ""), parameters.get("why", ""))
         except InvalidReleaseRequest as problem:
-            return 400, {"error": str(problem)}
+            return error_reply(400, str(problem))
         except ReleaseRejected as rejection:
             return self._reject(rejection)
-        return 202, {"taken": True}
+        return AdminReply(202, {"taken": True})
 
-    def say(self, query: str) -> tuple[int, dict[str, Any]]:
+    def command(self, query: str) -> AdminReply:
         """Pause, resume, skip, halt or abort it."""
-        asked = _asked(query)
+        parameters = _parameters(query)
         try:
-            self.steward.command(asked.get("what", ""), asked.get("by", ""), asked.get("why", ""))
+            self.controller.command(
+                parameters.get("what", ""), parameters.get("by", ""), parameters.get("why", "")
+            )
         except InvalidReleaseRequest as problem:
-            return 400, {"error": str(problem)}
+            return error_reply(400, str(problem))
         except ReleaseRejected as rejection:
             return self._reject(rejection)
-        return 202, {"taken": True}
+        return AdminReply(202, {"taken": True})
 
-    def _reject(self, rejection: ReleaseRejected) -> tuple[int, dict[str, Any]]:
-        return 409, {"error": str(rejection), "holder": self._holder()}
+    def _reject(self, rejection: ReleaseRejected) -> AdminReply:
+        return error_reply(409, str(rejection), holder=self._table_owner())
 
-    def show(self, mark_names: dict[int, str]) -> dict[str, Any]:
-        """All that the admin endpoint tells of releases; `mark_names` are the classes by their marks."""
-        follower, found = self._shared.follower, self.steward.status()
+    def status(self, class_names: dict[int, str]) -> JsonObject:
+        """All that the admin endpoint tells of releases; `class_names` are the classes by their marks."""
+        follower, found = self._shared.follower, self.controller.status()
         for row in found["evidence"]:
-            row["class"] = mark_names.get(row["class"], "all" if not row["class"] else str(row["class"]))
+            row["class"] = class_names.get(row["class"], "all" if not row["class"] else str(row["class"]))
         order = follower.order
         return found | {
-            "self": self._shared.name, "holder": self._holder(),
+            "self": self._shared.name, "holder": self._table_owner(),
             "order": {
                 "token": order.token, "step": order.step, "release": order.release_id, "share": order.share,
             },
@@ -117,5 +119,5 @@
         }  # fmt: skip
 
 
-def _asked(query: str) -> dict[str, str]:
+def _parameters(query: str) -> dict[str, str]:
     return {name: values[0] for name, values in parse_qs(query).items()}
--- a/dunlinloft/node/fleet/shared.py
+++ b/dunlinloft/node/fleet/shared.py
@@ -1,4 +1,4 @@
-"""Hosts the state that the fleet's members share: tells it what happens here, and the module what follows.
+"""Hosts the state that the fleet's members share: tells it what happens alive, and the module what follows.
 
 Its messages ride on the members' datagrams. Whatever fails is the fleet's, and the node serves on by its
 own knowledge: what others said is taken back first.
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from dunlinloft.balancer import interface as api
 from dunlinloft.balancer.balancer import Balancer
@@ -22,35 +22,38 @@
 from dunlinloft.fleet.shared_state import messages as shared
 from dunlinloft.fleet.shared_state.core import AFFINITY, FEATURES, LIMITS, RELEASES, SharedState, class_hash
 from dunlinloft.node import logs
-from dunlinloft.node.config import FleetConfig, Listing, now_ms
+from dunlinloft.node.admin_reply import AdminReply
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.fleet_config import FleetConfig
+from dunlinloft.node.server_list import ServerList
 
 if TYPE_CHECKING:
     from dunlinloft.node.fleet.peers import Peers
 
-KNOWN_S = 0.25  # how often the fleet's part hears what the node knows
-HOW = {
+STATUS_INTERVAL_S = 0.25  # how often the fleet's part hears what the node knows
+ATTEMPT_OUTCOMES = {
     Result.SERVED: AttemptOutcome.GOOD, Result.ERROR: AttemptOutcome.ERROR, Result.RESET: AttemptOutcome.LOST,
     Result.TIMEOUT: AttemptOutcome.LOST, Result.UNREACHABLE: AttemptOutcome.LOST,
     Result.REJECTED: AttemptOutcome.FULL,
 }  # fmt: skip
 
 
-def window_ms(settings: api.Settings) -> float:
+def dedup_window_ms(settings: api.Settings) -> float:
     """The longest time within which servers drop the repeats of a keyed request."""
-    return max((cls.dedup_window_ms for cls in settings.classes if bound(cls)), default=0.0)
+    return max((cls.dedup_window_ms for cls in settings.classes if is_zone_bound(cls)), default=0.0)
 
 
-def bound(cls: api.RequestClass) -> bool:
+def is_zone_bound(cls: api.RequestClass) -> bool:
     """Whether requests of a class are to stay in one zone, wherever they come in."""
     return cls.idempotency is api.Idempotency.KEYED and cls.dedup_scope is api.DedupScope.ZONE
 
 
-def quotas(settings: api.Settings) -> dict[str, float]:
+def tenant_quotas(settings: api.Settings) -> dict[str, float]:
     """The tenants' quotas over all nodes, requests a second."""
     return {tenant.name: tenant.quota_per_s for tenant in settings.tenants if tenant.quota_per_s}
 
 
-def known(
+def node_status(
     balancer: Balancer, starts: dict[int, int], since_ms: dict[int, float] | None, now: float
 ) -> shared.NodeStatus:
     """What a node knows of its servers and its loop now; with `since_ms` also what releases need."""
@@ -69,42 +72,44 @@
     )  # fmt: skip
 
 
-def hearsay(verdicts: list[shared.Verdict], marks: dict[int, str]) -> api.PeerVerdicts:
+def peer_verdicts(verdicts: list[shared.Verdict], class_names: dict[int, str]) -> api.PeerVerdicts:
     """The fleet's verdicts in the module's terms."""
     return api.PeerVerdicts(
         [
             api.PeerVerdict(
                 v.server,
                 v.avoid,
-                frozenset(marks[m] for m in v.class_hashes if m in marks),
+                frozenset(class_names[m] for m in v.class_hashes if m in class_names),
                 v.slowdown,
                 v.trial,
             )
             for v in verdicts
-            if not v.class_hashes or any(m in marks for m in v.class_hashes)
+            if not v.class_hashes or any(m in class_names for m in v.class_hashes)
         ]
     )
 
 
-def seen(members: Membership, census: MemberCount | CellMemberCount) -> shared.MembershipUpdated:
+def membership_update(
+    members: Membership, member_count: MemberCount | CellMemberCount
+) -> shared.MembershipUpdated:
     """Who is there, and who counts."""
-    here = (
+    alive = (
         {}
         if members.muted
         else {m.name: m.incarnation for m in members.view.members.values() if m.is_alive()}
     )
     return shared.MembershipUpdated(
-        members.incarnation, here, census.counted_names(), census.total(), members.health.score
+        members.incarnation, alive, member_count.counted_names(), member_count.total(), members.health.score
     )
 
 
-def place(
-    core: SharedState, cls: api.RequestClass, key: int, again: bool, now: float
+def zone_of_key(
+    core: SharedState, cls: api.RequestClass, key: int, is_retry: bool, now: float
 ) -> tuple[str | None, bool]:
     """The zone that a request is bound to, if it is to any, and whether that can be known."""
-    if AFFINITY not in core.features or not bound(cls):
+    if AFFINITY not in core.features or not is_zone_bound(cls):
         return None, True
-    found = core.route(key, again, now)
+    found = core.route(key, is_retry, now)
     return (found.group or None), not found.refusal
 
 
@@ -113,40 +118,45 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, peers: Peers, fleet: FleetConfig, settings: api.Settings,
-        balancer: Balancer, told: Callable[[api.Event], None], rng: random.Random,
+        balancer: Balancer, notify_balancer: Callable[[api.Event], None], rng: random.Random,
     ) -> None:  # fmt: skip
-        self._loop, self._peers, self._balancer, self._told = loop, peers, balancer, told
+        self._loop, self._peers, self._balancer, self._notify_balancer = (
+            loop,
+            peers,
+            balancer,
+            notify_balancer,
+        )
         self.core = SharedState(
             peers.core.name, peers.core.incarnation, settings.zone, settings.tier, fleet.share,
-            quotas(settings), list(fleet.groups), window_ms(settings), rng, now_ms(),
+            tenant_quotas(settings), list(fleet.groups), dedup_window_ms(settings), rng, now_ms(),
         )  # fmt: skip
         self._starts: dict[int, int] = {}
         self._since: dict[int, float] = {}
         self._names: dict[int, str] = {}
-        self._marks: dict[int, str] = {}
-        self._over = False
-        self.know(settings)
+        self._class_names: dict[int, str] = {}
+        self._closed = False
+        self.reconfigure(settings)
 
-    def know(self, settings: api.Settings) -> None:
+    def reconfigure(self, settings: api.Settings) -> None:
         """These settings are in force now."""
-        self._marks |= {class_hash(cls.name): cls.name for cls in settings.classes}
-        self.core.set_quotas(quotas(settings))
+        self._class_names |= {class_hash(cls.name): cls.name for cls in settings.classes}
+        self.core.set_quotas(tenant_quotas(settings))
 
     def begin(self) -> None:
         """The process can be reached."""
-        self._do(self.core.begin())
-        self._know()
+        self._perform(self.core.begin())
+        self._report_status()
 
-    def heard(self, message: Message) -> None:
+    def on_message(self, message: Message) -> None:
         """A datagram has come that may be about shared state."""
         if isinstance(message, ApplicationMessage) and isinstance(message.content, shared.Message):
-            self._give(shared.MessageReceived(message.content, message.header.name))
+            self._handle(shared.MessageReceived(message.content, message.header.name))
 
-    def _give(self, event: shared.Event) -> None:
-        if self._over:
+    def _handle(self, event: shared.Event) -> None:
+        if self._closed:
             return
         try:
-            self._do(self.core.handle(event, now_ms()))
+            self._perform(self.core.handle(event, now_ms()))
         except Exception:
             self._fail(type(event).__name__)
 
@@ -154,81 +164,83 @@
         """An error of the fleet's: the node goes on by its own knowledge."""
         self._peers.counts["errors"] += 1
         logs.exception("fleet error", "the shared state's part, handling %(what)s", what=what)
-        self._alone()
+        self._forget_peers()
 
-    def _alone(self) -> None:
-        self._told(api.PeerVerdicts([]))
-        self._told(api.QuotaShares({}))
+    def _forget_peers(self) -> None:
+        self._notify_balancer(api.PeerVerdicts([]))
+        self._notify_balancer(api.QuotaShares({}))
 
-    def _do(self, actions: list[shared.Action]) -> None:
+    def _perform(self, actions: list[shared.Action]) -> None:
         for action in actions:
             match action:
                 case shared.SendMessage():
-                    self._peers.tell(action.recipient, action.message)
+                    self._peers.send_to_member(action.recipient, action.message)
                 case shared.SetTimer():
                     self._loop.call_later(
-                        action.delay_ms / 1000.0, self._give, shared.TimerFired(action.token)
+                        action.delay_ms / 1000.0, self._handle, shared.TimerFired(action.token)
                     )
                 case shared.ApplyVerdicts():
-                    self._told(hearsay(action.verdicts, self._marks))
+                    self._notify_balancer(peer_verdicts(action.verdicts, self._class_names))
                 case shared.ApplyQuotaShares():
-                    self._told(api.QuotaShares(action.quotas, action.retry_share))
+                    self._notify_balancer(api.QuotaShares(action.quotas, action.retry_share))
                 case shared.LimitNewServers():
-                    self._told(api.CanaryLimit(action.servers, action.share))
+                    self._notify_balancer(api.CanaryLimit(action.servers, action.share))
 
-    def _know(self) -> None:
-        if self._over:
+    def _report_status(self) -> None:
+        if self._closed:
             return
         try:
             since = self._since if RELEASES in self.core.features else None
-            self._do(self.core.handle(known(self._balancer, self._starts, since, now_ms()), now_ms()))
+            self._perform(
+                self.core.handle(node_status(self._balancer, self._starts, since, now_ms()), now_ms())
+            )
         except Exception:
             self._fail("what the node knows")
-        self._seen()
-        self._loop.call_later(KNOWN_S, self._know)
+        self._report_members()
+        self._loop.call_later(STATUS_INTERVAL_S, self._report_status)
 
-    def _seen(self) -> None:
-        self._give(seen(self._peers.core, self._peers.census))
+    def _report_members(self) -> None:
+        self._handle(membership_update(self._peers.core, self._peers.member_count))
 
-    def steer(self, event: shared.ReleaseOrderIssued) -> None:
+    def on_release_order(self, event: shared.ReleaseOrderIssued) -> None:
         """This process is the steward of releases: its order is for all."""
-        self._give(event)
+        self._handle(event)
 
-    def ordered(self, token: int, limits: dict[str, float]) -> None:
+    def on_operator_limits(self, token: int, limits: dict[str, float]) -> None:
         """This process holds the ledger: what operators have set there is for all."""
-        self._give(shared.OperatorLimitsRead(token, limits))
+        self._handle(shared.OperatorLimitsRead(token, limits))
 
     # What happens at the node
 
-    def listed(self, listing: Listing) -> None:
+    def on_server_list(self, listing: ServerList) -> None:
         """News of the list: the servers that it names, each with a mark of its start."""
-        self._starts |= listing.starts
-        self._since |= listing.since_ms
+        self._starts |= listing.start_ids
+        self._since |= listing.started_unix_ms
         self._names |= {server: f"{host}:{port}" for server, (host, port) in listing.addresses.items()}
-        gone = [entry.server for entry in listing.entries if entry.health is api.Health.TERMINATED]
-        for server in gone:
+        terminated = [entry.server for entry in listing.entries if entry.health is api.Health.TERMINATED]
+        for server in terminated:
             self._starts.pop(server, None)
             self._since.pop(server, None)
             self._names.pop(server, None)
 
-    def asked(self, tenant: str | None) -> None:
+    def on_request(self, tenant: str | None) -> None:
         """A request has come."""
         if tenant is not None:
-            self._give(shared.RequestReceived(tenant))
+            self._handle(shared.RequestReceived(tenant))
 
-    def ended(self, server: int, cls: str, result: Result, ms: float) -> None:
+    def on_attempt_completed(self, server: int, cls: str, result: Result, duration_ms: float) -> None:
         """An attempt is over."""
-        how = HOW.get(result)
-        if how is not None:
-            self._give(shared.AttemptCompleted(server, cls, how, ms))
+        outcome = ATTEMPT_OUTCOMES.get(result)
+        if outcome is not None:
+            self._handle(shared.AttemptCompleted(server, cls, outcome, duration_ms))
 
-    def place(self, cls: api.RequestClass, key: int, again: bool) -> tuple[str | None, bool]:
+    def zone_of_key(self, cls: api.RequestClass, key: int, is_retry: bool) -> tuple[str | None, bool]:
         """The zone that a request is bound to, if it is to any, and whether that can be known."""
         try:
-            return place(self.core, cls, key, again, now_ms())
+            return zone_of_key(self.core, cls, key, is_retry, now_ms())
         except Exception:
             self._fail("a key")
-            return None, not again
+            return None, not is_retry
 
     # What operators see
 
@@ -249,10 +261,10 @@
         }
 
     def classes(self) -> dict[int, str]:
-        """The classes' names by their marks."""
-        return self._marks
+        """The classes' names by their class_names."""
+        return self._class_names
 
-    def show(self) -> tuple[int, dict[str, Any]]:
+    def status(self) -> AdminReply:
         """All that the admin endpoint tells of shared state."""
         core, now = self.core, now_ms()
         affinity = core.affinity
@@ -263,14 +275,14 @@
             }
             for kind, writer, held in sorted(core.store.all(), key=lambda item: (item[0], item[1]))
         ]  # fmt: skip
-        return 200, {
+        return AdminReply(200, {
             "self": core.name,
             "share": [part for part in FEATURES if part in core.features],
             "verdicts": [
                 {
                     "name": self._names.get(v.server, f"{v.server:016x}"), "avoid": v.avoid,
                     "slow": v.slowdown,
-                    "classes": [self._marks.get(m, str(m)) for m in sorted(v.class_hashes)],
+                    "classes": [self._class_names.get(m, str(m)) for m in sorted(v.class_hashes)],
                 }
                 for v in core.verdicts
             ],
@@ -301,8 +313,8 @@
             "counts": dict(core.store.counts)
             | {"untold": core.observations.unreported, "capped": core.verdict_pool.capped},
             "records": records,
-        }  # fmt: skip
+        })  # fmt: skip
 
     def close(self) -> None:
         """Nothing more."""
-        self._over = True
+        self._closed = True
--- a/dunlinloft/node/http/bodies.py
+++ b/dunlinloft/node/http/bodies.py
@@ -1,108 +1,139 @@
-"""Bodies on their way through the node, and the memory that all of them together may take.
+"""Request bodies on their way through the node, and the memory that all of them together may use.
 
-A request's body up to `WHOLE` bytes is held until its request has ended, so that it can be sent again.
-A larger one flows: what has been sent on is dropped, and its caller is read no faster than the server
-takes it. While memory is short smaller ones flow too.
+A body of up to `MAX_BUFFERED_BYTES` is buffered until its request has ended, so that it can be replayed. A
+larger one is streamed: what was forwarded is released, and its caller is read no faster than the server takes
+it. While memory is exhausted smaller ones are streamed as well.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-WHOLE = 64 * 1024  # so much of a body, or of an answer, is held to have it whole
-MAX_BODY = 32 * 1024 * 1024
-PIECE = 32 * 1024  # read at once, and held for a peer that takes it slowly
-MEGABYTE = 1024 * 1024
-OWN_MB, BODIES_SHARE, MOST_MB = 24, 0.4, 24  # what the program itself takes; bodies' part of the rest
+MAX_BUFFERED_BYTES = 64 * 1024  # of one body, or of one response, that is buffered complete
+MAX_BODY_BYTES = 32 * 1024 * 1024
+CHUNK_BYTES = 32 * 1024  # read at once, and buffered for a peer that takes it slowly
+BYTES_PER_MB = 1024 * 1024
+PROGRAM_MB = 24  # memory that the program itself takes
+BODIES_MEMORY_SHARE = 0.4  # of the remaining memory
+MAX_BODIES_MB = 24
 
 
 class Memory:
-    """Bytes of bodies held now; over the budget nothing is held that can flow."""
+    """Bytes of bodies that are buffered now; beyond the budget nothing is buffered that can be streamed."""
 
-    __slots__ = ("budget", "held")
+    __slots__ = ("budget_bytes", "used_bytes")
 
     def __init__(self, limit_mb: float) -> None:
-        self.held = 0
-        self.share(limit_mb)
+        self.used_bytes = 0
+        self.set_limit(limit_mb)
 
-    def share(self, limit_mb: float) -> None:
-        """Keep to a part of so many megabytes."""
-        spare_mb = min(max(BODIES_SHARE * (limit_mb - OWN_MB), 1.0), MOST_MB)
-        self.budget = int(spare_mb * MEGABYTE)
+    def set_limit(self, limit_mb: float) -> None:
+        """Take the process's memory limit (MB), of which bodies get a share."""
+        budget_mb = min(max(BODIES_MEMORY_SHARE * (limit_mb - PROGRAM_MB), 1.0), MAX_BODIES_MB)
+        self.budget_bytes = int(budget_mb * BYTES_PER_MB)
 
-    def short(self) -> bool:
-        return self.held >= self.budget
+    def is_exhausted(self) -> bool:
+        """Return whether the budget is used up."""
+        return self.used_bytes >= self.budget_bytes
 
 
-def _nothing() -> None:
+def _ignore() -> None:
     pass
 
 
 class Body:
-    """A request's body: what its caller has sent, less what has flowed on and is no longer held."""
+    """A request's body: what its caller has sent, less what was forwarded and released.
+
+    Attributes
+    ----------
+    length
+        In bytes, as the caller declared it; None for a chunked body.
+    size
+        Bytes received so far.
+    released_bytes
+        Of them, those at the start that are no longer buffered.
+    complete
+        All of it was received.
+    streaming
+        It is forwarded as it comes; what was forwarded is released.
+    on_data
+        Called when more was received.
+    on_drained
+        Called when what was received has been forwarded.
+    """
 
     __slots__ = (
+        "_buffered_bytes",
+        "_chunks",
         "_memory",
-        "_pieces",
-        "_held",
-        "dropped",
-        "flows",
-        "go_on",
+        "complete",
         "length",
-        "reader",
+        "on_data",
+        "on_drained",
+        "released_bytes",
         "size",
-        "whole",
+        "streaming",
     )
 
     def __init__(self, memory: Memory, length: int | None) -> None:
-        self._memory, self.length = memory, length  # None: told in chunks
-        self._pieces: list[bytes] = []
-        self._held = self.size = self.dropped = 0
-        self.whole = self.flows = False
-        self.reader: Callable[[], None] = _nothing  # told of what has come
-        self.go_on: Callable[[], None] = _nothing  # told of what has gone
+        self._memory = memory
+        self.length = length
+        self._chunks: list[bytes] = []
+        self._buffered_bytes = 0
+        self.size = 0
+        self.released_bytes = 0
+        self.complete = False
+        self.streaming = False
+        self.on_data: Callable[[], None] = _ignore
+        self.on_drained: Callable[[], None] = _ignore
 
     def feed(self, data: bytes) -> None:
-        """More has come."""
-        self._pieces.append(data)
+        """Take bytes that were received."""
+        self._chunks.append(data)
         self.size += len(data)
-        self._held += len(data)
-        self._memory.held += len(data)
-        self.flows = self.flows or self.size > WHOLE or self._memory.short()
-        self.reader()
+        self._buffered_bytes += len(data)
+        self._memory.used_bytes += len(data)
+        self.streaming = self.streaming or self.size > MAX_BUFFERED_BYTES or self._memory.is_exhausted()
+        self.on_data()
 
     def finish(self) -> None:
-        """All of it has come."""
-        self.whole = True
-        self.reader()
-
-    def full(self) -> bool:
-        """Whether no more should be read for now; never before it flows, as it might wait for ever."""
-        return self.flows and self._held >= (PIECE if self._memory.short() else WHOLE)
-
-    def after(self, offset: int) -> bytes:
-        """What is held from there on; it must not have been dropped."""
-        if len(self._pieces) > 1:
-            self._pieces = [b"".join(self._pieces)]
-        return self._pieces[0][offset - self.dropped :] if self._pieces else b""
-
-    def passed(self) -> None:
-        """All that has come was sent on: drop it, if it flows and more is to come or it was large."""
-        if self.flows:
-            self.dropped = self.size
+        """Note that all of it was received."""
+        self.complete = True
+        self.on_data()
+
+    def is_full(self) -> bool:
+        """Return whether no more should be read for now.
+
+        Never before it is streamed, as nothing would drain it.
+        """
+        limit = CHUNK_BYTES if self._memory.is_exhausted() else MAX_BUFFERED_BYTES
+        return self.streaming and self._buffered_bytes >= limit
+
+    def data_from(self, offset: int) -> bytes:
+        """Return what is buffered from an offset on, which must not have been released."""
+        if len(self._chunks) > 1:
+            self._chunks = [b"".join(self._chunks)]
+        return self._chunks[0][offset - self.released_bytes :] if self._chunks else b""
+
+    def on_forwarded(self) -> None:
+        """Note that all that was received has been forwarded: a streamed body releases it."""
+        if self.streaming:
+            self.released_bytes = self.size
             self._release()
-            self.go_on()
+            self.on_drained()
 
-    def repeatable(self) -> bool:
-        return not self.dropped
+    def is_replayable(self) -> bool:
+        """Return whether it can be sent once more from its start."""
+        return not self.released_bytes
 
     def close(self) -> None:
-        """Nobody needs it any more."""
-        self.dropped = self.size
+        """Release everything: nobody needs it any more."""
+        self.released_bytes = self.size
         self._release()
-        self.reader = self.go_on = _nothing
+        self.on_data = _ignore
+        self.on_drained = _ignore
 
     def _release(self) -> None:
-        self._pieces.clear()
-        self._memory.held -= self._held
-        self._held = 0
+        self._chunks.clear()
+        self._memory.used_bytes -= self._buffered_bytes
+        self._buffered_bytes = 0
--- a/dunlinloft/node/http/frontend.py
+++ b/dunlinloft/node/http/frontend.py
@@ -20,8 +20,9 @@
 
 import httptools
 
-from dunlinloft.node.config import Address, now_ms
-from dunlinloft.node.http.bodies import MAX_BODY, PIECE, WHOLE, Body, Memory
+from dunlinloft.node.addresses import Address
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.http.bodies import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, Body, Memory
 from dunlinloft.node.http.sockets import descriptor, shows
 from dunlinloft.node.http.upstream import MAX_HEAD, Flow
 
@@ -154,7 +155,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's is none by class
-        self._transport.set_write_buffer_limits(PIECE)
+        self._transport.set_write_buffer_limits(CHUNK_BYTES)
         self._since_ms = self._moved_ms = now_ms()
         self._frontend.opened(self)
 
@@ -236,7 +237,7 @@
         if self._transport.is_closing():
             return
         waits = self._busy and bool(self._queue)
-        waits = not self._deaf and (waits or (self._body is not None and self._body.full()))
+        waits = not self._deaf and (waits or (self._body is not None and self._body.is_full()))
         if waits and not self._stopped:
             self._transport.pause_reading()
         elif self._stopped and not waits:
@@ -383,7 +384,7 @@
         if chunked and (headers[b"transfer-encoding"].lower() != b"chunked" or b"content-length" in headers):
             self._reject(400, "the length of the body can't be told")
         length = headers.get(b"content-length", b"0")
-        if not length.isdigit() or len(length) > 18 or int(length) > MAX_BODY:
+        if not length.isdigit() or len(length) > 18 or int(length) > MAX_BODY_BYTES:
             self._reject(413, "body over 32 MB")
         expected = headers.get(b"expect")
         if expected is not None and expected.lower() != b"100-continue":
@@ -394,22 +395,22 @@
             self._incoming = self._message(None if chunked else int(length))
         except Unacceptable as problem:
             self._incoming = Reply(400, str(problem).encode())
-        if isinstance(self._incoming, Reply) and (expected is not None or int(length) > WHOLE):
+        if isinstance(self._incoming, Reply) and (expected is not None or int(length) > MAX_BUFFERED_BYTES):
             self._reject(self._incoming.status, self._incoming.body.decode())
         if isinstance(self._incoming, Message):
             self._body = self._incoming.body
-            self._body.go_on = self._read_on
+            self._body.on_drained = self._read_on
             self._continue = expected is not None and self._parser.get_http_version() != "1.0"
             if self._continue and not self._busy and not self._queue:
                 self._go_ahead()
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > MAX_BODY:
+        if self._size > MAX_BODY_BYTES:
             self._reject(413, "body over 32 MB")
         elif self._body is not None and not self._deaf:
             self._came.append(body)
-        elif isinstance(self._incoming, Reply) and self._size > WHOLE:  # no use in reading on
+        elif isinstance(self._incoming, Reply) and self._size > MAX_BUFFERED_BYTES:  # no use in reading on
             self._reject(self._incoming.status, self._incoming.body.decode())
 
     def on_message_complete(self) -> None:
@@ -441,7 +442,7 @@
         if self._deaf:
             return
         self._body.feed(data)
-        if self._body.flows and not self._queued and self._incoming is not None:
+        if self._body.streaming and not self._queued and self._incoming is not None:
             self._queued = True
             self._queue.append(self._incoming)
 
@@ -626,7 +627,7 @@
         turned_away: Callable[[str], None],
         memory: Memory,
     ) -> None:
-        self.memory, self.buffer = memory, memoryview(bytearray(PIECE))
+        self.memory, self.buffer = memory, memoryview(bytearray(CHUNK_BYTES))
         self.accept, self.turned_away = accept, turned_away
         self._ready, self._room, self._plenty, self._make_room = ready, room, plenty, make_room
         self._callers: dict[Caller, None] = {}  # in the order they came
--- a/dunlinloft/node/http/upstream.py
+++ b/dunlinloft/node/http/upstream.py
@@ -15,8 +15,9 @@
 import httptools
 
 from dunlinloft.balancer.interface import Result
-from dunlinloft.node.config import Address, now_ms
-from dunlinloft.node.http.bodies import MAX_BODY, PIECE, WHOLE, Body, Memory
+from dunlinloft.node.addresses import Address
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.http.bodies import CHUNK_BYTES, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, Body, Memory
 from dunlinloft.node.http.sockets import descriptor, shows
 
 MAX_HEAD = 16 * 1024
@@ -136,7 +137,7 @@
         for timer in (self._timer, self._expiry):
             if timer is not None:
                 timer.cancel()
-        self.body.reader = _nothing
+        self.body.on_data = _nothing
         # What they remember leads back here: a circle would wait for a full collection.
         owner, self.owner = self.owner, NOBODY
         owner.ended(result, answer)
@@ -246,7 +247,11 @@
         if self._spoilt or (not self._in_body and not self._complete and self._head > MAX_HEAD):
             return self._end(Result.RESET if attempt.flowing else Result.ERROR, reuse=False)
         if not attempt.flowing and self._in_body and not self._complete and self._status == 200:
-            if self._size > WHOLE or (self._length or 0) > WHOLE or self._pool.memory.short():
+            if (
+                self._size > MAX_BUFFERED_BYTES
+                or (self._length or 0) > MAX_BUFFERED_BYTES
+                or self._pool.memory.is_exhausted()
+            ):
                 self._begin()
             elif self._length is None and self._hold is None:
                 self._hold = self._pool.loop.call_later(HOLD_S, self._held_long)
@@ -269,7 +274,7 @@
         """What has come of the body and is held."""
         data = b"".join(self._body)
         self._body.clear()
-        self._pool.memory.held -= self._held
+        self._pool.memory.used_bytes -= self._held
         self._held = 0
         return data
 
@@ -317,7 +322,7 @@
         attempt, waited_ms = self._attempt, now - self._moved_ms
         if attempt is None:
             return
-        if self._paused and not attempt.written and not attempt.body.repeatable() and waited_ms > STALL_MS:
+        if self._paused and not attempt.written and not attempt.body.is_replayable() and waited_ms > STALL_MS:
             attempt.break_off(Result.UNREACHABLE)
         elif attempt.flowing and not self._stopped and waited_ms > SILENT_MS:
             attempt.break_off(Result.RESET)
@@ -343,13 +348,13 @@
         self._start_answer()
         attempt.carried_by(self.close)
         body = attempt.body
-        if body.whole and not attempt.chunked:  # in one piece
+        if body.complete and not attempt.chunked:  # in one piece
             self._sent, self._out = body.size, True
-            self._transport.write(attempt.head + body.after(0))
-            body.passed()
+            self._transport.write(attempt.head + body.data_from(0))
+            body.on_forwarded()
         else:
             self._transport.write(attempt.head)
-            body.reader = self._pump
+            body.on_data = self._pump
         if self._transport.is_closing():  # the write itself failed
             self._end(Result.UNREACHABLE, reuse=False)
         else:
@@ -362,8 +367,8 @@
             return
         body = attempt.body
         while not self._out and not self._paused and not self._transport.is_closing():
-            data = body.after(self._sent) if self._sent < body.size else b""
-            self._out = body.whole and self._sent + len(data) == body.size
+            data = body.data_from(self._sent) if self._sent < body.size else b""
+            self._out = body.complete and self._sent + len(data) == body.size
             self._sent += len(data)
             if attempt.chunked:
                 data = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
@@ -372,7 +377,7 @@
                 break
             self._moved_ms = now_ms()
             self._transport.write(data)
-            body.passed()
+            body.on_forwarded()
         if self._out and not self._paused and not self._transport.is_closing():
             self._written(attempt)
 
@@ -392,7 +397,7 @@
         attempt, self._attempt = self._attempt, None
         self._taken()
         if attempt is not None:
-            attempt.body.reader = _nothing
+            attempt.body.on_data = _nothing
         if self._hold is not None:
             self._hold.cancel()
             self._hold = None
@@ -426,7 +431,7 @@
         match name.lower():
             case b"content-length":
                 self._length = int(value)
-                self._spoilt = self._spoilt or self._length > MAX_BODY
+                self._spoilt = self._spoilt or self._length > MAX_BODY_BYTES
             case b"transfer-encoding":
                 self._chunked = True
                 self._spoilt = self._spoilt or value.strip().lower() != b"chunked"
@@ -445,12 +450,12 @@
         if self._complete or self._spoilt:
             return
         self._size += len(body)
-        if self._size > MAX_BODY:
+        if self._size > MAX_BODY_BYTES:
             self._spoilt = True
-        elif self._status == 200 or self._size <= WHOLE:  # of a long error nothing more is used
+        elif self._status == 200 or self._size <= MAX_BUFFERED_BYTES:  # of a long error nothing more is used
             self._body.append(body)
             self._held += len(body)
-            self._pool.memory.held += len(body)
+            self._pool.memory.used_bytes += len(body)
 
     def on_message_complete(self) -> None:
         if self._complete:
@@ -477,7 +482,7 @@
     ) -> None:
         self.loop, self._room, self._make_room = loop, room, make_room
         self.written, self.memory = written, memory
-        self.buffer = memoryview(bytearray(PIECE))
+        self.buffer = memoryview(bytearray(CHUNK_BYTES))
         self.set_times(connect_timeout_ms, keepalive_ms)
         self._trust_ms: dict[int, float] = {}  # less than that, for servers that closed earlier
         self._idle: dict[int, list[Connection]] = {}
@@ -517,7 +522,7 @@
         attempt = Attempt(head, body, chunked, owner)
         if within_ms < math.inf:
             attempt.expire_after(self.loop, within_ms)
-        if body.whole:
+        if body.complete:
             self.limit(attempt, timeout_ms)
         idle = self._idle.get(server, [])
         while (rested := self._rested(idle)) is not None:
--- a/dunlinloft/node/node.py
+++ b/dunlinloft/node/node.py
@@ -11,19 +11,24 @@
 import random
 from collections import deque
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from dunlinloft.balancer import interface as api
 from dunlinloft.balancer.balancer import Balancer
 from dunlinloft.balancer.interface import Result
 from dunlinloft.node import logs
-from dunlinloft.node.config import Address, Config, FleetConfig, Listing, key_id, now_ms
+from dunlinloft.node.addresses import Address
+from dunlinloft.node.admin_reply import AdminReply
+from dunlinloft.node.clock import now_ms
+from dunlinloft.node.config import Config
 from dunlinloft.node.discovery import Discovery
 from dunlinloft.node.figures import Figures
+from dunlinloft.node.fleet_config import FleetConfig
 from dunlinloft.node.http.bodies import Memory
 from dunlinloft.node.http.frontend import Answering, Frontend, Message, Reply, Unacceptable
 from dunlinloft.node.http.upstream import Answer, Attempt, Flow, Upstream
-from dunlinloft.node.management import MOST_CALLERS, AdminEndpoint
+from dunlinloft.node.management import MAX_CALLERS, AdminEndpoint
+from dunlinloft.node.server_list import ServerList, key_id
 
 if TYPE_CHECKING:
     from dunlinloft.node.fleet.peers import Peers
@@ -85,7 +90,7 @@
             self._live,
             api.AttemptCompleted(
                 self._id, self._number, self._server, result, self._taken_ms(), False,
-                answer.report if answer is not None else None, self._live.message.body.repeatable(),
+                answer.report if answer is not None else None, self._live.message.body.is_replayable(),
             ),
             answer,
         )  # fmt: skip
@@ -102,7 +107,7 @@
         parts += [b"Idempotency-Key: ", message.key, b"\r\n"]
     if message.content_type is not None:
         parts += [b"Content-Type: ", message.content_type, b"\r\n"]
-    length = message.body.size if message.body.whole else message.body.length
+    length = message.body.size if message.body.complete else message.body.length
     if chunked:
         parts.append(b"Transfer-Encoding: chunked\r\n")
     elif length or message.method != b"GET":
@@ -138,29 +143,25 @@
             settings.keepalive_ms,
             self._room,
             self._make_room,
-            self.figures.written,
+            self.figures.on_attempt_written,
             self.memory,
         )
-        self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_news)
+        self._discovery = Discovery(loop, config.discovery, config.known.index, self._on_server_list)
         self.frontend = Frontend(
             self.accept,
             self.serves,
             self._room,
             lambda: self._room() > PLENTY_SHARE * config.sockets,
             self._make_room,
-            lambda cls: self.figures.ended(cls, 503),
+            lambda cls: self.figures.on_request_completed(cls, 503),
             self.memory,
         )
-        self.admin = AdminEndpoint(
-            loop,
-            {
-                "/admin/health": ("GET", self._health),
-                "/admin/stats": ("GET", lambda: (200, self.figures.read())),
-                "/admin/quiesce": ("POST", self._quiesce),
-                "/admin/resume": ("POST", self._resume),
-            },
-        )
-        self._reserved = SPARE_SOCKETS + (MOST_CALLERS if config.management is not None else 0)
+        self.admin = AdminEndpoint(loop)
+        self.admin.add("/admin/health", "GET", self._health)
+        self.admin.add("/admin/stats", "GET", lambda: AdminReply(200, self.figures.to_json()))
+        self.admin.add("/admin/quiesce", "POST", self._quiesce)
+        self.admin.add("/admin/resume", "POST", self._resume)
+        self._reserved = SPARE_SOCKETS + (MAX_CALLERS if config.management is not None else 0)
         self._peers: Peers | None = None
         self._shared: SharedHost | None = None  # what is shared with them
         if config.fleet is not None:
@@ -178,22 +179,22 @@
         self._reserved += peers.SOCKETS
         for name, read in self._peers.figures().items():
             self.figures.gauge(name, read)
-        self.admin.add("/admin/fleet", "GET", self._peers.show)
+        self.admin.add("/admin/fleet", "GET", self._peers.status)
         if self._peers.cells is not None:
-            self.admin.add("/admin/fleet/cell", "GET", self._peers.cells.show)
+            self.admin.add("/admin/fleet/cell", "GET", self._peers.cells.status)
         if self._peers.work is not None:
-            self.admin.add("/admin/duties", "GET", self._peers.work.show)
-            self.admin.add_ask("/admin/duties/hand-over", "POST", self._peers.work.hand_over)
-            self.admin.add("/admin/ledger", "GET", self._peers.work.ledger)
-            self.admin.add_ask("/admin/ledger/enter", "POST", self._peers.work.enter)
-            self.admin.add("/admin/voters", "GET", self._peers.work.voters)
-            self.admin.add_ask("/admin/voters/change", "POST", self._peers.work.change_voters)
+            self.admin.add("/admin/duties", "GET", self._peers.work.status)
+            self.admin.add_query("/admin/duties/hand-over", "POST", self._peers.work.hand_over)
+            self.admin.add("/admin/ledger", "GET", self._peers.work.table_status)
+            self.admin.add_query("/admin/ledger/enter", "POST", self._peers.work.write_row)
+            self.admin.add("/admin/voters", "GET", self._peers.work.voters_status)
+            self.admin.add_query("/admin/voters/change", "POST", self._peers.work.change_voters)
         if self._shared is not None:
-            self.admin.add("/admin/shared", "GET", self._shared.show)
+            self.admin.add("/admin/shared", "GET", self._shared.status)
         if self._peers.releases is not None:
-            self.admin.add("/admin/releases", "GET", self._peers.show_releases)
-            self.admin.add_ask("/admin/releases/start", "POST", self._peers.releases.start)
-            self.admin.add_ask("/admin/releases/say", "POST", self._peers.releases.say)
+            self.admin.add("/admin/releases", "GET", self._peers.releases_status)
+            self.admin.add_query("/admin/releases/start", "POST", self._peers.releases.start)
+            self.admin.add_query("/admin/releases/say", "POST", self._peers.releases.command)
 
     def _placed(self, number: int, nodes: int) -> None:
         """The fleet has this node at another place: its part of servers and budgets follows."""
@@ -216,7 +217,7 @@
 
     def _wait_no_more(self) -> None:
         """Serve without a word from discovery: whoever waits for this process can't wait for that too."""
-        if not self._discovery.heard and not self._in_service:
+        if not self._discovery.has_answered and not self._in_service:
             logs.warning("unheard", "discovery has not answered and no server is known: serving all the same")
             self._unheard = True
 
@@ -224,13 +225,13 @@
         """Take over what may change while the node runs: where discovery is, and the settings."""
         settings = config.settings
         self.config = replace(self.config, settings=settings, discovery=config.discovery, keys=config.keys)
-        self.figures.know(cls.name for cls in settings.classes)
+        self.figures.add_classes(cls.name for cls in settings.classes)
         self._upstream.set_times(settings.connect_timeout_ms, settings.keepalive_ms)
         self._handle(api.Reconfigured(settings))
         if self._peers is not None:
             self._peers.told(settings.replica_index, settings.replicas)
         if self._shared is not None:
-            self._shared.know(settings)
+            self._shared.reconfigure(settings)
         self.figures.reconfig_ok += 1
         self._discovery.move(config.discovery)
 
@@ -242,7 +243,7 @@
         self._part = min(limit // processes, limit - sum(others)) if others else limit
         if processes != self._processes:
             self._processes = processes
-            self.memory.share(self.config.memory_mb / processes)
+            self.memory.set_limit(self.config.memory_mb / processes)
             self._handle(api.ProcessCount(processes))
         while self._room() < 0 and self._upstream.close_oldest_idle():
             pass
@@ -254,7 +255,7 @@
 
     def serves(self) -> bool:
         """Whether it knows a server to send to, or can't know soon: then it refuses, which is harmless."""
-        return bool(self._in_service) or (self._unheard and not self._discovery.heard)
+        return bool(self._in_service) or (self._unheard and not self._discovery.has_answered)
 
     async def stop(self) -> None:
         """Finish all that is held and close."""
@@ -263,23 +264,24 @@
         self.admin.close()
         self.depart(handing_over=False)
 
-    def _health(self) -> tuple[int, dict[str, Any]]:
+    def _health(self) -> AdminReply:
         ready = self.frontend.ready()
-        return (200 if ready else 503), {"ready": ready, "draining": self.frontend.draining()}
+        status = 200 if ready else 503
+        return AdminReply(status, {"ready": ready, "draining": self.frontend.draining()})
 
-    def _quiesce(self) -> tuple[int, dict[str, Any]]:
+    def _quiesce(self) -> AdminReply:
         logs.info("draining", "draining")
         self.frontend.quiesce()
         if self._peers is not None:
             self._peers.drain(True)
-        return 200, {"draining": True}
+        return AdminReply(200, {"draining": True})
 
-    def _resume(self) -> tuple[int, dict[str, Any]]:
+    def _resume(self) -> AdminReply:
         logs.info("resumed", "the drain ends")
         self.frontend.resume()
         if self._peers is not None:
             self._peers.drain(False)
-        return 200, {"draining": False}
+        return AdminReply(200, {"draining": False})
 
     def _make_room(self) -> bool:
         """Give back a socket that nothing depends on: whoever is least likely to need it goes first."""
@@ -301,7 +303,7 @@
             raise Unacceptable("a request with this X-Call-Id is open")
         pin, key, known = self._bound(message)
         live = self._live[message.id] = Live(self, message, answering)
-        whole = message.body.whole
+        whole = message.body.complete
         if whole:
             self._run_time(live)
         ttl_ms = max(0.0, message.budget_ms - MARGIN_MS)
@@ -318,12 +320,12 @@
         """The zone and the key that a request is bound to, if it is to any; whether that can be known."""
         cls, pin, known = self._balancer.classes[message.cls], None, True
         if self._shared is not None:
-            self._shared.asked(message.tenant)
+            self._shared.on_request(message.tenant)
         if message.key is None or not (cls.affinity or self._shared is not None):
             return None, None, True
         key = key_id(message.key)
         if self._shared is not None:
-            pin, known = self._shared.place(cls, key, message.again)
+            pin, known = self._shared.zone_of_key(cls, key, message.again)
         return pin, key, known
 
     def _run_time(self, live: Live, limited: bool = True) -> None:
@@ -350,7 +352,7 @@
         self._handle(api.ClientDisconnected(live.message.id))
         # What is still coming in or going out has nowhere to come from or to go.
         for attempt in live.attempts:
-            if attempt.flowing or not live.message.body.whole:
+            if attempt.flowing or not live.message.body.complete:
                 attempt.break_off(Result.CANCELLED)
 
     def _drop(self, live: Live) -> bool:
@@ -365,7 +367,7 @@
     def _finish(self, id: str, reply: Reply) -> None:
         live = self._live.get(id)
         if live is not None and self._drop(live):
-            self.figures.ended(live.message.cls, reply.status)
+            self.figures.on_request_completed(live.message.cls, reply.status)
             live.answering.answer(reply)
             live.message.body.close()
 
@@ -376,7 +378,7 @@
             live.backstop = self._loop.call_later(left_ms / 1000.0 + 0.001, self._overdue, live)
         elif self._drop(live):
             logs.warning("overdue", "request %(id)s was not ended by its deadline", id=live.message.id)
-            self.figures.ended(live.message.cls, 504)
+            self.figures.on_request_completed(live.message.cls, 504)
             live.answering.answer(Reply(504, b"no answer in time"))
             self._handle(api.ClientDisconnected(live.message.id))
             live.message.body.close()
@@ -436,9 +438,9 @@
         live, server = self._live.get(action.id), action.server
         if live is not None and self._left(live):
             live = None
-        if live is None or server not in self._in_service or not live.message.body.repeatable():
+        if live is None or server not in self._in_service or not live.message.body.is_replayable():
             number = len(live.attempts) if live is not None else 0
-            repeatable = live is not None and live.message.body.repeatable()
+            repeatable = live is not None and live.message.body.is_replayable()
             settled = live is None
             event = api.AttemptCompleted(
                 action.id, number, server, Result.NOT_SENT, 0.0, settled, None, repeatable
@@ -447,7 +449,7 @@
         # Cut to what is left: an outcome must come before the answer is due.
         timeout_ms = max(0.0, min(action.timeout_ms, live.ends_ms - MARGIN_MS - now_ms()))
         address, body = self._addresses[server], live.message.body
-        chunked = not body.whole and body.length is None
+        chunked = not body.complete and body.length is None
         sending, number = Sending(self, live, server, timeout_ms), len(live.attempts)
         head = request_head(live.message, address, timeout_ms, chunked)
         attempt = self._upstream.send(
@@ -487,7 +489,7 @@
         if owed and attempt is not None and attempt.flowing:
             self._drop(live)
             served = event.result is Result.SERVED
-            self.figures.ended(live.message.cls, 200 if served else 502)
+            self.figures.on_request_completed(live.message.cls, 200 if served else 502)
             live.answering.finish() if served else live.answering.break_off()
             live.message.body.close()
         elif owed and event.result is Result.SERVED and answer is not None:
@@ -495,14 +497,14 @@
         event.final = self._live.get(event.id) is not live
         self._handle(event)
         if self._shared is not None:
-            self._shared.ended(event.server, live.message.cls, event.result, event.duration_ms)
+            self._shared.on_attempt_completed(event.server, live.message.cls, event.result, event.duration_ms)
 
     # Discovery
 
-    def _on_news(self, listing: Listing | None, why: str) -> None:
+    def _on_server_list(self, listing: ServerList | None, why: str) -> None:
         if listing is not None:
             self._take_listing(
-                listing, api.ListUpdateKind.SNAPSHOT if listing.whole else api.ListUpdateKind.DELTA
+                listing, api.ListUpdateKind.SNAPSHOT if listing.is_snapshot else api.ListUpdateKind.DELTA
             )
             return
         logs.info("discovery failed", "discovery: %(why)s", why=why)
@@ -515,7 +517,7 @@
         """With jitter: what fails at one node often fails at all of them in the same moment."""
         return PUSHED_RETRY_S * (0.5 + self._rng.random())
 
-    def _take_listing(self, listing: Listing, kind: api.ListUpdateKind) -> None:
+    def _take_listing(self, listing: ServerList, kind: api.ListUpdateKind) -> None:
         if kind is not api.ListUpdateKind.DELTA:
             for server in self._addresses.keys() - listing.addresses.keys():
                 self._forget(server)
@@ -530,7 +532,7 @@
                 self._in_service.discard(entry.server)
         self._handle(api.ServerListUpdate(kind, listing.index, listing.entries))
         if self._shared is not None:
-            self._shared.listed(listing)
+            self._shared.on_server_list(listing)
 
     def _forget(self, server: int) -> None:
         self._in_service.discard(server)
--- a/lab/capacity/lists.py
+++ b/lab/capacity/lists.py
@@ -10,7 +10,8 @@
 from dunlinloft.balancer.balancer import Balancer
 from dunlinloft.balancer.interface import ListUpdateKind, Result
 from dunlinloft.balancer.settings import read_settings
-from dunlinloft.node.config import Address, Listing, read_listing
+from dunlinloft.node.addresses import Address
+from dunlinloft.node.server_list import ServerList, read_server_list
 from lab.capacity import sizes
 from lab.capacity.model import TIMED, Experiment, Figure
 from lab.capacity.tools import best_ms, held_bytes, mean_us
@@ -34,12 +35,12 @@
     return json.dumps(told, separators=(",", ":")).encode()
 
 
-def _read(data: bytes) -> Listing:
-    return read_listing(json.loads(data))
+def _read(data: bytes) -> ServerList:
+    return read_server_list(json.loads(data))
 
 
-def _event(listing: Listing) -> api.ServerListUpdate:
-    kind = ListUpdateKind.SNAPSHOT if listing.whole else ListUpdateKind.DELTA
+def _event(listing: ServerList) -> api.ServerListUpdate:
+    kind = ListUpdateKind.SNAPSHOT if listing.is_snapshot else ListUpdateKind.DELTA
     return api.ServerListUpdate(kind, listing.index, listing.entries)
 
 
--- a/lab/capacity/membership.py
+++ b/lab/capacity/membership.py
@@ -15,10 +15,11 @@
 from dunlinloft.fleet.membership.dissemination_queue import DisseminationQueue
 from dunlinloft.fleet.messages import Header, Ping, State
 from dunlinloft.fleet.wire import Wire
-from dunlinloft.node.config import FleetConfig, parse_config
-from dunlinloft.node.fleet.duties import SEEN_S
+from dunlinloft.node.config import parse_config
 from dunlinloft.node.fleet.peers import Own, Peers
-from dunlinloft.node.fleet.shared import seen
+from dunlinloft.node.fleet.shared import membership_update
+from dunlinloft.node.fleet.singleton_roles import MEMBERSHIP_INTERVAL_S
+from dunlinloft.node.fleet_config import FleetConfig
 from lab.capacity import sizes
 from lab.capacity.model import TIMED, Experiment, Figure
 from lab.capacity.tools import StillLoop, best_ms, held_bytes, mean_us, peak_bytes, rss_bytes
@@ -116,14 +117,14 @@
     """What runs over all members on the loop that answers callers, and how long one message takes."""
     peers, core = host.peers, host.core
     assert peers.shared is not None
-    peers.census.observe({sizes.name(0)}, 0.0)
+    peers.member_count.observe({sizes.name(0)}, 0.0)
     count = len(core.view.members)
     # As each second, and at each change of the view.
     found = {"recount": best_ms(partial(peers.told, 0, count + 1))}
     found["shared"] = best_ms(
-        lambda: peers.shared and peers.shared.core.handle(seen(core, peers.census), 0.0)
+        lambda: peers.shared and peers.shared.core.handle(membership_update(core, peers.member_count), 0.0)
     )
-    found["duties"] = best_ms(host.loop.due(SEEN_S))
+    found["duties"] = best_ms(host.loop.due(MEMBERSHIP_INTERVAL_S))
     wire, digest = Wire(FLEET), core.digest()
     pings = [
         wire.write(Ping(_head(1 + n % count, digest, count + 1), n, core.name, [])) for n in range(PINGS)
@@ -142,8 +143,8 @@
 
 def _shown(peers: Peers) -> dict[str, float]:
     """What operators are told, which the loop makes too."""
-    found = {"show": best_ms(lambda: json.dumps(peers.show()[1]), 3)}
-    found["shown"] = float(len(json.dumps(peers.show()[1])))
+    found = {"show": best_ms(lambda: json.dumps(peers.status()[1]), 3)}
+    found["shown"] = float(len(json.dumps(peers.status()[1])))
     return found
 
 
--- a/lab/scale/limits.py
+++ b/lab/scale/limits.py
@@ -7,8 +7,8 @@
 
 import socket
 
-from dunlinloft.node.config import LEAST_CELL
 from dunlinloft.node.fleet.peers import MOST_IN, MOST_OUT
+from dunlinloft.node.fleet_config import MIN_CELL_SIZE
 from lab.scale.plan import CELLS_APART_S, Machine, Plan
 
 LOCK = ("127.15.0.1", 7398)  # whoever listens here is the one scale run of this machine
@@ -54,9 +54,9 @@
 def _check_size(plan: Plan, size: int, machine: Machine) -> None:
     if plan.hollow(size) < 3:
         raise Refused(f"size {size}: needs three hollow members or more beside {plan.nodes} nodes")
-    if 0 < plan.cells < LEAST_CELL:
+    if 0 < plan.cells < MIN_CELL_SIZE:
         raise Refused(
-            f"cells of {plan.cells}: a cell takes {LEAST_CELL} members or more; 0 is one flat fleet"
+            f"cells of {plan.cells}: a cell takes {MIN_CELL_SIZE} members or more; 0 is one flat fleet"
         )
     processes = len(plan.hosts(size)) + plan.nodes + (plan.directory if plan.cells else 0)
     if processes > MOST_PROCESSES:
--- a/lab/virtual/host.py
+++ b/lab/virtual/host.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from dunlinloft.balancer import interface as api
-from dunlinloft.node.config import server_id
+from dunlinloft.node.server_list import server_id
 from lab import records
 from lab.callers import Done, Order
 from lab.names import CALLERS
--- a/lab/virtual/member.py
+++ b/lab/virtual/member.py
@@ -17,11 +17,20 @@
 from dunlinloft.fleet.releases.controller import LOOK_INTERVAL_MS
 from dunlinloft.fleet.shared_state import messages as shared
 from dunlinloft.fleet.shared_state.core import AFFINITY, RELEASES, SharedState, class_hash
-from dunlinloft.node.config import key_id
-from dunlinloft.node.fleet.duties import DutyHost
 from dunlinloft.node.fleet.peers import COUNT_S, of_tier
 from dunlinloft.node.fleet.releases import Releases
-from dunlinloft.node.fleet.shared import HOW, KNOWN_S, hearsay, known, place, quotas, seen, window_ms
+from dunlinloft.node.fleet.shared import (
+    ATTEMPT_OUTCOMES,
+    STATUS_INTERVAL_S,
+    dedup_window_ms,
+    membership_update,
+    node_status,
+    peer_verdicts,
+    tenant_quotas,
+    zone_of_key,
+)
+from dunlinloft.node.fleet.singleton_roles import RoleHost
+from dunlinloft.node.server_list import key_id
 from lab.virtual.meeting import Meeting, Process
 
 if TYPE_CHECKING:
@@ -93,10 +102,10 @@
         """After so many seconds, in the member's process."""
         self._member.later(1000.0 * delay, callback, *args)
 
-    def tell(self, name: str, content: duties.Message, /) -> None:
+    def send_to_member(self, name: str, content: duties.Message, /) -> None:
         """Say something to a member, or to itself."""
         if name == self._member.name and self._member.work is not None:
-            return self._member.later(0.0, self._member.work.take, content, name)
+            return self._member.later(0.0, self._member.work.on_content, content, name)
         other = self.core.view.get(name)
         if other is not None and other.is_alive():
             self._meeting.post(
@@ -107,7 +116,7 @@
         """Give the member's membership an event."""
         self._meeting.give(self._member, event)
 
-    def ask_view(self, name: str, /) -> None:
+    def request_view(self, name: str, /) -> None:
         """Views are compared by membership itself; the watch is of no use to a day."""
 
 
@@ -123,23 +132,27 @@
         self._place = settings.replica_index, settings.replicas
         groups = node.zones if AFFINITY in meeting.share else []
         self.shared = CORE(
-            node.name, core.incarnation, settings.zone, settings.tier, meeting.share, quotas(settings),
-            groups, window_ms(settings), rng, node.now(),
+            node.name, core.incarnation, settings.zone, settings.tier, meeting.share, tenant_quotas(settings),
+            groups, dedup_window_ms(settings), rng, node.now(),
         )  # fmt: skip
         self._marks = {class_hash(cls.name): cls.name for cls in settings.classes}
         self._starts: dict[int, int] = {}
         self._since: dict[int, float] = {}
-        self.work: DutyHost | None = None
+        self.work: RoleHost | None = None
         self.releases: Releases | None = None
         if RELEASES in meeting.share:
             around = Around(self, meeting)
-            work = self.work = DutyHost(
+            work = self.work = RoleHost(
                 around, around, node.name, settings.zone, meeting.voters, rng, self.now
             )  # fmt: skip
             self.releases = Releases(
-                self.shared, work.entries, self.give_shared, lambda: work.holder(STATE_TABLE_ROLE), self.now
+                self.shared,
+                work.writes,
+                self.give_shared,
+                lambda: work.owner_of(STATE_TABLE_ROLE),
+                self.now,
             )
-            work.on_open, work.on_close = self.releases.opened, self.releases.closed
+            work.on_open, work.on_close = self.releases.on_table_opened, self.releases.on_table_closed
 
     def now(self) -> float:
         return self._node.now()
@@ -149,11 +162,11 @@
         if isinstance(message.content, shared.Message):
             self.give_shared(shared.MessageReceived(message.content, message.header.name))
         elif self.work is not None:
-            self.work.heard(message)
+            self.work.on_message(message)
 
     def _look(self) -> None:
         if self.releases is not None and self.work is not None:
-            self.releases.look(self.work.holds(STATE_TABLE_ROLE))
+            self.releases.tick(self.work.holds(STATE_TABLE_ROLE))
             self.later(LOOK_INTERVAL_MS, self._look)
 
     def begin(self) -> None:
@@ -199,7 +212,7 @@
                 case shared.SetTimer():
                     self.later(action.delay_ms, self.give_shared, shared.TimerFired(action.token))
                 case shared.ApplyVerdicts():
-                    self._node.handle(hearsay(action.verdicts, self._marks))
+                    self._node.handle(peer_verdicts(action.verdicts, self._marks))
                 case shared.ApplyQuotaShares():
                     self._node.handle(node_api.QuotaShares(action.quotas, action.retry_share))
                 case shared.LimitNewServers():
@@ -207,9 +220,9 @@
 
     def _know(self) -> None:
         since = self._since if self.releases is not None else None
-        self.give_shared(known(self._node.balancer, self._starts, since, self.now()))
-        self.give_shared(seen(self.core, self.census))
-        self.later(1000.0 * KNOWN_S, self._know)
+        self.give_shared(node_status(self._node.balancer, self._starts, since, self.now()))
+        self.give_shared(membership_update(self.core, self.census))
+        self.later(1000.0 * STATUS_INTERVAL_S, self._know)
 
     # What happens at the node
 
@@ -224,10 +237,10 @@
 
     def ended(self, server: int, cls: str, result: Result, ms: float) -> None:
         """An attempt is over."""
-        how = HOW.get(result)
+        how = ATTEMPT_OUTCOMES.get(result)
         if how is not None:
             self.give_shared(shared.AttemptCompleted(server, cls, how, ms))
 
-    def place(self, cls: node_api.RequestClass, key: str, again: bool) -> tuple[str | None, bool]:
+    def zone_of_key(self, cls: node_api.RequestClass, key: str, again: bool) -> tuple[str | None, bool]:
         """The zone that a request is bound to, if it is to any, and whether that can be known."""
-        return place(self.shared, cls, key_id(key.encode()), again, self.now())
+        return zone_of_key(self.shared, cls, key_id(key.encode()), again, self.now())
--- a/lab/virtual/node.py
+++ b/lab/virtual/node.py
@@ -17,9 +17,9 @@
 from dunlinloft.balancer.settings import read_settings
 from dunlinloft.fleet import interface as fleet_api
 from dunlinloft.node.__main__ import ACCEPT_ON_S
-from dunlinloft.node.config import STATUSES, start_mark
 from dunlinloft.node.http.upstream import IDLE_SHARE
 from dunlinloft.node.node import KNOWN_AGAIN_S, MARGIN_MS
+from dunlinloft.node.server_list import STATUSES, start_id
 from lab import records
 from lab.callers import Done, Order
 from lab.records import UNREACHED
@@ -161,7 +161,7 @@
             self.member.asked(order.tenant)
         if not order.key:
             return None, True
-        return self.member.place(self.balancer.classes[order.name], order.key, order.again)
+        return self.member.zone_of_key(self.balancer.classes[order.name], order.key, order.again)
 
     def leave(self) -> None:
         """Say goodbye to the fleet."""
@@ -344,7 +344,7 @@
             )
         if self.member is not None:
             numbers = self._host.numbers
-            starts = {numbers[entry.name]: start_mark(entry.since_ms) for entry in entries}
+            starts = {numbers[entry.name]: start_id(entry.since_ms) for entry in entries}
             self.member.listed(starts, {numbers[entry.name]: entry.since_ms for entry in entries})
         kind = api.ListUpdateKind.CACHED if whole else api.ListUpdateKind.DELTA
         self.handle(api.ServerListUpdate(kind, index, listed))
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -11,9 +11,9 @@
 import pytest
 
 from dunlinloft.balancer import interface as api
-from dunlinloft.node.config import Address
+from dunlinloft.node.addresses import Address
 from dunlinloft.node.http import frontend
-from dunlinloft.node.http.bodies import PIECE, WHOLE, Body, Memory
+from dunlinloft.node.http.bodies import CHUNK_BYTES, MAX_BUFFERED_BYTES, Body, Memory
 from dunlinloft.node.http.upstream import Attempt, Upstream
 from tests.helpers import Node, ends, sends, timers
 from tests.peers import LIMIT_S, Caller, Server, World, answer, request, run, until, world
@@ -81,7 +81,7 @@
 
 def held(scene: World) -> int:
     assert scene.node is not None
-    return scene.node.memory.held
+    return scene.node.memory.used_bytes
 
 
 @contextlib.asynccontextmanager
@@ -126,7 +126,7 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             nonlocal arrived
             await head_of(reader)
-            while data := await reader.read(PIECE):
+            while data := await reader.read(CHUNK_BYTES):
                 arrived += len(data)
                 if arrived == len(BIG):
                     writer.write(answer(200, b"OK"))
@@ -137,12 +137,12 @@
             message = request("a", "pay", budget="0.2", body=BIG)
             caller.write(message[:-1000])
             await until(lambda: arrived > 500_000)
-            assert scene.node.figures.read()["inflight"] == 0
+            assert scene.node.figures.to_json()["inflight"] == 0
             await asyncio.sleep(0.3)  # longer than it will wait once it is whole
             caller.write(message[-1000:])
             first, body = await got(caller)
             assert ("200" in first, body) == (True, b"OK")
-            assert scene.node.figures.read()["calls"]["pay"]["success"] == 1
+            assert scene.node.figures.to_json()["calls"]["pay"]["success"] == 1
 
     run(test())
 
@@ -163,7 +163,7 @@
             caller.write(request("a", "pay", body=body))
             await until(lambda: server.connections == 1)
             await asyncio.sleep(0.3)
-            assert held(scene) <= WHOLE + PIECE
+            assert held(scene) <= MAX_BUFFERED_BYTES + CHUNK_BYTES
             assert caller.writer.transport.get_write_buffer_size() > len(body) // 4, "it was read on and on"
             gate.set()
             assert (await got(caller))[1] == b"OK"
@@ -201,8 +201,8 @@
                 first, body = await got(caller)
                 assert "200" in first and body == expected
             assert scene.node is not None and held(scene) == 0
-            assert scene.node.figures.read()["calls"]["read"]["success"] == 2
-            assert scene.node.figures.read()["inflight"] == 0
+            assert scene.node.figures.to_json()["calls"]["read"]["success"] == 2
+            assert scene.node.figures.to_json()["inflight"] == 0
 
     run(test())
 
@@ -258,7 +258,7 @@
             with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
                 await got(caller)
             assert scene.node is not None and held(scene) == 0
-            assert scene.node.figures.read()["calls"]["read"] == {"success": 0, "busy": 0, "failure": 1}
+            assert scene.node.figures.to_json()["calls"]["read"] == {"success": 0, "busy": 0, "failure": 1}
             assert served == 1, "an answer that has begun binds its request"
 
     run(test())
@@ -282,7 +282,7 @@
             await asyncio.sleep(0.3)
             assert scene.node is not None
             [mine] = scene.node.frontend._callers
-            assert mine._transport.get_write_buffer_size() <= 4 * PIECE
+            assert mine._transport.get_write_buffer_size() <= 4 * CHUNK_BYTES
             assert servers[0].transport.get_write_buffer_size() > len(body) // 4, "it was read on and on"
             assert await body_of(caller.reader, head) == body
 
@@ -297,12 +297,12 @@
             nonlocal seen
             seen += 1
             await head_of(reader)
-            await reader.readexactly(WHOLE * 2)
+            await reader.readexactly(MAX_BUFFERED_BYTES * 2)
             writer.transport.abort()
 
         async with world(tmp_path, Raw(serve, name="s"), Raw(serve, name="t")) as scene:
             caller = await scene.caller()
-            caller.write(request("a", "pay", body=BIG)[: WHOLE * 3])  # its end never comes
+            caller.write(request("a", "pay", body=BIG)[: MAX_BUFFERED_BYTES * 3])  # its end never comes
             first, _ = await got(caller)
             assert "503" in first, "a request that never ran whole can safely be sent again"
             assert seen == 1 and held(scene) == 0
@@ -342,7 +342,7 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await head_of(reader)
             with contextlib.suppress(ConnectionError):
-                while await reader.read(PIECE):
+                while await reader.read(CHUNK_BYTES):
                     pass
             ended.set()
 
@@ -416,25 +416,25 @@
     memory = Memory(32)
     body = Body(memory, 1000)
     body.feed(b"x" * 100)
-    assert not body.flows and body.repeatable() and not body.full()
+    assert not body.streaming and body.is_replayable() and not body.is_full()
     hog = Body(memory, None)
-    hog.feed(b"x" * memory.budget)
+    hog.feed(b"x" * memory.budget_bytes)
     body.feed(b"x" * 100)
-    assert body.flows and body.after(0) == b"x" * 200
-    body.passed()
-    assert not body.repeatable() and memory.held == memory.budget
+    assert body.streaming and body.data_from(0) == b"x" * 200
+    body.on_forwarded()
+    assert not body.is_replayable() and memory.used_bytes == memory.budget_bytes
     hog.close()
     body.close()
-    assert memory.held == 0
+    assert memory.used_bytes == 0
 
 
 def test_a_budget_is_split_among_processes_and_never_nothing() -> None:
     memory = Memory(192)
-    whole = memory.budget
-    memory.share(64)
-    assert 0 < memory.budget < whole
-    memory.share(8)
-    assert memory.budget == 1024 * 1024
+    whole = memory.budget_bytes
+    memory.set_limit(64)
+    assert 0 < memory.budget_bytes < whole
+    memory.set_limit(8)
+    assert memory.budget_bytes == 1024 * 1024
 
 
 def test_a_request_still_coming_loads_no_server_and_its_time_runs_from_its_end() -> None:
@@ -492,7 +492,7 @@
             caller.write(message[-1000:])
             assert await body_of(caller.reader, head) == BIG
             assert scene.node is not None
-            assert scene.node.figures.read()["calls"]["pay"] == {"success": 1, "busy": 0, "failure": 0}
+            assert scene.node.figures.to_json()["calls"]["pay"] == {"success": 1, "busy": 0, "failure": 0}
 
     run(test())
 
--- a/tests/test_cells_sockets.py
+++ b/tests/test_cells_sockets.py
@@ -20,9 +20,10 @@
 from dunlinloft.cli.handlers.cells import cell_lines, render_directory
 from dunlinloft.cli.handlers.config_check import check_file
 from dunlinloft.fleet.cells.partition import name_path
-from dunlinloft.node.config import BadConfig, CellsConfig, DirectoryConfig, FleetConfig, read_directory
+from dunlinloft.node.config import BadConfig, DirectoryConfig, read_directory
 from dunlinloft.node.fleet.directory import DirectoryHost
 from dunlinloft.node.fleet.peers import Own, Peers
+from dunlinloft.node.fleet_config import CellsConfig, FleetConfig
 from lab.processes.block import Block, text
 from tests.peers import LIMIT_S, run, settings, until
 from tests.test_peers import config
@@ -106,19 +107,21 @@
                     for p in service.members.values()
                     if p.cells
                 }
-                shown = [host.show()[1]["services"].get("booking", []) for host in service.directory]
+                shown = [host.status()[1]["services"].get("booking", []) for host in service.directory]
                 return all(
                     truth.items() <= {c["cell"]: c["members"] for c in cells}.items() for cells in shown
                 )
 
             await until(listed)  # both: what one was told the other pulls
-            state = service.directory[0].show()[1]
+            state = service.directory[0].status()[1]
             directory = render_directory(decode_document(state, DirectoryDocument))
             assert state["learning"] and "not know of all yet" in str(directory.renderables[1])
-            shown = newcomer.cells.show()[1] if newcomer.cells else {}
+            shown = newcomer.cells.status()[1] if newcomer.cells else {}
             assert shown["fallback"] and shown["directory"]["age_s"] is not None  # it has just started
             assert any("fallback" in line for line in cell_lines(decode_document(shown, CellDocument)))
-            assert all(p.census.total() >= 14 for p in service.members.values())  # a cut takes nobody out
+            assert all(
+                p.member_count.total() >= 14 for p in service.members.values()
+            )  # a cut takes nobody out
         finally:
             await service.close()
 
@@ -147,8 +150,8 @@
     ({"service": "a b"}, {}, "fleet.cells.service: 'service' must be 1 to 64 of letters"),
     ({"region": ""}, {}, "fleet.cells.region: 'region' must be 1 to 64"),
     ({"region": None}, {}, "fleet.cells.region: 'region' must be a string, not None"),
-    ({"most": 3}, {}, "fleet.cells.most: 'most' must be 4 to 1000"),
-    ({"most": "many"}, {}, "fleet.cells.most: 'most'"),
+    ({"most": 3}, {}, "fleet.cells.max_members: 'most' must be 4 to 1000"),
+    ({"most": "many"}, {}, "fleet.cells.max_members: 'most'"),
     ({"directory": ["nowhere"]}, {}, "fleet.cells.directory[0]: directory[0]: 'nowhere' is no address"),
     ({"directory": [7]}, {}, "fleet.cells.directory[0]: directory[0] must be a string, not 7"),
     ({}, {"voters": ["n1", "n2", "n3"]}, "fleet.voters: 'voters' must be absent"),
@@ -163,7 +166,7 @@
     good = {"service": "booking", "region": "east", "directory": ["127.0.0.1:7400"]}
     fleet = {"name": "linz", "bind": "127.0.0.1:7400", "seeds": []}
     made = config(tmp_path, fleet=fleet | {"cells": good})
-    assert made.fleet is not None and made.fleet.cells is not None and made.fleet.cells.most == 100
+    assert made.fleet is not None and made.fleet.cells is not None and made.fleet.cells.max_members == 100
     with pytest.raises(BadConfig) as caught:
         config(tmp_path, fleet=fleet | more | {"cells": good | cells})
     said = str(caught.value)
--- a/tests/test_discovery_bound.py
+++ b/tests/test_discovery_bound.py
@@ -13,7 +13,7 @@
 import pytest
 
 from dunlinloft.balancer.balancer import RESUBSCRIBE_MAX_MS
-from dunlinloft.node.config import address
+from dunlinloft.node.addresses import parse_address
 from dunlinloft.node.discovery import CALL_MS, GRACE_MS, WATCH_MS
 from dunlinloft.node.node import PUSHED_RETRY_S
 from tests.peers import CLOSE, HANG, RESET, Registry, Seen, Server, World, answer, world
@@ -147,7 +147,7 @@
             await registry.start()
             assert scene.node is not None and loop.time() - before >= 3.0
             # What hung is reachable from now on, at an address that the same calls go to.
-            scene.node._discovery._address = address(registry.address)
+            scene.node._discovery._address = parse_address(registry.address)
             assert await knows(scene, 2) < MOST_MS
             await registry.stop()
         await other.stop()
@@ -176,7 +176,7 @@
             registry.spoil = [HANG, CUT, ENDLESS]
             registry.index, registry.whole = 2, [server.entry(), other.entry()]
             await asyncio.sleep(0.5)
-            scene.node.reload(replace(scene.node.config, discovery=address(registry.address)))
+            scene.node.reload(replace(scene.node.config, discovery=parse_address(registry.address)))
             assert await knows(scene, 2) < MOVED_MS
             await registry.stop()
         await other.stop()
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -37,7 +37,7 @@
 from dunlinloft.fleet.leases import voters
 from dunlinloft.fleet.releases import messages as release_messages
 from dunlinloft.fleet.shared_state import messages as shared_messages
-from dunlinloft.node import config
+from dunlinloft.node import server_list
 from dunlinloft.node.http import handover
 from dunlinloft.transport import message_stream
 from lab import cells as lab_cells
@@ -389,7 +389,7 @@
 
 
 def test_a_nodes_listing_as_it_was_saved_is_read_as_before() -> None:
-    listing = config.read_listing(msgspec.json.decode((NODE / "listing.json").read_bytes()))
+    listing = server_list.read_server_list(msgspec.json.decode((NODE / "listing.json").read_bytes()))
     read = msgspec.json.encode(dataclasses.astuple(listing))
     assert read == (NODE / "listing-read.json").read_bytes()
 
@@ -397,7 +397,7 @@
 def test_two_versions_of_a_node_see_each_others_lock_and_count_of_sockets(tmp_path: Path) -> None:
     name = "orchidferry.0.lock"
     own = handover.Siblings(tmp_path)
-    own.tell(12)
+    own.publish_socket_count(12)
     assert [path.name for path in tmp_path.iterdir()] == [name]
     assert (tmp_path / name).read_bytes() == (NODE / name).read_bytes()
     other = os.open(tmp_path / "orchidferry.5.lock", os.O_RDWR | os.O_CREAT)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,10 +24,10 @@
     (tmp_path / "orchidferry.0.lock").write_text("left behind by a process that was killed")
     old = Siblings(tmp_path)
     assert old.others() == []
-    old.tell(7)
+    old.publish_socket_count(7)
     new = Siblings(tmp_path)
     assert (old.others(), new.others()) == ([0], [7])
-    new.tell(123)
+    new.publish_socket_count(123)
     third = Siblings(tmp_path)
     assert (old.others(), new.others(), third.others()) == ([123, 0], [7, 0], [7, 123])
     third.leave()
@@ -37,7 +37,7 @@
 
 def test_a_folder_that_cannot_be_written_hides_the_others_and_does_no_harm(tmp_path: Path) -> None:
     siblings = Siblings(tmp_path / "absent")
-    siblings.tell(3)
+    siblings.publish_socket_count(3)
     assert siblings.others() == []
 
 
@@ -87,7 +87,7 @@
             server.gate.set()
             assert (await held.read()).status == 200
             await ending
-            assert [seen.id for seen in server.seen] == ["held"] and node.memory.held == 0
+            assert [seen.id for seen in server.seen] == ["held"] and node.memory.used_bytes == 0
 
     run(test())
 
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -56,7 +56,7 @@
 
 def test_silent_callers_delay_nobody_and_have_to_go(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr(management, "MOST_CALLERS", 3)
+        monkeypatch.setattr(management, "MAX_CALLERS", 3)
         async with world(tmp_path, Server()) as scene:
             address = await admin_endpoint(scene)
             silent = [Caller(*await asyncio.open_connection(*address)) for _ in range(5)]
@@ -72,7 +72,7 @@
 
 def test_a_silent_caller_is_let_go_in_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
-        monkeypatch.setattr(management, "WAIT_S", 0.05)
+        monkeypatch.setattr(management, "REQUEST_TIMEOUT_S", 0.05)
         async with world(tmp_path, Server()) as scene:
             caller = Caller(*await asyncio.open_connection(*await admin_endpoint(scene)))
             assert (await caller.read()).status == 408 and await caller.closed()
@@ -132,11 +132,11 @@
 
 def test_a_class_that_vanishes_keeps_its_figures() -> None:
     figures = Figures(["old"])
-    figures.ended("old", 200)
-    figures.know(["new"])
-    figures.ended("old", 502)
-    figures.ended("unknown", 200)
-    assert figures.read()["calls"] == {
+    figures.on_request_completed("old", 200)
+    figures.add_classes(["new"])
+    figures.on_request_completed("old", 502)
+    figures.on_request_completed("unknown", 200)
+    assert figures.to_json()["calls"] == {
         "old": {"success": 1, "busy": 0, "failure": 1},
         "new": {"success": 0, "busy": 0, "failure": 0},
     }
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,11 +20,12 @@
 from dunlinloft.balancer.balancer import Balancer
 from dunlinloft.node import discovery
 from dunlinloft.node.__main__ import reload
-from dunlinloft.node.config import address, server_id
+from dunlinloft.node.addresses import parse_address
 from dunlinloft.node.http import frontend
 from dunlinloft.node.http.frontend import Caller
 from dunlinloft.node.http.upstream import Attempt
 from dunlinloft.node.node import PUSHED_RETRY_S, Live
+from dunlinloft.node.server_list import server_id
 from tests.peers import (
     CLOSE,
     LIMIT_S,
@@ -549,7 +550,7 @@
             line = await asyncio.wait_for(program.process.stderr.readline(), LIMIT_S)
             assert line, "ended before it was ready"
             if b"started" in line:
-                scene.address = address(line.decode().split()[-1])
+                scene.address = parse_address(line.decode().split()[-1])
                 return program
 
     async def logs(self, words: bytes) -> None:
@@ -702,7 +703,7 @@
             assert (await held.read()).status == 200, "its class has vanished, but it came before"
             assert (await scene.ask("a", "new")).status == 200
             assert (await scene.ask("b", "read")).status == 400
-            calls = node.figures.read()["calls"]
+            calls = node.figures.to_json()["calls"]
             assert (calls["read"]["success"], calls["new"]["success"]) == (1, 1)
 
     run(test())
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -12,7 +12,7 @@
 import pytest
 
 from dunlinloft.balancer.interface import Result
-from dunlinloft.node.config import Address
+from dunlinloft.node.addresses import Address
 from dunlinloft.node.http import upstream
 from dunlinloft.node.http.bodies import Body, Memory
 from dunlinloft.node.http.upstream import Answer, Connection, Flow, Upstream, read_report
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,8 +20,9 @@
 from dunlinloft.fleet import wire
 from dunlinloft.fleet.member_count import MemberCount
 from dunlinloft.fleet.messages import Header, Ping, Record, State
-from dunlinloft.node.config import BadConfig, Config, FleetConfig, read_config
+from dunlinloft.node.config import BadConfig, Config, read_config
 from dunlinloft.node.fleet.peers import MOST_IN, Own, Peers
+from dunlinloft.node.fleet_config import FleetConfig
 from lab.processes.block import Block, text
 from lab.processes.day import play_processes
 from lab.scenario import parse
@@ -320,17 +321,17 @@
         scene = Scene(tmp_path, ["n1", "n2", "n3"], voters=["n1", "n2", "n3"])
         try:
             hosts = [m.work for m in scene.members.values() if m.work is not None]
-            await until(lambda: any(h.ledger()[1]["step"] == "open" for h in hosts))
-            holder = next(h for h in hosts if h.ledger()[1]["here"])
+            await until(lambda: any(h.table_status()[1]["step"] == "open" for h in hosts))
+            holder = next(h for h in hosts if h.table_status()[1]["here"])
             other = next(h for h in hosts if h is not holder)
-            assert other.enter("key=a&value=b")[0] == 409
-            assert holder.enter("key=limit/t&value=many")[0] == 400
-            assert holder.enter("key=&value=b")[0] == 409
-            assert holder.enter("key=limit/t&value=12.5")[0] == 202
-            await until(lambda: holder.ledger()[1]["entries"][-1]["state"] == "kept")
-            holder.give_all_back()
-            await until(lambda: any(h.ledger()[1]["rows"] for h in hosts if h is not holder))
-            after = next(h for h in hosts if h.ledger()[1]["rows"]).ledger()[1]
+            assert other.write_row("key=a&value=b")[0] == 409
+            assert holder.write_row("key=limit/t&value=many")[0] == 400
+            assert holder.write_row("key=&value=b")[0] == 409
+            assert holder.write_row("key=limit/t&value=12.5")[0] == 202
+            await until(lambda: holder.table_status()[1]["entries"][-1]["state"] == "kept")
+            holder.release_all()
+            await until(lambda: any(h.table_status()[1]["rows"] for h in hosts if h is not holder))
+            after = next(h for h in hosts if h.table_status()[1]["rows"]).table_status()[1]
             assert [(row["key"], row["value"]) for row in after["rows"]] == [("limit/t", "12.5")]
             assert not after["lost"]
         finally:
@@ -344,19 +345,19 @@
         scene = Scene(tmp_path, ["n1", "n2", "n3", "n4"], voters=["n1", "n2", "n3"])
         try:
             hosts = [m.work for m in scene.members.values() if m.work is not None]
-            await until(lambda: any(h.ledger()[1]["step"] == "open" for h in hosts))
-            holder = next(h for h in hosts if h.ledger()[1]["here"])
+            await until(lambda: any(h.table_status()[1]["step"] == "open" for h in hosts))
+            holder = next(h for h in hosts if h.table_status()[1]["here"])
             assert next(h for h in hosts if h is not holder).change_voters("add=n4")[0] == 409
-            assert holder.enter("key=voters&value=x")[0] == 400
+            assert holder.write_row("key=voters&value=x")[0] == 400
             for bad in ("add=n3", "add=n9", "remove=n1", "add=n4&remove=n1", ""):
                 assert holder.change_voters(bad)[0] == 409
             assert holder.change_voters("add=n4")[0] == 202
-            await until(lambda: all(h.voters()[1]["change"] == 1 for h in hosts))
-            assert holder.ledger()[1]["entries"][-1]["state"] == "kept"
-            assert "change 1" in holder.voters()[1]["why_no_change"]
-            await until(lambda: not holder.voters()[1]["why_no_change"])
+            await until(lambda: all(h.voters_status()[1]["change"] == 1 for h in hosts))
+            assert holder.table_status()[1]["entries"][-1]["state"] == "kept"
+            assert "change 1" in holder.voters_status()[1]["why_no_change"]
+            await until(lambda: not holder.voters_status()[1]["why_no_change"])
             assert holder.change_voters("remove=n1")[0] == 202
-            await until(lambda: all(h.show()[1]["voters"] == ["n2", "n3", "n4"] for h in hosts))
+            await until(lambda: all(h.status()[1]["voters"] == ["n2", "n3", "n4"] for h in hosts))
         finally:
             scene.close()
 
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -242,7 +242,7 @@
                     socket.socket(fileno=os.dup(own.fileno())).shutdown(socket.SHUT_WR)
             await until(lambda: not node._live)
             assert came(await slow.accept(lambda: dials(scene) > 0)) == b""
-            assert node.memory.held == 0
+            assert node.memory.used_bytes == 0
 
     run(test())
 
