Know a configuration by the entry that made it, and forget deregistered servers of lost streams

Cause: found by whole processes in virtual time.

Change: nodes are sent nothing of an entry that only records a rejection; a deregistration takes a server off the listings of streams that have ended. Tasks are kept in the order of their start, so that a run follows from its seed.

--- a/dunlinloft/controlplane/node_publisher.py
+++ b/dunlinloft/controlplane/node_publisher.py
@@ -76,12 +76,16 @@
         """
         if state.sequence <= self._state.sequence:
             return
+        published_id = ConfigurationId(state.version, state.configuration_digest)
+        if published_id == self._id:  # the entry only recorded that a change was rejected
+            self._state = state
+            return
         follows = state.sequence == self._state.sequence + 1
         is_update = entry is not None and entry.change.kind == ChangeKind.UPDATE and follows
         self._update = entry if is_update else None
         self._base_id = self._id
         self._state = state
-        self._id = ConfigurationId(state.version, state.chain_digest)
+        self._id = published_id
         self._frames_by_form = {}
         self._publish_current()
 
--- a/dunlinloft/coordination/history.py
+++ b/dunlinloft/coordination/history.py
@@ -8,6 +8,8 @@
 
 import hashlib
 
+from msgspec import UNSET
+
 from dunlinloft.coordination.document_changes import apply_change
 from dunlinloft.coordination.state import (
     AppliedChange,
@@ -44,6 +46,11 @@
     return next_entry(state, state.version, record)
 
 
+def is_rejection(entry: LogEntry) -> bool:
+    """Whether an entry only records that a change was rejected."""
+    return entry.change.digest.startswith(REJECTION_DIGEST_PREFIX)
+
+
 def is_recorded_as_rejected(state: ChainState, change: ConfigurationChange) -> bool:
     """Whether the history has an entry that records this change as rejected."""
     digest = REJECTION_DIGEST_PREFIX + change.digest
@@ -60,4 +67,5 @@
     remembered = state.applied[-(MAX_APPLIED_CHANGES - 1) :]
     applied = (*remembered, AppliedChange(entry.change.digest, entry.version))
     document = apply_change(state.document, entry.change)
-    return ChainState(entry.sequence, entry.chain_digest, entry.version, document, applied)
+    digest = state.configuration_digest if is_rejection(entry) else UNSET
+    return ChainState(entry.sequence, entry.chain_digest, entry.version, document, applied, digest)
--- a/dunlinloft/coordination/state.py
+++ b/dunlinloft/coordination/state.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 from typing import Any
 
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 Document = dict[str, Any]
 """An operator's configuration as decoded JSON, with every field as it was sent, unknown ones included."""
@@ -51,3 +51,10 @@
     version: int = 0
     document: Document = {}
     applied: tuple[AppliedChange, ...] = field(default=(), name="taken")  # oldest first
+    document_digest: str | UnsetType = UNSET
+    """The `chain_digest` of the entry that made the document, where later ones only recorded rejections."""
+
+    @property
+    def configuration_digest(self) -> str:
+        """The history up to the entry that made the document: what identifies the configuration to nodes."""
+        return self.chain_digest if self.document_digest is UNSET else self.document_digest
--- a/dunlinloft/dataplane/server_table.py
+++ b/dunlinloft/dataplane/server_table.py
@@ -82,6 +82,8 @@
             unconfirmed.pop(record.id, None)
             self._put(record)
         for server_id in update.removed:
+            if server_id not in update.timed_out:
+                self._forget_in_lost_listings(server_id)
             listing = listed.pop(server_id, None)
             service = self._unlisted.get(server_id) if listing is None else listing.service
             if service is None:
@@ -91,6 +93,12 @@
             else:
                 self._remove(server_id, service)
 
+    def _forget_in_lost_listings(self, server_id: str) -> None:
+        """A server deregistered: a replica whose stream has ended can't take it off its listing."""
+        for replica in self._stream_lost_ms:
+            self._listed.get(replica, {}).pop(server_id, None)
+            self._unconfirmed.get(replica, {}).pop(server_id, None)
+
     def on_stream_lost(self, replica: str, now_ms: float) -> None:
         """A replica's stream ended: its listing stands until another replica's has long been up."""
         self._stream_lost_ms.setdefault(replica, now_ms)
--- a/dunlinloft/dataplane/subscriptions.py
+++ b/dunlinloft/dataplane/subscriptions.py
@@ -94,8 +94,8 @@
         self._stopped = False
         self._node_counts: dict[str, int] = {}  # number of nodes as each connected replica announces it
         self._tasks: dict[str, asyncio.Task[None]] = {}  # by wanted replica
-        self._cancelled: set[asyncio.Task[None]] = set()  # of replicas no longer wanted
-        self._fetches: set[asyncio.Task[None]] = set()
+        self._cancelled: dict[asyncio.Task[None], None] = {}  # of replicas no longer wanted
+        self._fetches: dict[asyncio.Task[None], None] = {}
         self._announced: tuple[str, ...] = ()  # addresses of all replicas
         self._started_ms = now_ms()
 
@@ -117,8 +117,8 @@
             self._tasks[address] = asyncio.create_task(self._maintain(address))
         for address in sorted(self._tasks.keys() - wanted):
             task = self._tasks.pop(address)
-            self._cancelled.add(task)
-            task.add_done_callback(self._cancelled.discard)
+            self._cancelled[task] = None
+            task.add_done_callback(lambda done: self._cancelled.pop(done, None))
             task.cancel()
         self._drop_failed()
 
@@ -221,8 +221,8 @@
         """A replica announced a configuration, which another stream usually carries."""
         if message.id.supersedes(self._subscriber.configuration_id, True):
             task = asyncio.create_task(self._fetch(address, message.id))
-            self._fetches.add(task)
-            task.add_done_callback(self._fetches.discard)
+            self._fetches[task] = None
+            task.add_done_callback(lambda done: self._fetches.pop(done, None))
 
     def _on_replicas(self, address: str, message: ControlPlaneView) -> None:
         """Take the newest view of the control plane.
--- a/dunlinloft/transport/tasks.py
+++ b/dunlinloft/transport/tasks.py
@@ -36,13 +36,13 @@
     """
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: dict[asyncio.Task[None], None] = {}  # in the order in which they were started
 
     def start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """Run a coroutine as a task of this owner; the caller may cancel it earlier."""
         task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks[task] = None
+        task.add_done_callback(lambda done: self._tasks.pop(done, None))
         return task
 
     async def __aenter__(self) -> BackgroundTasks:
--- a/lab/simulation/checkers.py
+++ b/lab/simulation/checkers.py
@@ -66,7 +66,7 @@
         late_s = self._cluster.loop.now_s - draining.at_s
         if late_s > DRAIN_S:
             raise InvariantViolation(
-                f"{node.name} sent to {life.id} {late_s:.2f} s after it was told to drain"
+                f"{node.name} sent to {life.id} {late_s:.2f} s after its drain was acknowledged"
             )
 
     def _check_all(self) -> None:
--- a/lab/simulation/cluster.py
+++ b/lab/simulation/cluster.py
@@ -15,7 +15,7 @@
 from dunlinloft.controlplane.components import Components
 from dunlinloft.coordination.actions import Reply
 from dunlinloft.coordination.state import ChainState, ConfigurationChange
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.stream import ConfigurationId, ServerRecord
 from dunlinloft.quota_bounds import quota_bounds
 from dunlinloft.settings import TimingBounds
 from lab.control.invariants import InvariantChecker
@@ -115,7 +115,7 @@
             random.Random(self.rng.getrandbits(64)),
             self._deliver,
             self._on_spent,
-            self.node_checker.on_activated,
+            self._on_activated,
             self._on_change,
         )
         self.nodes[name] = node
@@ -136,10 +136,16 @@
     # Observing.
 
     def _on_commit(self, state: ChainState, machine: ControlMachine) -> None:
-        self.checker.on_commit(state, machine, self.machines)
+        with self.loop.reporting():
+            self.checker.on_commit(state, machine, self.machines)
 
     def _on_spent(self, amount: float) -> None:
-        self.quota_window.spend(amount, self.now)
+        with self.loop.reporting():
+            self.quota_window.spend(amount, self.now)
+
+    def _on_activated(self, node: DataNode, before: ConfigurationId, after: ConfigurationId) -> None:
+        with self.loop.reporting():
+            self.node_checker.on_activated(node, before, after)
 
     def _on_change(self, changed: ControlMachine | DataNode) -> None:
         in_core = isinstance(changed, ControlMachine) and changed.stateful
@@ -286,14 +292,14 @@
         self.network.unblock_all()
 
     def delay_links(self, name: str, extra_s: float) -> None:
-        """Delay what a host sends and receives; a negative value withdraws that."""
-        self.network.delay(self.host_of(name), extra_s)
-        self._disturb((self.host_of(name),))
+        """Set by how much a host's traffic is delayed in either direction."""
+        if self.network.delay(self.host_of(name), extra_s):
+            self._disturb((self.host_of(name),))
 
     def damage_links(self, name: str, probability: float) -> None:
         """Damage what a host's processes write, with this probability."""
-        self.network.damage(self.host_of(name), probability)
-        self._disturb((self.host_of(name),))
+        if self.network.damage(self.host_of(name), probability):
+            self._disturb((self.host_of(name),))
 
     def _disturb(self, hosts: tuple[str, ...]) -> None:
         for host in hosts:
@@ -366,7 +372,8 @@
         life = server.life
         if life.id != server_id or life.ended_s is not None:
             return False
-        self.node_checker.on_arrival(node, life)
+        with self.loop.reporting():
+            self.node_checker.on_arrival(node, life)
         await asyncio.sleep(self.rng.uniform(*SERVICE_S))
         return life.ended_s is None
 
--- a/lab/simulation/control_machine.py
+++ b/lab/simulation/control_machine.py
@@ -125,8 +125,9 @@
 
     @sync_slowdown.setter
     def sync_slowdown(self, factor: float) -> None:
-        self.disk.slowdown = factor
-        self._on_change(self)
+        if factor != self.disk.slowdown:
+            self.disk.slowdown = factor
+            self._on_change(self)
 
     @property
     def disk_works(self) -> bool:
@@ -163,7 +164,8 @@
 
     def _on_started(self, components: Components) -> None:
         if self.stateful:
-            self._check_recovered(components.disk.durable)
+            with self._loop.reporting():
+                self._check_recovered(components.disk.durable)
             self.durable = copy.copy(components.disk.durable)
             self._observe_writes(components)
         self.components = components
@@ -211,10 +213,7 @@
 
         def observed(state: ChainState, entry: LogEntry | None) -> None:
             """Check a committed state, then handle it."""
-            try:
-                self._on_commit(state, self)
-            except InvariantViolation as violation:
-                self._loop.fail(violation)
+            self._on_commit(state, self)
             on_commit(state, entry)
 
         host._on_commit = observed
@@ -262,10 +261,12 @@
 
     def stall(self, stalled: bool) -> None:
         """Have the disk hang, or go on."""
-        self.disk.stalled = stalled
-        self._on_change(self)
+        if stalled != self.disk.stalled:
+            self.disk.stalled = stalled
+            self._on_change(self)
 
     def fill_disk(self, full: bool) -> None:
         """Have the disk refuse writes, or take them again."""
-        self.disk.files.full = full
-        self._on_change(self)
+        if full != self.disk.files.full:
+            self.disk.files.full = full
+            self._on_change(self)
--- a/lab/simulation/event_loop.py
+++ b/lab/simulation/event_loop.py
@@ -13,7 +13,8 @@
 import itertools
 from asyncio import events
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 from lab.control.invariants import InvariantViolation
@@ -244,6 +245,15 @@
         if not self._closed and self._failure is None:
             self._failure = error
 
+    @contextmanager
+    def reporting(self) -> Iterator[None]:
+        """End the simulation where a rule is broken, whatever the process around does with the exception."""
+        try:
+            yield
+        except InvariantViolation as violation:
+            self.fail(violation)
+            raise
+
     def call_exception_handler(self, context: dict[str, Any]) -> None:
         """Take an error that nobody handles: the simulation ends with it."""
         error = context.get("exception")
--- a/lab/simulation/faults.py
+++ b/lab/simulation/faults.py
@@ -104,7 +104,7 @@
         target = name if fault.pick & 256 else address
         extra_s = random.Random(fault.pick).uniform(*DELAY_S)
         self._simulation.delay_links(target, extra_s)
-        return lambda: self._simulation.delay_links(target, -extra_s)
+        return lambda: self._simulation.delay_links(target, 0.0)
 
     def end_all(self) -> None:
         """End all faults: everything is up and connected."""
@@ -112,10 +112,11 @@
         for machine in simulation.machines.values():
             machine.fill_disk(False)
             simulation.damage_links(machine.address, 0.0)
+            simulation.delay_links(machine.address, 0.0)
         for node in simulation.nodes.values():
             simulation.damage_links(node.name, 0.0)
+            simulation.delay_links(node.name, 0.0)
             node.thaw()
-        simulation.network.end_delays()
         simulation.update_seeds()
         super().end_all()
         self._start_everything()
--- a/lab/simulation/network.py
+++ b/lab/simulation/network.py
@@ -50,7 +50,7 @@
         self.loop = loop
         self.rng = rng
         self._blocked: Counter[tuple[str, str]] = Counter()  # (source, target): how many faults block it
-        self._extra_delay_s: Counter[str] = Counter()  # by host
+        self._extra_delay_s: dict[str, float] = {}  # by host
         self._damage_probability: dict[str, float] = {}  # by host: of each write of its processes
         self._powered: set[str] = {OUTSIDE}
         self._listeners: dict[tuple[str, int], Listener] = {}
@@ -89,17 +89,17 @@
         """Return the hosts at either end of a blocked direction."""
         return {host for pair in self._blocked for host in pair}
 
-    def delay(self, host: str, extra_s: float) -> None:
-        """Delay what a host sends and receives; a negative value withdraws that."""
-        self._extra_delay_s[host] += extra_s  # type: ignore[assignment]
+    def delay(self, host: str, extra_s: float) -> bool:
+        """Set by how much what a host sends and receives is delayed; return whether that is a change."""
+        changed = self._extra_delay_s.get(host, 0.0) != extra_s
+        self._extra_delay_s[host] = extra_s
+        return changed
 
-    def end_delays(self) -> None:
-        """Withdraw all delays."""
-        self._extra_delay_s.clear()
-
-    def damage(self, host: str, probability: float) -> None:
-        """Damage writes of a host's processes with this probability; 0 ends that."""
+    def damage(self, host: str, probability: float) -> bool:
+        """Set the probability with which writes on a host are damaged; return whether that is a change."""
+        changed = self._damage_probability.get(host, 0.0) != probability
         self._damage_probability[host] = probability
+        return changed
 
     def damages(self, host: str) -> bool:
         """Draw whether the next write of a host is damaged."""
@@ -108,7 +108,7 @@
 
     def delay_s(self, source: str, target: str) -> float:
         """Draw the delay of data on a link."""
-        extra_s = max(0.0, self._extra_delay_s[source] + self._extra_delay_s[target])
+        extra_s = self._extra_delay_s.get(source, 0.0) + self._extra_delay_s.get(target, 0.0)
         return self.rng.uniform(*DELAY_S) + extra_s
 
     def _resume(self) -> None:
--- a/lab/simulation/world.py
+++ b/lab/simulation/world.py
@@ -13,6 +13,7 @@
 import random
 import secrets
 import sys
+import warnings
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
@@ -80,10 +81,13 @@
     gc.disable()
     try:
         with (
+            warnings.catch_warnings(),
             mock.patch.object(clock, "time", _SimulatedTime(loop)),
             mock.patch.object(secrets, "token_hex", lambda size: rng.randbytes(size).hex()),
             mock.patch.object(secrets, "randbits", rng.getrandbits),
         ):
+            # A task of a process that is killed before it runs has a coroutine that is never awaited.
+            warnings.simplefilter("ignore", RuntimeWarning)
             yield
     finally:
         # Coroutines of killed processes are closed here; what they would do then has no effect.
--- a/tests/test_configuration_distribution.py
+++ b/tests/test_configuration_distribution.py
@@ -4,10 +4,11 @@
 
 from typing import Any
 
+import msgspec
 from msgspec import Struct
 
 from dunlinloft.controlplane.node_publisher import NodePublisher, NodeSubscription
-from dunlinloft.coordination.history import next_entry, state_after
+from dunlinloft.coordination.history import next_entry, rejection_entry, state_after
 from dunlinloft.coordination.state import ChainState, ConfigurationChange
 from dunlinloft.coordination.stream import ConfigurationAnnouncement, ConfigurationId, ServerSnapshot
 
@@ -102,3 +103,40 @@
     written = _RecordingWriter()
     publisher.subscribe(NodeSubscription("node", written, NONE, NONE, False), NO_SERVERS)  # type: ignore[arg-type]
     assert written.sent[-1] == ConfigurationAnnouncement(ConfigurationId(5, state.chain_digest))
+
+
+def test_nodes_are_sent_nothing_of_a_rejection_and_the_next_update_as_a_delta() -> None:
+    """Seed 2080: a node went back from the rejection's history to the one before, both of one version."""
+    publisher = NodePublisher()
+    publisher.set_confirmed(True)
+    first = _state(ChainState(), _order(5, 0, "replace"))
+    publisher.publish_state(first, None)
+    node = _subscribed(publisher, ConfigurationId(5, first.chain_digest))
+    entry = rejection_entry(first, _order(99, 50))
+    rejected = state_after(first, entry)
+    publisher.publish_state(rejected, entry)
+    assert node.sent == []
+    assert rejected.configuration_digest == first.chain_digest != rejected.chain_digest
+    again = rejection_entry(rejected, _order(98, 50))
+    twice = state_after(rejected, again)
+    publisher.publish_state(twice, again)
+    assert node.sent == []
+    update = next_entry(twice, 6, _order(6, 5))
+    after = state_after(twice, update)
+    publisher.publish_state(after, update)
+    (frame,) = node.sent
+    assert b'"delta"' in frame
+    assert after.configuration_digest == after.chain_digest
+
+
+def test_a_replica_that_recovers_a_rejection_gives_nodes_the_same_identity() -> None:
+    first = _state(ChainState(), _order(5, 0, "replace"))
+    rejected = state_after(first, rejection_entry(first, _order(99, 50)))
+    recovered = msgspec.json.decode(msgspec.json.encode(rejected), type=ChainState)
+    assert recovered == rejected
+    publisher = NodePublisher()
+    publisher.publish_state(recovered, None)
+    written = _RecordingWriter()
+    publisher.subscribe(NodeSubscription("node", written, NONE, NONE, False), NO_SERVERS)  # type: ignore[arg-type]
+    assert written.sent[-1] == ConfigurationAnnouncement(ConfigurationId(5, first.chain_digest))
+    assert b"document_digest" not in msgspec.json.encode(first), "as earlier releases write it"
--- a/tests/test_dataplane_server_table.py
+++ b/tests/test_dataplane_server_table.py
@@ -105,3 +105,19 @@
     table.on_listing("one", True, ALL, (server_record(1, 4, "draining"),))
     table.on_listing("other", True, ALL, (server_record(1, 3),))
     assert table.pool("pool").servers["i-1"].record.draining
+
+
+def test_a_server_that_deregistered_is_taken_off_the_listings_of_lost_streams(table: ServerTable) -> None:
+    """Seed 2116: the listing of a control plane that was gone kept it for 4.8 s."""
+    for replica in ("gone", "one"):
+        table.on_listing(replica, True, ALL, (server_record(1), server_record(2)))
+    table.on_stream_lost("gone", 0.0)
+    table.on_update("one", ServerUpdates((), ("i-1", "i-2"), ("i-2",)), 100.0)
+    assert set(table.pool("pool").servers) == {"i-2"}, "that one only missed heartbeats"
+
+
+def test_a_deregistration_does_not_overrule_a_replica_whose_stream_is_up(table: ServerTable) -> None:
+    for replica in ("one", "other"):
+        table.on_listing(replica, True, ALL, (server_record(1),))
+    table.on_update("one", ServerUpdates((), ("i-1",)), 100.0)
+    assert set(table.pool("pool").servers) == {"i-1"}
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -132,13 +132,13 @@
     "cell-reports.jsonl": _json(lab_cells.Report),
 }
 COUNTS = {
-    "to-control.jsonl": 93,
+    "to-control.jsonl": 94,
     "to-node.jsonl": 30,
     "heartbeats.jsonl": 3,
     "configurations.jsonl": 3,
     "settings.jsonl": 3,
-    "slots.jsonl": 4,
-    "log-blocks.jsonl": 21,
+    "slots.jsonl": 5,
+    "log-blocks.jsonl": 22,
     "member-messages.hex": 60,
     "member-views.hex": 3,
     "cell-messages.hex": 60,
--- a/tests/test_quota_takeovers.py
+++ b/tests/test_quota_takeovers.py
@@ -144,6 +144,8 @@
     for number in range(fleet.rng.randint(2, 5)):
         fleet.join(f"old-{number}")
     fleet.exchange()
+    for name in fleet.nodes:
+        owner.on_holdings(name, QuotaHoldings(1, {}, {}), fleet.now)
     for _ in range(40):
         fleet.now += 20.0
         owner.refill(True, fleet.now)
--- a/tests/test_simulated_machines.py
+++ b/tests/test_simulated_machines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Coroutine
 from pathlib import Path
@@ -37,9 +38,10 @@
 
     async def serve(self) -> None:
         async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while line := await reader.readline():
-                self.log.append(line)
-                writer.write(line)
+            with contextlib.suppress(ConnectionError):
+                while line := await reader.readline():
+                    self.log.append(line)
+                    writer.write(line)
 
         await asyncio.start_server(echo, "s", 7)
 
--- a/tests/test_simulated_processes.py
+++ b/tests/test_simulated_processes.py
@@ -151,9 +151,9 @@
 
 def test_a_node_that_goes_back_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(ConfigurationId, "supersedes", lambda *_: True)
-    damage = Fault(1_500.0, FaultKind.DAMAGE, 4_000.0, 256)
     partition = Fault(1_300.0, FaultKind.PARTITION, 4_000.0, 0)
-    assert "went back" in _violation(range(12), (partition, damage))
+    damage = tuple(Fault(1_500.0, FaultKind.DAMAGE, 4_000.0, 256 + node) for node in range(3))
+    assert "went back" in _violation(range(12), (partition, *damage))
 
 
 def test_a_disk_that_does_not_sync_is_detected(monkeypatch: pytest.MonkeyPatch) -> None:
