--- a/lab/simulation/event_loop.py
+++ b/lab/simulation/event_loop.py
@@ -169,7 +169,7 @@
 
     def after(self, delay_s: float, callback: Callable[..., Any], *args: Any) -> None:
         """Schedule a callback of the world outside of all processes."""
-        handle = asyncio.Handle(callback, args, self, self._outside.copy())
+        handle = asyncio.Handle(callback, args, self, self._outside)
         if not self._closed:
             heapq.heappush(self._timers, (self.now_s + delay_s, next(self._sequence), handle))
 
@@ -179,11 +179,11 @@
 
     def call_in(self, process: SimulatedProcess, callback: Callable[..., Any], *args: Any) -> None:
         """Schedule a callback of a process for now."""
-        self.call_soon(callback, *args, context=process.context())
+        self.call_soon(callback, *args, context=process.context)
 
     def start_in(self, process: SimulatedProcess, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Start a task of a process."""
-        return self.create_task(coroutine, context=process.context())
+        return self.create_task(coroutine, context=process.context.copy())
 
     def start_outside(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Start a task of the world outside of all processes."""
--- a/lab/simulation/process.py
+++ b/lab/simulation/process.py
@@ -51,11 +51,11 @@
     deferred: list[asyncio.Handle] = field(default_factory=list)  # due while it was frozen
     signal_handlers: dict[int, Callable[[], object]] = field(default_factory=dict)
 
-    def context(self) -> contextvars.Context:
-        """Return a new context in which callbacks belong to this process."""
-        context = contextvars.copy_context()
-        context.run(CURRENT_PROCESS.set, self)
-        return context
+    context: contextvars.Context = field(default_factory=contextvars.Context)
+
+    def __post_init__(self) -> None:
+        """Mark the context: callbacks that run in it, or in a copy of it, belong to this process."""
+        self.context.run(CURRENT_PROCESS.set, self)
 
 
 class NoThreads(Executor):
