--- a/lab/simulation/checkers.py
+++ b/lab/simulation/checkers.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from dunlinloft.coordination.stream import ConfigurationId
-from lab.control.invariants import InvariantViolation
+from lab.control.invariants import InvariantChecker, InvariantViolation
+from lab.simulation.calm import CalmTracker
+from lab.simulation.control_machine import ControlMachine
 from lab.simulation.data_node import DataNode
-from lab.simulation.model_server import DRAIN_S, HEARTBEAT_S, ServerLife
-
-if TYPE_CHECKING:
-    from lab.simulation.cluster import SimulatedCluster
+from lab.simulation.event_loop import SimulatedEventLoop
+from lab.simulation.model_server import DRAIN_S, HEARTBEAT_S, ModelServer, ServerLife
 
 CONFIG_PROPAGATION_S = 2.0  # `config_propagation_ms`
 CHECK_INTERVAL_S = 0.2
@@ -30,10 +31,41 @@
     at_s: float
 
 
+class CheckedCluster(Protocol):
+    """What is looked at of a `SimulatedCluster`."""
+
+    @property
+    def loop(self) -> SimulatedEventLoop:
+        """Tells the time."""
+
+    @property
+    def calm(self) -> CalmTracker:
+        """When machines were disturbed."""
+
+    @property
+    def checker(self) -> InvariantChecker:
+        """What is known of commits."""
+
+    @property
+    def machines(self) -> Mapping[str, ControlMachine]:
+        """The control planes' machines, by address."""
+
+    @property
+    def nodes(self) -> Mapping[str, DataNode]:
+        """By name."""
+
+    @property
+    def servers(self) -> Sequence[ModelServer]:
+        """All servers."""
+
+    def in_touch(self, host: str) -> bool:
+        """Return whether rules that are bounded in time hold for a machine now."""
+
+
 class NodeChecker:
     """Checks nodes in touch, at intervals and with each request. All checks raise `InvariantViolation`."""
 
-    def __init__(self, cluster: SimulatedCluster) -> None:
+    def __init__(self, cluster: CheckedCluster) -> None:
         self._cluster = cluster
         self._acknowledged: list[_AcknowledgedVersion] = []
         self._committed: dict[int, str] = {}  # by version: the digest of the committed history
--- a/lab/simulation/operators.py
+++ b/lab/simulation/operators.py
@@ -4,15 +4,13 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from dunlinloft.coordination.actions import Reply
 from dunlinloft.coordination.state import ChangeKind, ConfigurationChange
+from lab.simulation.cluster import SimulatedCluster
 from lab.simulation.deployment import QUOTA_LIMIT
 
-if TYPE_CHECKING:
-    from lab.simulation.cluster import SimulatedCluster
-
 SERVICE = "pool"
 TENANT = "tenant"
 MAX_ATTEMPTS = 40  # of one change
--- a/lab/simulation/transport.py
+++ b/lab/simulation/transport.py
@@ -3,19 +3,40 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+from lab.simulation.event_loop import SimulatedEventLoop
 from lab.simulation.process import SimulatedProcess
 
-if TYPE_CHECKING:
-    from lab.simulation.network import Network
-
 TIMEOUT_TOLERANCE_S = 0.000_001  # rounding of sums of times
 USER_TIMEOUT_S = 1.0  # `TCP_USER_TIMEOUT` of the programs: data unacknowledged for longer ends a connection
 
 
+class Links(Protocol):
+    """The links that a connection runs over; see `lab.simulation.network.Network` for its methods."""
+
+    loop: SimulatedEventLoop
+    rng: random.Random
+
+    def blocked(self, source: str, target: str) -> bool:
+        """Return whether nothing gets from one host to another."""
+
+    def powered(self, host: str) -> bool:
+        """Return whether a host is up."""
+
+    def damages(self, host: str) -> bool:
+        """Draw whether the next write of a host is damaged."""
+
+    def delay_s(self, source: str, target: str) -> float:
+        """Draw the delay of data on a link."""
+
+    def forget(self, transport: SimulatedTransport) -> None:
+        """Drop a transport on which nothing happens any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Data:
     """Bytes on their way."""
@@ -51,7 +72,7 @@
 class SimulatedTransport(asyncio.Transport):
     """An end of a connection; what it sends is queued here until the other end has it."""
 
-    def __init__(self, network: Network, process: SimulatedProcess, host: str, peer_host: str) -> None:
+    def __init__(self, network: Links, process: SimulatedProcess, host: str, peer_host: str) -> None:
         super().__init__()
         self.process = process
         self.peer: SimulatedTransport | None = None
