--- a/dunlinloft/controlplane/stream_session.py
+++ b/dunlinloft/controlplane/stream_session.py
@@ -86,10 +86,13 @@
                 self._services.replica_host.handle(message)
 
     def close(self) -> None:
-        """End what the stream subscribed to and asked for."""
+        """End what the stream subscribed to and asked for.
+
+        Requests may have been placed on it before it subscribed: a node subscribes late on further streams.
+        """
         if self._subscription is not None:
             self._services.publisher.unsubscribe(self._subscription)
-            self._services.placement.on_stream_closed(self._number)
+        self._services.placement.on_stream_closed(self._number)
 
     def _subscribe(self, message: Subscribe) -> None:
         services = self._services
--- a/tests/test_stream_session.py
+++ b/tests/test_stream_session.py
@@ -18,6 +18,7 @@
     ConfigurationApplied,
     ConfigurationId,
     FetchConfiguration,
+    LocalPlacement,
     NodeKeepalive,
     NodeShutdown,
     NodeSighting,
@@ -27,6 +28,7 @@
     QuotaHoldingsReport,
     QuotaRequest,
     ServerHeartbeats,
+    ServerRecord,
     ServerSnapshot,
     Subscribe,
 )
@@ -143,3 +145,14 @@
     scene.session.handle(NodeSightings((NodeSighting("other", 0.0),)))
     assert scene.nodes.active_names() == ("other",)
     assert scene.replica_host.calls == []
+
+
+def test_requests_placed_on_a_stream_that_ends_before_it_subscribed_are_dropped() -> None:
+    """Seed 20401: they stayed in flight at the owner for good."""
+    scene = _Scene()
+    service = scene.session._services.placement._placements.service("pool")
+    service.update_servers([ServerRecord("i-1", "pool", "10.0.9.1:80", "a", 4, "ready", 1)])
+    scene.session.handle(LocalPlacement(1, "pool", (), 10, "i-1"))
+    assert len(service._in_flight) == 1
+    scene.session.close()
+    assert not service._in_flight
