--- a/lab/simulation/world.py
+++ b/lab/simulation/world.py
@@ -79,25 +79,25 @@
     logging.set_verbosity(logging.FATAL)
     unraisable = sys.unraisablehook
     gc.disable()
-    try:
-        with (
-            warnings.catch_warnings(),
-            mock.patch.object(clock, "time", _SimulatedTime(loop)),
-            mock.patch.object(secrets, "token_hex", lambda size: rng.randbytes(size).hex()),
-            mock.patch.object(secrets, "randbits", rng.getrandbits),
-        ):
-            # A task of a process that is killed before it runs has a coroutine that is never awaited.
-            warnings.simplefilter("ignore", RuntimeWarning)
-            yield
-    finally:
-        # Coroutines of killed processes are closed here; what they would do then has no effect.
-        sys.unraisablehook = lambda _: None
-        loop.close()
-        gc.enable()
-        gc.collect()
-        sys.unraisablehook = unraisable
-        logging.set_verbosity(verbosity)
-        random.setstate(state)
+    # A task of a process that is killed before it runs has a coroutine that is never awaited.
+    with warnings.catch_warnings():
+        warnings.simplefilter("ignore", RuntimeWarning)
+        try:
+            with (
+                mock.patch.object(clock, "time", _SimulatedTime(loop)),
+                mock.patch.object(secrets, "token_hex", lambda size: rng.randbytes(size).hex()),
+                mock.patch.object(secrets, "randbits", rng.getrandbits),
+            ):
+                yield
+        finally:
+            # Coroutines of killed processes are closed here; what they would do then has no effect.
+            sys.unraisablehook = lambda _: None
+            loop.close()
+            gc.enable()
+            gc.collect()
+            sys.unraisablehook = unraisable
+            logging.set_verbosity(verbosity)
+            random.setstate(state)
 
 
 def play(seed: int, schedule: Sequence[Fault] | None = None) -> Summary:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -378,7 +378,7 @@
         scene = Scene(tmp_path, ["n1"])
         try:
             peers = scene.members["n1"]
-            monkeypatch.setattr(peers, "census", Noting("n1", 0, 3))
+            monkeypatch.setattr(peers, "member_count", Noting("n1", 0, 3))
             facts: dict[str, Any] = {"tier": 0.0}
             records = [Record(f"m{n}", 1, 0, 0, 7, f"127.0.0.9:{n + 1}", 0, facts) for n in range(200)]
             peers.handle(api.PushPullReceived(State(Header("m0", 1, 0, 0), records), "127.0.0.9:1", True))
