--- a/dunlinloft/node/__main__.py
+++ b/dunlinloft/node/__main__.py
@@ -73,7 +73,7 @@
     else:
         await serve_with_others(node, loop, handed, siblings, stopping)
     logs.info("stopped", "stopped")
-    leave()
+    return leave()
 
 
 def leave() -> NoReturn:
--- a/dunlinloft/node/fleet/singleton_roles.py
+++ b/dunlinloft/node/fleet/singleton_roles.py
@@ -106,34 +106,44 @@
                         action.delay_ms / 1000.0, self._handle, leases.TimerFired(action.token)
                     )
                 case leases.LeaseAcquired():
-                    self._record(action.role, "holds", action.token, "")
-                    self._claim(action.role, action.token)
-                    if action.role == DIVERGENCE_WATCH_ROLE:
-                        self.watch.on_start(action.token, action.state)
+                    self._on_lease_acquired(action)
                 case leases.TableOpened():
-                    if self.core is not None and self.core.table is not None:
-                        self.on_open(self.core.table)
-                    text = "the ledger is open with %(rows)d rows, token %(token)d"
-                    lost = "; rows that were acknowledged may be lost: a majority of the voters has forgotten"
-                    text += lost if action.rows_lost else ""
-                    logs.info(
-                        "ledger open", text, rows=action.row_count, token=action.token, lost=action.rows_lost
-                    )
+                    self._on_table_opened(action)
                 case leases.WriteCompleted():
                     self._on_write_completed(action)
                 case leases.VotersChanged():
-                    voters = action.voters
-                    text = "after change %(change)d the voters are %(voters)s"
-                    logs.info("voters", text, change=voters.epoch, voters=", ".join(voters.names))
-                    text = f"{voters.epoch} {','.join(voters.names)}"
-                    self._peers.handle(api.MetadataUpdated({VOTERS_KEY: text}))
+                    self._on_voters_changed(action.voters)
                 case leases.LeaseLost():
-                    if action.role == DIVERGENCE_WATCH_ROLE:
-                        self.watch.on_stop()
-                    elif action.role == STATE_TABLE_ROLE:
-                        self.on_close()
-                    self._record(action.role, "stops", action.token, action.reason)
-                    self._claim(action.role, 0)
+                    self._on_lease_lost(action)
+
+    def _on_lease_acquired(self, action: leases.LeaseAcquired) -> None:
+        self._record(action.role, "holds", action.token, "")
+        self._claim(action.role, action.token)
+        if action.role == DIVERGENCE_WATCH_ROLE:
+            self.watch.on_start(action.token, action.state)
+
+    def _on_lease_lost(self, action: leases.LeaseLost) -> None:
+        if action.role == DIVERGENCE_WATCH_ROLE:
+            self.watch.on_stop()
+        elif action.role == STATE_TABLE_ROLE:
+            self.on_close()
+        self._record(action.role, "stops", action.token, action.reason)
+        self._claim(action.role, 0)
+
+    def _on_table_opened(self, action: leases.TableOpened) -> None:
+        if self.core is not None and self.core.table is not None:
+            self.on_open(self.core.table)
+        text = "the ledger is open with %(rows)d rows, token %(token)d"
+        if action.rows_lost:
+            text += "; rows that were acknowledged may be lost: a majority of the voters has forgotten"
+        logs.info("ledger open", text, rows=action.row_count, token=action.token, lost=action.rows_lost)
+
+    def _on_voters_changed(self, voters: leases.VoterSet) -> None:
+        names = ", ".join(voters.names)
+        text = "after change %(change)d the voters are %(voters)s"
+        logs.info("voters", text, change=voters.epoch, voters=names)
+        fact = f"{voters.epoch} {','.join(voters.names)}"
+        self._peers.handle(api.MetadataUpdated({VOTERS_KEY: fact}))
 
     def _record(self, role: str, what: str, token: int, why: str) -> None:
         at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime())
