--- a/lab/simulation/checkers.py
+++ b/lab/simulation/checkers.py
@@ -20,7 +20,7 @@
 GONE_AFTER_S = 2.0  # from when its deregistration was acknowledged, until no node in touch knows it
 # From a crashed server's last heartbeat until no node knows it: 3.5 heartbeats at the registry, and what
 # clocks, relays and the node's own retention add.
-EXPIRED_AFTER_S = 3.5 * HEARTBEAT_S + 3.0
+EXPIRED_AFTER_S = 3.5 * HEARTBEAT_S + 1.5
 
 
 @dataclass(frozen=True, slots=True)
