--- a/lab/simulation/control_machine.py
+++ b/lab/simulation/control_machine.py
@@ -24,6 +24,7 @@
 from lab.simulation.event_loop import SimulatedEventLoop
 from lab.simulation.network import Network
 from lab.simulation.process import SimulatedProcess, SteadyClock
+from lab.simulation.simulated_host import SimulatedHost
 
 INTERNAL_PORT = 7_000  # as `lab.control.faults` names replacements
 CONTROL_PORT = 8_665
@@ -53,7 +54,7 @@
     )
 
 
-class ControlMachine:
+class ControlMachine(SimulatedHost):
     """One machine. Its attributes are those that `InvariantChecker` and `FaultInjector` look at.
 
     Attributes
@@ -78,18 +79,16 @@
         on_change: Callable[[ControlMachine], None],
         on_exit: Callable[[ControlMachine], None],
     ) -> None:
-        self.host = host
+        super().__init__(host, loop)
         self.address = f"{host}:{INTERNAL_PORT}"
         self.stateful = stateful
         self.disk = SimulatedDisk(loop, rng)
         self.durable: DurableState | None = None
         self.generation = 0
         self.removed = False
-        self.process: SimulatedProcess | None = None
         self.components: Components | None = None
         self.settings = Settings("", host, (INTERNAL_PORT, INTERNAL_PORT))  # replaced before each start
         self._clock = clock
-        self._loop = loop
         self._network = network
         self._on_commit = on_commit
         self._on_change = on_change
@@ -127,7 +126,7 @@
     def sync_slowdown(self, factor: float) -> None:
         if factor != self.disk.slowdown:
             self.disk.slowdown = factor
-            self._on_change(self)
+            self._report_change()
 
     @property
     def disk_works(self) -> bool:
@@ -145,7 +144,7 @@
         self._network.power_on(self.host)
         self.process = SimulatedProcess(settings.node_name, self.host, self._clock, self.disk)
         self._loop.start_in(self.process, self._run(self.process, settings))
-        self._on_change(self)
+        self._report_change()
 
     async def _run(self, process: SimulatedProcess, settings: Settings) -> None:
         stop = asyncio.Event()
@@ -170,7 +169,7 @@
             self._observe_writes(components)
         self.components = components
         self._observe_commits(components)
-        self._on_change(self)
+        self._report_change()
 
     def _check_recovered(self, recovered: DurableState) -> None:
         """Check that the disk gave back what was durable, and at most what was being written beside that."""
@@ -232,7 +231,7 @@
             process.alive = False
             self.disk.crash(power_lost)
             self._network.end_process(process, power_lost)
-            self._on_change(self)
+            self._report_change()
 
     def lose_disk(self) -> None:
         """Lose all that is on the disk; the process has ended."""
@@ -240,33 +239,17 @@
         self.durable = None
         self._in_flight = []
 
-    def terminate(self) -> None:
-        """Send SIGTERM."""
-        process = self.process
-        if process is not None and signal.SIGTERM in process.signal_handlers:
-            self._loop.call_in(process, process.signal_handlers[signal.SIGTERM])
-            self._on_change(self)
-
-    def freeze(self) -> None:
-        """Suspend the process (SIGSTOP)."""
-        if self.process is not None:
-            self.process.frozen = True
-            self._on_change(self)
-
-    def thaw(self) -> None:
-        """Resume the process."""
-        if self.process is not None and self.process.frozen:
-            self._loop.thaw(self.process)
-            self._on_change(self)
+    def _report_change(self) -> None:
+        self._on_change(self)
 
     def stall(self, stalled: bool) -> None:
         """Have the disk hang, or go on."""
         if stalled != self.disk.stalled:
             self.disk.stalled = stalled
-            self._on_change(self)
+            self._report_change()
 
     def fill_disk(self, full: bool) -> None:
         """Have the disk refuse writes, or take them again."""
         if full != self.disk.files.full:
             self.disk.files.full = full
-            self._on_change(self)
+            self._report_change()
--- a/lab/simulation/data_node.py
+++ b/lab/simulation/data_node.py
@@ -23,6 +23,7 @@
 from lab.simulation.event_loop import SimulatedEventLoop
 from lab.simulation.network import Network
 from lab.simulation.process import SimulatedProcess, SteadyClock
+from lab.simulation.simulated_host import SimulatedHost
 
 REQUEST_INTERVAL_S = 0.1  # mean time between two requests at one node
 LATENCY_TARGET_MS = 200.0
@@ -47,7 +48,7 @@
     served: int = 0
 
 
-class DataNode:
+class DataNode(SimulatedHost):
     """One node's machine, and the process that runs on it.
 
     Parameters
@@ -73,15 +74,13 @@
         on_activated: Callable[[DataNode, ConfigurationId, ConfigurationId], None],
         on_change: Callable[[DataNode], None],
     ) -> None:
+        super().__init__(host, loop)
         self.name = name
-        self.host = host
-        self.process: SimulatedProcess | None = None
         self.clients: ControlClients | None = None
         self.progress = Progress()
         self.settings = Settings(name, host, (0, 0))  # replaced before each start
         self.sends_requests = True
         self._clock = clock
-        self._loop = loop
         self._network = network
         self._rng = rng
         self._deliver = deliver
@@ -105,7 +104,7 @@
         self._network.power_on(self.host)
         self.process = SimulatedProcess(self.name, self.host, self._clock)
         self._loop.start_in(self.process, self._run(self.process, settings))
-        self._on_change(self)
+        self._report_change()
 
     async def _run(self, process: SimulatedProcess, settings: Settings) -> None:
         stop = asyncio.Event()
@@ -222,23 +221,7 @@
         if process is not None:
             process.alive = False
             self._network.end_process(process, power_lost)
-            self._on_change(self)
-
-    def terminate(self) -> None:
-        """Send SIGTERM."""
-        process = self.process
-        if process is not None and signal.SIGTERM in process.signal_handlers:
-            self._loop.call_in(process, process.signal_handlers[signal.SIGTERM])
-            self._on_change(self)
+            self._report_change()
 
-    def freeze(self) -> None:
-        """Suspend the process."""
-        if self.process is not None:
-            self.process.frozen = True
-            self._on_change(self)
-
-    def thaw(self) -> None:
-        """Resume the process."""
-        if self.process is not None and self.process.frozen:
-            self._loop.thaw(self.process)
-            self._on_change(self)
+    def _report_change(self) -> None:
+        self._on_change(self)
