Decode operators' changes by the codec that passes them on; refuse what is not finite or sums to 0

No later acknowledged change came into force at any node.

Cause: the HTTP API decoded with `json`, and msgspec encoded for the disk, the replicas and the nodes. `json` reads NaN and Infinity (written as null), halves of surrogate pairs (can't be encoded: the loop and its process end) and nesting that can't be encoded a few calls deeper. The head validated a document that nobody else received. The validation took NaN for a number, summed the weights only of routes without a `service`, and did not look up a `service` beside `backends`.

Evidence (old code, the pieces called one after the other): the head says Valid(2); the encoded body holds "rate_per_s":null; another replica says "tenants.1.rate_per_s: Input should be a valid number", and a node "Expected `float`, got `null` - at `$.tenants[1].rate_per_s`"; "\ud83d" raises UnicodeEncodeError when encoded; 984 levels decode and raise RecursionError inside a ForwardedCall, encoded 12 frames deeper.

Numbers must be finite, also as texts ("nan"); weights are summed wherever there are backends; all named services must be known; two tenants of one name may not share a key either.

Why it works: there is one codec from the first byte to the node, and the bound on nesting is far from the interpreter's.

--- a/dunlinloft/controlplane/exceptions.py
+++ b/dunlinloft/controlplane/exceptions.py
@@ -44,3 +44,7 @@
     def __init__(self, limit_bytes: int) -> None:
         super().__init__(f"request body exceeds {limit_bytes} bytes")
         self.limit_bytes = limit_bytes
+
+
+class InvalidJsonError(ControlPlaneError):
+    """A request body can't be decoded, or not be passed on unchanged; the message gives the reason."""
--- a/dunlinloft/controlplane/http_api.py
+++ b/dunlinloft/controlplane/http_api.py
@@ -11,24 +11,24 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from collections.abc import Awaitable, Callable
 
 import msgspec
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 
-from dunlinloft.controlplane.exceptions import BodyTooLargeError
+from dunlinloft.controlplane.exceptions import BodyTooLargeError, InvalidJsonError
+from dunlinloft.controlplane.json_input import check_nesting, decode_document, is_encodable
 from dunlinloft.coordination.actions import Reply
-from dunlinloft.coordination.state import ConfigurationChange, Document
+from dunlinloft.coordination.state import ConfigurationChange
 from dunlinloft.coordination.stream import ServerRecord
-from dunlinloft.coordination.verdicts import Invalid
 
 MAX_CONFIGURATION_BYTES = 32 * 1024 * 1024
 MAX_HEARTBEAT_BYTES = 256 * 1024
 READ_CHUNK_BYTES = 65_536
 
 BASE_VERSION_HEADER = "X-Base-Version"
+MAX_VERSION_DIGITS = 30
 
 
 class Heartbeat(msgspec.Struct):
@@ -79,6 +79,8 @@
     async def _route(self, request: BaseRequest) -> StreamResponse:
         segments = request.path.strip("/").split("/")
         match (request.method, segments):
+            case ("POST", ["instances", server_id, _]) if not is_encodable(server_id):
+                return json_response(400, "server id is not valid UTF-8")
             case ("POST", ["instances", server_id, "heartbeat"]):
                 return await self._on_heartbeat(server_id, await read_body(request, MAX_HEARTBEAT_BYTES))
             case ("POST", ["instances", server_id, "deregister"]):
@@ -93,7 +95,8 @@
     async def _on_heartbeat(self, server_id: str, body: bytes) -> StreamResponse:
         try:
             heartbeat = _heartbeat_decoder.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            check_nesting(heartbeat.model_list)
+        except (msgspec.DecodeError, ValueError, RecursionError, InvalidJsonError) as error:
             return json_response(400, f"invalid heartbeat: {error}")
         record = ServerRecord(
             server_id,
@@ -111,15 +114,16 @@
 
     async def _on_change(self, request: BaseRequest, kind: str) -> StreamResponse:
         data = await read_body(request, MAX_CONFIGURATION_BYTES)
-        base = request.headers.get(BASE_VERSION_HEADER, "")
-        if not base.isdecimal():
+        base = parse_base_version(request.headers.get(BASE_VERSION_HEADER, ""))
+        if base is None:
             return json_response(400, f"{BASE_VERSION_HEADER} header must be a non-negative integer")
-        document = parse_document(data)
-        if isinstance(document, Invalid):
-            return json_response(400, document.reason)
+        try:
+            document = decode_document(data)
+        except InvalidJsonError as error:
+            return json_response(400, f"request body is {error}")
         # The digest covers the raw request bytes, so that a retry with the same bytes is the same change.
-        digest = hashlib.blake2b(f"{kind}/{int(base)}/".encode() + data, digest_size=16).hexdigest()
-        reply = await self._call(ConfigurationChange(kind, int(base), digest, document))
+        digest = hashlib.blake2b(f"{kind}/{base}/".encode() + data, digest_size=16).hexdigest()
+        reply = await self._call(ConfigurationChange(kind, base, digest, document))
         return json_response(reply.status, reply.reason)
 
     async def _on_describe(self) -> StreamResponse:
@@ -144,15 +148,10 @@
     return b"".join(chunks)
 
 
-def parse_document(data: bytes) -> Document | Invalid:
-    """Parse the body of a configuration change; `Invalid` gives the reason if it can't be parsed."""
-    try:
-        document = json.loads(data)
-    except (ValueError, RecursionError):
-        return Invalid("request body is not valid JSON or is nested too deeply")
-    if not isinstance(document, dict):
-        return Invalid("request body must be a JSON object")
-    return document
+def parse_base_version(text: str) -> int | None:
+    """Parse the base version of a change; None if the text is not a non-negative integer."""
+    valid = text.isascii() and text.isdecimal() and len(text) <= MAX_VERSION_DIGITS
+    return int(text) if valid else None
 
 
 def json_response(status: int, reason: str = "") -> Response:
--- a/dunlinloft/validation.py
+++ b/dunlinloft/validation.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import types
 import typing
 from collections.abc import Callable
@@ -26,7 +27,7 @@
 )
 from pydantic_core import ErrorDetails
 
-from dunlinloft.configuration import Backend, Configuration, Route, to_configuration
+from dunlinloft.configuration import Backend, Configuration, Route, Tenant, to_configuration
 from dunlinloft.coordination.document_changes import apply_change
 from dunlinloft.coordination.state import ChangeKind, ConfigurationChange, Document
 from dunlinloft.coordination.verdicts import Invalid, Valid
@@ -54,8 +55,12 @@
 
 
 def _check_target(route: Route) -> None:
-    if route.service is None and not sum(backend.weight for backend in route.backends) > 0.0:
+    total_weight = sum(backend.weight for backend in route.backends)
+    has_target = total_weight > 0.0 if route.backends else route.service is not None
+    if not has_target:
         raise ValueError("a service, or backends whose weights don't sum to 0, expected")
+    if not math.isfinite(total_weight):
+        raise ValueError("backends whose weights have a finite sum expected")
 
 
 def _check_consistency(configuration: Configuration) -> None:
@@ -63,18 +68,25 @@
     services = {service.name for service in configuration.services}
     matches: set[tuple[str, str]] = set()
     for route in configuration.routes:
-        for service in [backend.service for backend in route.backends] or [route.service or ""]:
+        for service in _named_services(route):
             if service not in services:
                 raise ValueError(f"routes.{route.name}: service {service!r} is not known")
         match = (route.hostname.lower(), route.path_prefix)
         if match in matches:
             raise ValueError(f"routes.{route.name}: another route has this host and prefix")
         matches.add(match)
-    owners: dict[str, str] = {}
+    owners: dict[str, Tenant] = {}
     for tenant in configuration.tenants:
         for key in tenant.api_keys:
-            if owners.setdefault(key, tenant.name) != tenant.name:
-                raise ValueError(f"tenants.{tenant.name}: shares a key with {owners[key]}")
+            owner = owners.setdefault(key, tenant)
+            if owner is not tenant:
+                raise ValueError(f"tenants.{tenant.name}: shares a key with {owner.name}")
+
+
+def _named_services(route: Route) -> list[str]:
+    """Return all services that a route names; `service` is one of them even if `backends` replace it."""
+    names = [backend.service for backend in route.backends]
+    return names if route.service is None else [route.service, *names]
 
 
 FIELD_RULES: dict[tuple[type[Struct], str], FieldRule] = {
@@ -87,9 +99,12 @@
 
 
 class _Model(BaseModel):
-    """Base class of all models. Unknown fields are ignored here; the stored document keeps them."""
+    """Base class of all models. Unknown fields are ignored here; the stored document keeps them.
+
+    Numbers have to be finite: JSON has no other ones, so that replicas and nodes could not read them.
+    """
 
-    model_config = ConfigDict(extra="ignore", frozen=True)
+    model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
 
 class _ModelFactory:
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import pytest
 
 from dunlinloft.configuration import to_configuration
-from dunlinloft.controlplane.http_api import parse_document
+from dunlinloft.controlplane.exceptions import InvalidJsonError
+from dunlinloft.controlplane.json_input import decode_document
 from dunlinloft.coordination.document_changes import apply_change
 from dunlinloft.coordination.state import ConfigurationChange, Document
 from dunlinloft.coordination.verdicts import Invalid, Valid
@@ -67,6 +69,7 @@
         ({"routes": [route(service=None, backends=[{"service": "s", "weight": 0}])]}, "routes.0"),
         ({"routes": [{"name": "r"}]}, "routes.0.hostname"),
         ({"tenants": [{"name": "t", "api_keys": ["k"]}, {"name": "u", "api_keys": ["k"]}]}, "tenants.u"),
+        ({"tenants": [{"name": "t", "api_keys": ["k"]}, {"name": "t", "api_keys": ["k"]}]}, "tenants.t"),
     ],
 )
 def test_invalid_configuration_is_rejected_with_path(invalid: Document, path: str) -> None:
@@ -75,9 +78,67 @@
     assert path in verdict.reason
 
 
+@pytest.mark.parametrize("weights", [[0], [0, 0], [0.0]])
+@pytest.mark.parametrize("service", ["s", None])
+def test_weights_that_sum_to_zero_are_rejected_with_and_without_a_service(
+    weights: list[float], service: str | None
+) -> None:
+    """A route with a service was accepted with them; each of its requests would fail with 500 (review/3)."""
+    backends = [{"service": "s", "weight": weight} for weight in weights]
+    verdict = validate_body(document_with(routes=[route(service=service, backends=backends)]))
+    assert isinstance(verdict, Invalid)
+    assert "routes.0: Value error" in verdict.reason
+
+
+def test_weights_whose_sum_is_not_finite_are_rejected() -> None:
+    """No rotation can be computed from them."""
+    backends = [{"service": "s", "weight": 1.5e308}, {"service": "s", "weight": 1.5e308}]
+    assert isinstance(validate_body(document_with(routes=[route(backends=backends)])), Invalid)
+
+
+@pytest.mark.parametrize(
+    "fields", [{"service": "nobody"}, {"service": "s", "backends": [{"service": "nobody", "weight": 0}]}]
+)
+def test_unknown_service_is_rejected_beside_known_ones(fields: dict[str, Any]) -> None:
+    """An unknown `service` was accepted if the route also had `backends`."""
+    valid_backend = {"service": "s", "weight": 1}
+    fields = {**fields, "backends": [*fields.get("backends", []), valid_backend]}
+    verdict = validate_body(document_with(routes=[route(**fields)]))
+    assert verdict == Invalid("Value error, routes.r: service 'nobody' is not known")
+
+
+@pytest.mark.parametrize("number", [math.nan, math.inf, -math.inf, "NaN", "Infinity", "-inf", 10**400])
+@pytest.mark.parametrize(
+    ("section", "item", "name"),
+    [
+        ("routes", route(), "timeout_ms"),
+        ("routes", route(), "target_latency_ms"),
+        ("routes", route(), "gap_aim_ms"),
+        ("tenants", {"name": "t"}, "rate_per_s"),
+        ("tenants", {"name": "t"}, "burst"),
+        ("tenants", {"name": "t"}, "uncached_tokens"),
+    ],
+)
+def test_numbers_that_are_not_finite_are_rejected_with_path(
+    section: str, item: dict[str, Any], name: str, number: Any
+) -> None:
+    """`NaN` was accepted as a rate; nodes read `null` and refused every later change (review/3)."""
+    verdict = validate_body(document_with(**{section: [{**item, name: number}]}))
+    assert isinstance(verdict, Invalid)
+    assert name in verdict.reason
+
+
+@pytest.mark.parametrize("name", ["header_timeout_ms", "idle_timeout_ms"])
+def test_limits_that_are_not_finite_are_rejected(name: str) -> None:
+    verdict = validate_body(document_with(limits={name: math.nan}))
+    assert isinstance(verdict, Invalid)
+    assert f"limits.{name}" in verdict.reason
+
+
 @pytest.mark.parametrize("data", [b"", b'{"version":', b"[1]", b"\xff\xfe", b"[" * 100_000])
 def test_malformed_request_body_is_rejected(data: bytes) -> None:
-    assert isinstance(parse_document(data), Invalid)
+    with pytest.raises(InvalidJsonError):
+        decode_document(data)
 
 
 def test_update_leaves_other_items_unchanged() -> None:
