Make a server's deregistration final: nodes remember it, and control planes that missed it hear of it

Cause: a deregistration was a tombstone in the memory of the control planes that were up. One that starts restores the server from its member cache, lists it and places requests at it; nobody tells it, as a deregistration is relayed once. A node forgot the removal at once, so that the next listing put the server back, and it kept a deregistered server as long as any stream listed it that was not known to be lost: a control plane that is dark or cut off (noticed after 1.5 s), or comes back with its old listing. A deregistration of a server that the control plane had dropped already was not published, though nodes keep such a server while it answers.

Change: tombstones in one module for both programs. Nodes remove a deregistered server whichever replica reports it, and ignore later listings. A subscribing node is sent the tombstones with the servers. Control planes send each other the deregistrations of the last minute each second, with their ages, so that none is renewed by being passed on, and keep them in the member cache, which is now also written when a server's state changes. A deregistration is published even if the server is unknown. New fields are optional and absent where empty; recorded messages keep their bytes. `ServerTable._remove_from_lost_listings` goes: all listings are covered.

Why it works: an id is one incarnation's, so that a deregistration needs no order against other reports. Whoever has heard of it never lists the server again, and everybody hears of it: from any one stream, on subscribing, or within a second of being back.

Two tests of the server table asserted the fault: a deregistered server was to be kept while a connected replica lists it. They assert it now for servers whose heartbeats stopped, and the opposite for deregistered ones; two more check that it is not brought back. The simulation's checker counts requests after an acknowledged deregistration as it does after a drain, and its servers can deregister first.

--- a/dunlinloft/controlplane/components.py
+++ b/dunlinloft/controlplane/components.py
@@ -103,7 +103,7 @@
         random.Random(secrets.randbits(64)), 1_000.0 * settings.timing_bounds.prefix_reuse_s
     )
     placement = PlacementService(placements)
-    registry.restore(members.servers, now_ms())
+    registry.restore(members.servers, members.deregistrations or (), now_ms())
     nodes.merge(members.nodes, now_ms())
     placements.update_servers(registry.records.values())
     registrar = ServerRegistrar(
--- a/dunlinloft/controlplane/loops.py
+++ b/dunlinloft/controlplane/loops.py
@@ -9,6 +9,8 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from msgspec import UNSET
+
 from dunlinloft.controlplane.components import Components
 from dunlinloft.controlplane.member_cache import CachedMembers
 from dunlinloft.coordination.stream import ControlKeepalive, ControlPlaneView, NodeLivenessUpdate
@@ -89,7 +91,7 @@
             self._components.publisher.broadcast(frame)
 
     async def _exchange_nodes(self) -> None:
-        """Send other replicas the liveness of all known data-plane nodes."""
+        """Send other replicas the liveness of all known data-plane nodes, and servers' deregistrations."""
         components = self._components
         while True:
             await asyncio.sleep(NODE_EXCHANGE_INTERVAL_S)
@@ -98,17 +100,25 @@
             frame = message_stream.encode_frame(NodeLivenessUpdate(components.nodes.liveness(now_ms())))
             for address in sorted(components.replica.peer_addresses()):
                 components.peers.send_frame(address, frame)
+            components.registrar.exchange_deregistrations()
 
     async def _cache_members(self) -> None:
-        """Write the known servers and nodes to disk whenever their set of names has changed."""
+        """Write the known servers and nodes to disk whenever one has come, has left or is draining."""
         components = self._components
-        cached_names: set[str] = set()
+        registry = components.registry
+        cached_names: set[tuple[str, str]] = set()
         while True:
             await asyncio.sleep(MEMBER_CACHE_INTERVAL_S)
-            names = {*components.registry.records, *components.nodes.active_names()}
+            names = {
+                *((record.id, record.state) for record in registry.records.values()),
+                *((server_id, "deregistered") for server_id in registry.deregistered_ids()),
+                *((node, "node") for node in components.nodes.active_names()),
+            }
             if cached_names != names:
                 cached_names = names
-                servers = tuple(components.registry.records.values())
-                await components.disk.write_members(
-                    CachedMembers(servers, components.nodes.liveness(now_ms()))
+                members = CachedMembers(
+                    tuple(registry.records.values()),
+                    components.nodes.liveness(now_ms()),
+                    registry.recent_deregistrations(now_ms()) or UNSET,
                 )
+                await components.disk.write_members(members)
--- a/dunlinloft/controlplane/member_cache.py
+++ b/dunlinloft/controlplane/member_cache.py
@@ -2,7 +2,8 @@
 
 This is soft state: two files are written alternately without a sync, and unreadable files are ignored. A
 server that stopped in the meantime doesn't respond, or its address responds 421 because another server uses
-it now; it is dropped once its heartbeats have been missing for the registry's timeout.
+it now; it is dropped once its heartbeats have been missing for the registry's timeout. A server that
+deregistered in the meantime may still respond; the other control planes report its deregistration.
 """
 
 from __future__ import annotations
@@ -11,11 +12,11 @@
 from pathlib import Path
 
 import msgspec
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 from dunlinloft.controlplane.exceptions import MemberCacheError
 from dunlinloft.controlplane.file_layer import OS_FILE_SYSTEM, FileSystem, write_fully
-from dunlinloft.coordination.stream import NodeLiveness, ServerRecord
+from dunlinloft.coordination.stream import Deregistration, NodeLiveness, ServerRecord
 
 FORMAT_VERSION = 2
 
@@ -25,6 +26,7 @@
 
     servers: tuple[ServerRecord, ...] = ()
     nodes: tuple[NodeLiveness, ...] = ()
+    deregistrations: tuple[Deregistration, ...] | UnsetType = UNSET  # absent from older releases' files
 
 
 class _CacheFile(Struct, frozen=True):
--- a/dunlinloft/controlplane/server_registrar.py
+++ b/dunlinloft/controlplane/server_registrar.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from msgspec import Struct
+from msgspec import UNSET, Struct
 
 from dunlinloft.controlplane.node_publisher import NodePublisher
 from dunlinloft.coordination.placement.directory import PlacementDirectory
@@ -132,6 +132,8 @@
     def on_relayed_heartbeats(self, message: ServerHeartbeats) -> None:
         """Apply heartbeats relayed by another control plane, and acknowledge them if it asked for that."""
         now = now_ms()
+        if message.earlier_deregistrations is not UNSET:
+            self._registry.on_earlier_deregistrations(message.earlier_deregistrations, now)
         for record in message.records:
             self._registry.on_heartbeat(record, now, relayed=True)
         for server_id in message.removed:
@@ -156,6 +158,17 @@
             self._placements.update_servers(self._registry.records.values())
             self.relay_heartbeats()
 
+    def exchange_deregistrations(self) -> None:
+        """Send other control planes the remembered deregistrations, if there are any.
+
+        One that was down or cut off when a server left still lists the server until it hears of that.
+        """
+        deregistrations = self._registry.recent_deregistrations(now_ms())
+        if deregistrations:
+            message = ServerHeartbeats((), (), earlier_deregistrations=deregistrations)
+            for address in sorted(self._peer_addresses()):
+                self._send(address, message)
+
     def relay_heartbeats(self) -> None:
         """Send other control planes the heartbeats received here since the last call."""
         received = self._registry.drain_heartbeats()
--- a/dunlinloft/controlplane/stream_session.py
+++ b/dunlinloft/controlplane/stream_session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from msgspec import Struct
+from msgspec import UNSET, Struct
 
 from dunlinloft.controlplane.node_publisher import NodePublisher, NodeSubscription
 from dunlinloft.controlplane.placement_service import PlacementService
@@ -111,7 +111,10 @@
         services.registrar.publish_changes()
         ranges = services.registry.digests.differing_ranges(message.server_digests)
         servers = ServerSnapshot(
-            services.registry.is_complete(now), ranges, services.registry.in_ranges(ranges)
+            services.registry.is_complete(now),
+            ranges,
+            services.registry.in_ranges(ranges),
+            services.registry.deregistered_ids() or UNSET,
         )
         services.publisher.subscribe(subscription, servers)
 
--- a/dunlinloft/coordination/server_registry.py
+++ b/dunlinloft/coordination/server_registry.py
@@ -7,12 +7,12 @@
 import msgspec
 
 from dunlinloft.coordination.digests import RangeDigests, range_of
-from dunlinloft.coordination.stream import ServerRecord
+from dunlinloft.coordination.server_tombstones import ServerTombstones
+from dunlinloft.coordination.stream import Deregistration, ServerRecord
 
 EXPIRY_INTERVALS = 3.5  # heartbeat intervals without a heartbeat until a server is removed
 COMPLETE_INTERVALS = 1.5  # heartbeat intervals after startup until every live server has sent one
 PROCESS_PAUSE_THRESHOLD_MS = 500.0  # a longer gap between calls of `expire` means this process was paused
-TOMBSTONE_RETENTION_MS = 120_000.0  # during which late heartbeats of a deregistered server are ignored
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,7 @@
         self.records: dict[str, ServerRecord] = {}
         self.digests = RangeDigests()
         self._received_ms: dict[str, float] = {}  # by server id: time of its last heartbeat
-        self._tombstones_ms: dict[str, float] = {}  # by server id: time of its deregistration
+        self._tombstones = ServerTombstones()
         # Pending changes by server id; dicts instead of sets preserve the order.
         self._changed: dict[str, None] = {}
         self._removed: dict[str, None] = {}
@@ -56,10 +56,20 @@
         """Return whether every live server has had time to send a heartbeat since this process started."""
         return now_ms >= self._complete_at_ms
 
-    def restore(self, records: tuple[ServerRecord, ...], now_ms: float) -> None:
-        """Restore the records from before a restart; servers that send no heartbeat in time expire."""
+    def restore(
+        self,
+        records: tuple[ServerRecord, ...],
+        deregistrations: tuple[Deregistration, ...],
+        now_ms: float,
+    ) -> None:
+        """Restore what was known before a restart; servers that send no heartbeat in time expire.
+
+        A server that deregistered while this process was down is still among the records; the other control
+        planes report its deregistration (`on_earlier_deregistrations`).
+        """
         for record in records:
             self._put(record, now_ms)
+        self.on_earlier_deregistrations(deregistrations, now_ms)
 
     def in_ranges(self, ranges: tuple[int, ...]) -> tuple[ServerRecord, ...]:
         """Return the servers in these digest ranges."""
@@ -77,7 +87,7 @@
 
         A late heartbeat, or one of a deregistered server, is ignored. A draining server stays draining.
         """
-        if record.id in self._tombstones_ms:
+        if record.id in self._tombstones:
             return
         known = self.records.get(record.id)
         if known is not None and record.sequence <= known.sequence:
@@ -92,12 +102,30 @@
         if known is None or _differs(known, record):
             self._changed[record.id] = None
 
-    def on_deregistration(self, server_id: str, now_ms: float, relayed: bool = False) -> None:
-        """Remove a server that deregistered; `relayed` if it deregistered at another control plane."""
-        self._tombstones_ms[server_id] = now_ms
+    def on_deregistration(self, server_id: str, since_ms: float, relayed: bool = False) -> None:
+        """Remove a server that deregistered; `relayed` if it deregistered at another control plane.
+
+        Nodes are notified even if the server is not known here: they keep a server that only missed
+        heartbeats as long as it responds.
+        """
         if not relayed:
             self._deregistered[server_id] = None
         self._remove(server_id)
+        if self._tombstones.add(server_id, since_ms):
+            self._removed[server_id] = None
+
+    def on_earlier_deregistrations(self, deregistrations: tuple[Deregistration, ...], now_ms: float) -> None:
+        """Remove servers that deregistered while this control plane could not be notified."""
+        for deregistration in deregistrations:
+            self.on_deregistration(deregistration.id, now_ms - deregistration.age_ms, relayed=True)
+
+    def recent_deregistrations(self, now_ms: float) -> tuple[Deregistration, ...]:
+        """Return the deregistrations that control planes which were not notified need to hear of."""
+        return self._tombstones.recent(now_ms)
+
+    def deregistered_ids(self) -> tuple[str, ...]:
+        """Return the ids of all servers that are remembered as deregistered."""
+        return self._tombstones.ids()
 
     def _remove(self, server_id: str) -> None:
         record = self.records.pop(server_id, None)
@@ -122,9 +150,7 @@
         for server_id in overdue:
             self._remove(server_id)
             self._expired.add(server_id)
-        outdated = [i for i, since in self._tombstones_ms.items() if now_ms - since > TOMBSTONE_RETENTION_MS]
-        for server_id in outdated:
-            del self._tombstones_ms[server_id]
+        self._tombstones.expire(now_ms)
 
     def drain_changes(self) -> RegistryChanges:
         """Return the changes since the last call, for data-plane nodes."""
--- a/dunlinloft/coordination/stream/__init__.py
+++ b/dunlinloft/coordination/stream/__init__.py
@@ -28,6 +28,7 @@
     QuotaRequest,
 )
 from dunlinloft.coordination.stream.servers import (
+    Deregistration,
     ServerHeartbeats,
     ServerHeartbeatsAck,
     ServerRecord,
@@ -89,6 +90,7 @@
     "ControlPlaneInbound",
     "ControlPlaneView",
     "ControlToNode",
+    "Deregistration",
     "FetchConfiguration",
     "FullConfiguration",
     "LocalPlacement",
--- a/dunlinloft/coordination/stream/servers.py
+++ b/dunlinloft/coordination/stream/servers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 
 class ServerRecord(Struct, frozen=True):
@@ -27,12 +27,21 @@
         return self.state != "ready"
 
 
+class Deregistration(Struct, frozen=True):
+    """A server that deregistered, for good: its id is never used again."""
+
+    id: str
+    age_ms: float  # time since it deregistered, when the message was sent
+
+
 class ServerSnapshot(Struct, frozen=True, tag="servers"):
     """To a node: this control plane's server records in the key ranges whose digests differ."""
 
     complete: bool  # False after startup, until every live server has had time to send a heartbeat
     ranges: tuple[int, ...]
     records: tuple[ServerRecord, ...]
+    # Ids of the servers that deregistered lately; releases before this field send none.
+    deregistered: tuple[str, ...] | UnsetType = UNSET
 
 
 class ServerSnapshotComplete(Struct, frozen=True, tag="servers_complete"):
@@ -57,12 +66,16 @@
         Address to which the receiver sends its acknowledgement.
     announcement_id
         Identifies the message in the acknowledgement; 0 if none is requested.
+    earlier_deregistrations
+        All that the sender remembers, for a receiver that was down or cut off when they happened. Absent
+        from other messages, and from those of releases before this field.
     """
 
     records: tuple[ServerRecord, ...]
     removed: tuple[str, ...] = field(name="gone")
     sender: str = ""
     announcement_id: int = field(default=0, name="number")
+    earlier_deregistrations: tuple[Deregistration, ...] | UnsetType = UNSET
 
 
 class ServerHeartbeatsAck(Struct, frozen=True, tag="beats_taken"):
--- a/dunlinloft/dataplane/node_state.py
+++ b/dunlinloft/dataplane/node_state.py
@@ -92,6 +92,7 @@
                 self._configuration.on_delta(message)
                 self._acknowledge()
             case ServerSnapshot():
+                self._servers.on_deregistered(message.deregistered or (), now_ms())
                 self._servers.on_listing(replica, message.complete, message.ranges, message.records)
             case ServerSnapshotComplete():
                 self._servers.on_complete(replica)
@@ -110,6 +111,7 @@
         if self._configuration.on_tick(now_ms()):
             self._acknowledge()
             self._check_ready_to_serve()
+        self._servers.expire_tombstones(now_ms())
         self._servers.expire_unlisted(now_ms())
         self._servers.expire_lost_listings(listing_retention_ms, now_ms())
 
--- a/dunlinloft/dataplane/server_table.py
+++ b/dunlinloft/dataplane/server_table.py
@@ -6,6 +6,7 @@
 from collections.abc import Collection, Iterable
 
 from dunlinloft.coordination.digests import RangeDigests, range_of
+from dunlinloft.coordination.server_tombstones import ServerTombstones
 from dunlinloft.coordination.stream import ServerRecord, ServerUpdates
 from dunlinloft.dataplane.server_pool import ServerPool
 
@@ -16,9 +17,10 @@
 class ServerTable:
     """The service discovery state of one node.
 
-    A server is kept as long as any replica lists it; a server that only missed heartbeats is also kept as
-    long as it responds to this node. `NodeState` passes it the control plane's messages; pools are read on
-    each request. Times are milliseconds of the monotonic clock.
+    A server whose heartbeats stopped is kept as long as any replica lists it or it responds to this node. A
+    server that deregistered is removed at once and for good, whichever replica reports it: one that was down
+    or cut off meanwhile may go on listing the server. `NodeState` passes it the control plane's messages;
+    pools are read on each request. Times are milliseconds of the monotonic clock.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -29,6 +31,7 @@
         self._unconfirmed: dict[str, dict[str, ServerRecord]] = {}
         self._stream_lost_ms: dict[str, float] = {}  # by replica whose stream has ended
         self._unlisted: dict[str, str] = {}  # service, by id of a server kept only because it responds
+        self._tombstones = ServerTombstones()
         self.complete = False  # whether any replica has listed all existing servers
 
     def pool(self, service: str) -> ServerPool:
@@ -55,6 +58,7 @@
         replica has been running long enough to know all servers (`complete`).
         """
         self._stream_lost_ms.pop(replica, None)
+        records = self._registered(records)
         old = self._listed.get(replica, {})
         listed_ranges = frozenset(ranges)
         new = {
@@ -79,27 +83,44 @@
         """Apply the changes that a replica reports."""
         listed = self._listed.setdefault(replica, {})
         unconfirmed = self._unconfirmed.get(replica, {})
-        for record in update.changed:
+        for record in self._registered(update.changed):
             listed[record.id] = record
             unconfirmed.pop(record.id, None)
             self._put(record)
         for server_id in update.removed:
-            if server_id not in update.timed_out:
-                self._remove_from_lost_listings(server_id)
-            listing = listed.pop(server_id, None)
-            service = self._unlisted.get(server_id) if listing is None else listing.service
-            if service is None:
-                continue
-            if server_id in update.timed_out and self._responds(server_id, service, now_ms):
-                self._unlisted[server_id] = service
+            if server_id in update.timed_out:
+                self._on_timed_out(listed, server_id, now_ms)
             else:
-                self._remove(server_id, service)
+                self.on_deregistered((server_id,), now_ms)
 
-    def _remove_from_lost_listings(self, server_id: str) -> None:
-        """Remove a deregistered server from lost streams' listings, which get no updates any more."""
-        for replica in self._stream_lost_ms:
-            self._listed.get(replica, {}).pop(server_id, None)
-            self._unconfirmed.get(replica, {}).pop(server_id, None)
+    def _on_timed_out(self, listed: dict[str, ServerRecord], server_id: str, now_ms: float) -> None:
+        """Remove a server whose heartbeats stopped from a replica's listing; keep it while it responds."""
+        listing = listed.pop(server_id, None)
+        service = self._unlisted.get(server_id) if listing is None else listing.service
+        if service is None:
+            return
+        if self._responds(server_id, service, now_ms):
+            self._unlisted[server_id] = service
+        else:
+            self._remove(server_id, service)
+
+    def on_deregistered(self, server_ids: Collection[str], now_ms: float) -> None:
+        """Remove servers for good, from the listings of all replicas too."""
+        for server_id in server_ids:
+            self._tombstones.add(server_id, now_ms)
+            self._unlisted.pop(server_id, None)
+            for listing in (*self._listed.values(), *self._unconfirmed.values()):
+                listing.pop(server_id, None)
+            for pool in self.pools.values():
+                pool.remove(server_id)
+
+    def _registered(self, records: Collection[ServerRecord]) -> tuple[ServerRecord, ...]:
+        """Return the records of servers that are not known to have deregistered."""
+        return tuple(record for record in records if record.id not in self._tombstones)
+
+    def expire_tombstones(self, now_ms: float) -> None:
+        """Forget servers that deregistered long ago; called on each tick."""
+        self._tombstones.expire(now_ms)
 
     def on_stream_lost(self, replica: str, now_ms: float) -> None:
         """Record that a replica's stream ended; its listing is kept until `expire_lost_listings` drops it."""
@@ -137,7 +158,7 @@
             self.pool(record.service).put(record)
 
     def _remove(self, server_id: str, service: str) -> None:
-        """Remove a server unless a replica still lists it."""
+        """Remove a server that timed out, unless a replica still lists it."""
         self._unlisted.pop(server_id, None)
         if not any(server_id in listed for listed in self._listed.values()):
             self.pool(service).remove(server_id)
--- a/lab/simulation/checkers.py
+++ b/lab/simulation/checkers.py
@@ -91,16 +91,24 @@
             raise InvariantViolation(f"{node.name} replaced the committed {before} by {after}")
 
     def on_arrival(self, node: DataNode, instance: ServerInstance) -> None:
-        """Check that no request arrives at a server after its drain timeout."""
+        """Check that no request arrives at a server after its drain timeout.
+
+        The timeout begins when a control plane acknowledges that the server is draining or has deregistered.
+        """
         self.arrivals += 1
-        draining = instance.draining
-        if draining is None or not draining.in_contact or not self._cluster.in_contact(node.host):
+        if not self._cluster.in_contact(node.host):
             return
-        late_s = self._cluster.loop.now_s - draining.at_s
-        if late_s > DRAIN_S:
-            raise InvariantViolation(
-                f"{node.name} sent to {instance.id} {late_s:.2f} s after its drain was acknowledged"
-            )
+        for acknowledgement, what in (
+            (instance.draining, "drain"),
+            (instance.deregistered, "deregistration"),
+        ):
+            if acknowledgement is None or not acknowledgement.in_contact:
+                continue
+            late_s = self._cluster.loop.now_s - acknowledgement.at_s
+            if late_s > DRAIN_S:
+                raise InvariantViolation(
+                    f"{node.name} sent to {instance.id} {late_s:.2f} s after its {what} was acknowledged"
+                )
 
     def _check_all(self) -> None:
         self._cluster.checker.check_views(self._cluster.machines)
--- a/lab/simulation/model_server.py
+++ b/lab/simulation/model_server.py
@@ -86,6 +86,7 @@
     ) -> None:
         self.instances: list[ServerInstance] = []
         self.may_end = True
+        self._serve_on_s: float | None = None  # set by `deregister_first`
         self._name = name
         self._service = service
         self._rng = rng
@@ -111,6 +112,10 @@
             instance.steady_since_s = None
             await asyncio.sleep(self._rng.uniform(*ADDRESS_REUSE_S))
 
+    def deregister_first(self, serve_on_s: float) -> None:
+        """Let the instance deregister without draining, serve on for a time, and end."""
+        self._serve_on_s = serve_on_s
+
     def _draw_end(self) -> InstanceEnd:
         draw = self._rng.random()
         if draw < 0.4:
@@ -120,6 +125,11 @@
     async def _run_instance(self, instance: ServerInstance, end: InstanceEnd) -> None:
         ends_s = self._now_s() + self._rng.uniform(*INSTANCE_LIFETIME_S)
         while end is InstanceEnd.NEVER or self._now_s() < ends_s or not self.may_end:
+            if self._serve_on_s is not None:
+                await self._deregister(instance)
+                await asyncio.sleep(self._serve_on_s)
+                self._serve_on_s = None
+                return
             await self._send_heartbeat(instance, "ready")
             await asyncio.sleep(HEARTBEAT_S)
         if end is InstanceEnd.CRASH:
@@ -132,6 +142,9 @@
         while self._now_s() < ends_s:
             await asyncio.sleep(min(HEARTBEAT_S, ends_s - self._now_s()))
             await self._send_heartbeat(instance, "draining")
+        await self._deregister(instance)
+
+    async def _deregister(self, instance: ServerInstance) -> None:
         instance.steady_since_s = None
         outcome = await self._call_any(instance, None)
         if outcome is not None:
--- a/lab/simulation/world.py
+++ b/lab/simulation/world.py
@@ -117,16 +117,29 @@
         return _simulate(seed, schedule, loop)
 
 
-def _simulate(seed: int, schedule: Sequence[Fault], loop: SimulatedEventLoop) -> Summary:
-    deployment = deployment_of(seed)
-    cluster = SimulatedCluster(seed, deployment, loop)
+@contextmanager
+def simulated_cluster(seed: int) -> Iterator[SimulatedCluster]:
+    """Provide a seed's cluster with operators; the caller advances its time and injects faults."""
+    loop = SimulatedEventLoop()  # type: ignore[abstract]
+    with _simulated_environment(seed, loop):
+        yield _start(seed, loop)[0]
+
+
+def _start(seed: int, loop: SimulatedEventLoop) -> tuple[SimulatedCluster, list[Operator]]:
+    """Start a seed's cluster, its operators and the periodic checks."""
+    cluster = SimulatedCluster(seed, deployment_of(seed), loop)
     rng = random.Random(seed)
     operators = [Operator(cluster, random.Random(rng.getrandbits(64))) for _ in range(rng.randint(1, 2))]
     for operator in operators:
         loop.start_outside(operator.change_forever())
         loop.start_outside(operator.read_forever())
     cluster.node_checker.begin()
-    injector = ProcessFaultInjector(cluster, deployment.tolerance)
+    return cluster, operators
+
+
+def _simulate(seed: int, schedule: Sequence[Fault], loop: SimulatedEventLoop) -> Summary:
+    cluster, operators = _start(seed, loop)
+    injector = ProcessFaultInjector(cluster, cluster.tolerance)
     for fault in schedule:
         cluster.after(fault.at_ms, lambda fault=fault: injector.begin(fault))  # type: ignore[misc]
     cluster.run(FAULTS_END_MS)
--- a/tests/test_dataplane_server_table.py
+++ b/tests/test_dataplane_server_table.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dunlinloft.coordination.digests import RANGE_COUNT, RangeDigests, range_of
+from dunlinloft.coordination.server_tombstones import RETENTION_MS
 from dunlinloft.coordination.stream import ServerUpdates
 from dunlinloft.dataplane.server_table import RECENT_RESPONSE_MS, ServerTable
 from tests.server_records import server_record
@@ -20,12 +21,17 @@
     return ServerTable(random.Random(1))
 
 
-def test_server_is_removed_once_no_replica_lists_it(table: ServerTable) -> None:
+def _timed_out(*server_ids: str) -> ServerUpdates:
+    """Return the update of a replica whose servers' heartbeats stopped."""
+    return ServerUpdates((), server_ids, server_ids)
+
+
+def test_timed_out_server_is_removed_once_no_replica_lists_it(table: ServerTable) -> None:
     table.on_listing("one", True, ALL, (server_record(1), server_record(2)))
     table.on_listing("other", True, ALL, (server_record(1),))
-    table.on_update("one", ServerUpdates((), ("i-1", "i-2")), 0.0)
+    table.on_update("one", _timed_out("i-1", "i-2"), 0.0)
     assert set(table.pool("pool").servers) == {"i-1"}
-    table.on_update("other", ServerUpdates((), ("i-1",)), 0.0)
+    table.on_update("other", _timed_out("i-1"), 0.0)
     assert not table.pool("pool").servers
 
 
@@ -86,7 +92,7 @@
     sent = tuple(record for record in current if range_of(record.id) in ranges)
     assert len(sent) < 20
     table.on_listing("other", True, ranges, sent)
-    table.on_update("one", ServerUpdates((), tuple(record.id for record in records)), 0.0)
+    table.on_update("one", _timed_out(*(record.id for record in records)), 0.0)
     assert set(table.pool("pool").servers) == {record.id for record in current}
     assert remote.differing_ranges(table.digests()) == ()
     assert len(remote.differing_ranges(())) == RANGE_COUNT
@@ -119,8 +125,41 @@
     assert set(table.pool("pool").servers) == {"i-2"}, "i-2 only missed heartbeats"
 
 
-def test_deregistered_server_is_kept_while_a_connected_replica_lists_it(table: ServerTable) -> None:
+def test_deregistered_server_is_removed_although_a_connected_replica_lists_it(table: ServerTable) -> None:
+    """Such a replica has not been notified, or its stream is dead without the node knowing it yet."""
     for replica in ("one", "other"):
-        table.on_listing(replica, True, ALL, (server_record(1),))
+        table.on_listing(replica, True, ALL, (server_record(1), server_record(2)))
+    table.on_update("one", ServerUpdates((), ("i-1",)), 100.0)
+    assert set(table.pool("pool").servers) == {"i-2"}
+
+
+def test_deregistered_server_is_not_brought_back_by_a_replica_that_was_down(table: ServerTable) -> None:
+    """Guards against requests to a server that left, after the restart of a control plane (review/2)."""
+    table.on_listing("one", True, ALL, (server_record(1), server_record(2)))
     table.on_update("one", ServerUpdates((), ("i-1",)), 100.0)
+    for complete in (False, True):
+        table.on_listing("restarted", complete, ALL, (server_record(1), server_record(2)))
+        table.on_update("restarted", ServerUpdates((server_record(1, 9),), ()), 200.0)
+        assert set(table.pool("pool").servers) == {"i-2"}
+    table.on_update("restarted", _timed_out("i-1", "i-2"), 300.0)
+    assert set(table.pool("pool").servers) == {"i-2"}, "the first replica still lists it"
+
+
+def test_deregistered_server_that_still_responds_is_removed(table: ServerTable) -> None:
+    """Its heartbeats had stopped at all replicas, so that it was kept for its responses alone."""
+    table.on_listing("one", True, ALL, (server_record(1),))
+    table.pool("pool").servers["i-1"].on_response("a", 1_000.0)
+    table.on_update("one", _timed_out("i-1"), 1_500.0)
+    assert set(table.pool("pool").servers) == {"i-1"}
+    table.on_deregistered(("i-1",), 1_600.0)
+    assert not table.pool("pool").servers
+
+
+def test_deregistration_is_forgotten_after_its_retention(table: ServerTable) -> None:
+    table.on_deregistered(("i-1",), 0.0)
+    table.expire_tombstones(RETENTION_MS)
+    table.on_listing("one", True, ALL, (server_record(1),))
+    assert not table.pool("pool").servers
+    table.expire_tombstones(RETENTION_MS + 1.0)
+    table.on_listing("one", True, ALL, (server_record(1),))
     assert set(table.pool("pool").servers) == {"i-1"}
--- a/tests/test_disk_writer.py
+++ b/tests/test_disk_writer.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec import UNSET, UnsetType
 
 from dunlinloft.controlplane import disk_writer
 from dunlinloft.controlplane.data_directory import recover
@@ -16,7 +17,7 @@
 from dunlinloft.controlplane.store import ReplicaStore
 from dunlinloft.coordination.actions import Persist
 from dunlinloft.coordination.records import Record, SyncedRecord
-from dunlinloft.coordination.stream import NodeLiveness
+from dunlinloft.coordination.stream import Deregistration, NodeLiveness
 
 
 async def _write_records(disk: DiskWriter, tokens: range) -> list[int]:
@@ -119,8 +120,11 @@
     asyncio.run(main())
 
 
-def test_cached_members_are_read_after_a_restart(tmp_path: Path) -> None:
-    members = CachedMembers((), (NodeLiveness("n", 1.0),))
+@pytest.mark.parametrize("deregistrations", [UNSET, (Deregistration("i-1", 250.0),)])
+def test_cached_members_are_read_after_a_restart(
+    deregistrations: tuple[Deregistration, ...] | UnsetType, tmp_path: Path
+) -> None:
+    members = CachedMembers((), (NodeLiveness("n", 1.0),), deregistrations)
 
     async def main() -> None:
         async with open_disk_writer(tmp_path, "0") as disk:
--- a/tests/test_encoded_forms.py
+++ b/tests/test_encoded_forms.py
@@ -147,8 +147,8 @@
     "cell-reports.jsonl": _json_form(lab_cells.Report),
 }
 COUNTS = {
-    "to-control.jsonl": 94,
-    "to-node.jsonl": 30,
+    "to-control.jsonl": 95,
+    "to-node.jsonl": 31,
     "heartbeats.jsonl": 3,
     "configurations.jsonl": 3,
     "settings.jsonl": 3,
--- a/tests/test_server_registrar.py
+++ b/tests/test_server_registrar.py
@@ -146,3 +146,22 @@
     assert detector.has_majority_contact(VIEW, 2_900.0)
     # After a long suspension: no heartbeat has been received since.
     assert not detector.has_majority_contact(VIEW, 30_000.0)
+
+
+def test_deregistrations_are_exchanged_with_all_peers() -> None:
+    sent: list[tuple[str, Struct]] = []
+    peers = _SimulatedPeers(())
+    peers.registrar._send = lambda address, message: sent.append((address, message))
+    peers.registrar.exchange_deregistrations()
+    assert not sent
+    peers.registrar.on_relayed_heartbeats(ServerHeartbeats((), ("i-1",)))
+    peers.registrar.exchange_deregistrations()
+    assert [address for address, _ in sent] == list(ADDRESSES[1:])
+
+    restarted = _SimulatedPeers(())
+    restarted.registry.on_heartbeat(_record(1), 0.0)
+    for _, message in sent:
+        assert isinstance(message, ServerHeartbeats)
+        restarted.registrar.on_relayed_heartbeats(message)
+    assert not restarted.registry.records
+    assert restarted.registry.deregistered_ids() == ("i-1",)
