Acknowledge a server's drain or deregistration once a majority has it on disk

Cause: the acknowledgement waited for a majority's memory alone, which a kill of all takes away.

Change: MemberSaver (moved out of PeriodicLoops) writes the cache with a sync before a replica counts as one that has the change; concurrent saves share a write. A disk that takes over 0.3 s is not waited for, so that one stalled disk delays an acknowledgement by that at most, and the server's limit of 1 s is kept; this is logged.

Why it works: of a majority's disks, one at least is left by whatever `hosts_lost` allows, and its control plane tells the others within a second, and each node that subscribes.

--- a/dunlinloft/controlplane/components.py
+++ b/dunlinloft/controlplane/components.py
@@ -4,12 +4,15 @@
 
 import random
 import secrets
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from msgspec import Struct
 
 from dunlinloft.controlplane.commit_handler import CommitHandler
 from dunlinloft.controlplane.disk_writer import DiskWriter
 from dunlinloft.controlplane.member_cache import CachedMembers
+from dunlinloft.controlplane.member_saver import MemberSaver
 from dunlinloft.controlplane.node_publisher import NodePublisher
 from dunlinloft.controlplane.peer_connections import PeerConnections
 from dunlinloft.controlplane.placement_service import PlacementService
@@ -42,6 +45,7 @@
     peers: PeerConnections
     nodes: NodeRegistry
     registry: ServerRegistry
+    member_saver: MemberSaver
     registrar: ServerRegistrar
     publisher: NodePublisher
     quotas: QuotaService
@@ -83,6 +87,7 @@
     disk: DiskWriter,
     peers: PeerConnections,
     members: CachedMembers,
+    start_task: Callable[[Coroutine[Any, Any, None]], object],
 ) -> Components:
     """Build all components of a control plane; no task is started and no message is sent yet.
 
@@ -92,6 +97,8 @@
         Start time of the process on the `now_ms` clock; heartbeats can have been received from then on.
     members:
         Servers and nodes cached before this start.
+    start_task:
+        Runs a coroutine in the background until the process shuts down.
     """
     settings = live_settings.current
     address = settings.control_address(settings.ip_address)
@@ -106,6 +113,7 @@
     registry.restore(members.servers, members.deregistrations or (), now_ms())
     nodes.merge(members.nodes, now_ms())
     placements.update_servers(registry.records.values())
+    member_saver = MemberSaver(registry, nodes, disk)
     registrar = ServerRegistrar(
         address,
         registry,
@@ -114,6 +122,8 @@
         lambda: replica.view_with_majority_contact(now_ms()),
         replica.peer_addresses,
         peers.send,
+        member_saver.save,
+        start_task,
     )
     commits = CommitHandler(publisher, quotas, placement)
     replica_host = ReplicaHost(replica, disk, peers, commits.on_commit)
@@ -124,6 +134,7 @@
         peers=peers,
         nodes=nodes,
         registry=registry,
+        member_saver=member_saver,
         registrar=registrar,
         publisher=publisher,
         quotas=quotas,
--- a/dunlinloft/controlplane/disk_writer.py
+++ b/dunlinloft/controlplane/disk_writer.py
@@ -53,12 +53,12 @@
             return CachedMembers()
         return await asyncio.get_running_loop().run_in_executor(self._executor, self._cache.read)
 
-    async def write_members(self, members: CachedMembers) -> None:
+    async def write_members(self, members: CachedMembers, sync: bool = False) -> None:
         """Cache the known servers and nodes. An `OSError` is logged and ignored: this is soft state."""
         if self._cache is None:
             return
         try:
-            await asyncio.get_running_loop().run_in_executor(self._executor, self._cache.write, members)
+            await asyncio.get_running_loop().run_in_executor(self._executor, self._cache.write, members, sync)
         except OSError as error:
             logging.warning("event=disk_refused at=servers error=%s", error)
 
--- a/dunlinloft/controlplane/loops.py
+++ b/dunlinloft/controlplane/loops.py
@@ -9,10 +9,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from msgspec import UNSET
-
 from dunlinloft.controlplane.components import Components
-from dunlinloft.controlplane.member_cache import CachedMembers
 from dunlinloft.coordination.stream import ControlKeepalive, ControlPlaneView, NodeLivenessUpdate
 from dunlinloft.transport import message_stream
 from dunlinloft.transport.clock import now_ms
@@ -21,7 +18,6 @@
 KEEPALIVE_INTERVAL_S = 0.3  # a node treats a replica as unreachable after 0.7 s without a message
 HEARTBEAT_RELAY_INTERVAL_S = 0.3  # heartbeats without a state change; changes are relayed immediately
 NODE_EXCHANGE_INTERVAL_S = 1.0
-MEMBER_CACHE_INTERVAL_S = 1.0  # between comparisons of the known members with those on disk
 
 
 class PeriodicLoops:
@@ -40,7 +36,7 @@
             self._relay_heartbeats(),
             self._keep_alive(),
             self._exchange_nodes(),
-            self._cache_members(),
+            self._components.member_saver.run(),
         ]
 
     async def _tick(self) -> None:
@@ -101,24 +97,3 @@
             for address in sorted(components.replica.peer_addresses()):
                 components.peers.send_frame(address, frame)
             components.registrar.exchange_deregistrations()
-
-    async def _cache_members(self) -> None:
-        """Write the known servers and nodes to disk whenever one has come, has left or is draining."""
-        components = self._components
-        registry = components.registry
-        cached_names: set[tuple[str, str]] = set()
-        while True:
-            await asyncio.sleep(MEMBER_CACHE_INTERVAL_S)
-            names = {
-                *((record.id, record.state) for record in registry.records.values()),
-                *((server_id, "deregistered") for server_id in registry.deregistered_ids()),
-                *((node, "node") for node in components.nodes.active_names()),
-            }
-            if cached_names != names:
-                cached_names = names
-                members = CachedMembers(
-                    tuple(registry.records.values()),
-                    components.nodes.liveness(now_ms()),
-                    registry.recent_deregistrations(now_ms()) or UNSET,
-                )
-                await components.disk.write_members(members)
--- a/dunlinloft/controlplane/member_cache.py
+++ b/dunlinloft/controlplane/member_cache.py
@@ -1,9 +1,9 @@
 """An on-disk cache of known servers and nodes, so that a full restart need not wait for them to register.
 
-This is soft state: two files are written alternately without a sync, and unreadable files are ignored. A
-server that stopped in the meantime doesn't respond, or its address responds 421 because another server uses
-it now; it is dropped once its heartbeats have been missing for the registry's timeout. A server that
-deregistered in the meantime may still respond; the other control planes report its deregistration.
+This is soft state: two files are written alternately, mostly without a sync, and unreadable files are
+ignored. A server that stopped in the meantime doesn't respond, or its address responds 421 because another
+server uses it now; it is dropped once its heartbeats have been missing for the registry's timeout. A server
+that deregistered in the meantime may still respond; the other control planes report its deregistration.
 """
 
 from __future__ import annotations
@@ -62,8 +62,8 @@
         self._generation = newest.generation
         return newest.known
 
-    def write(self, members: CachedMembers) -> None:
-        """Replace the older of the two files. Raises `OSError`."""
+    def write(self, members: CachedMembers, sync: bool = False) -> None:
+        """Replace the older of the two files; with `sync` it survives a loss of power. Raises `OSError`."""
         self._generation += 1
         body = msgspec.json.encode(_CacheFile(FORMAT_VERSION, self._generation, members))
         path = self._paths[self._generation % 2]
@@ -71,6 +71,8 @@
         try:
             self._files.truncate(file)
             write_fully(self._files, file, b"%d\n" % zlib.crc32(body) + body, 0)
+            if sync:
+                self._files.sync(file)
         finally:
             self._files.close(file)
 
--- a/dunlinloft/controlplane/server_registrar.py
+++ b/dunlinloft/controlplane/server_registrar.py
@@ -2,17 +2,19 @@
 
 A heartbeat is acknowledged only by a replica in contact with a majority of the roster. A partitioned or
 suspended replica responds 503, and the server retries at the next one. The draining state or deregistration
-of a server is acknowledged once a majority of the roster has it in memory, so that every node in contact
-with a majority learns of it from one of these replicas.
+of a server is acknowledged once a majority of the roster has it in memory and on disk, so that every node in
+contact with a majority learns of it from one of these replicas, even if all of them have just restarted.
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
+from absl import logging
 from msgspec import UNSET, Struct
 
 from dunlinloft.controlplane.node_publisher import NodePublisher
@@ -24,6 +26,8 @@
 
 REPLICATION_TIMEOUT_S = 0.8  # for a majority to acknowledge; the server waits 1 s
 REPLICATION_RETRY_INTERVAL_S = 0.15  # resent to replicas that have not acknowledged by then
+# For a replica's disk; one that takes longer is treated as having none, so that it delays no acknowledgement.
+SAVE_TIMEOUT_S = 0.3
 
 
 @dataclass(slots=True)
@@ -35,7 +39,7 @@
     majority_reached: asyncio.Event = field(default_factory=asyncio.Event)
 
     def acknowledge(self, address: str) -> None:
-        """Record that the replica at an address has the change in memory."""
+        """Record that the replica at an address has the change."""
         self.acknowledged_by.add(address)
         acknowledged = sum(member.address in self.acknowledged_by for member in self.view.roster)
         if acknowledged >= majority_of(self.view):
@@ -55,6 +59,10 @@
         Returns the addresses of all other control planes.
     send:
         Sends a message to the replica at an address; delivery is best effort.
+    save_members:
+        Saves the present members on this replica's disk, if it has one.
+    start_task:
+        Runs a coroutine in the background.
     """
 
     def __init__(
@@ -66,6 +74,8 @@
         view_with_majority_contact: Callable[[], View | None],
         peer_addresses: Callable[[], set[str]],
         send: Callable[[str, Struct], None],
+        save_members: Callable[[], Awaitable[None]],
+        start_task: Callable[[Coroutine[Any, Any, None]], object],
     ) -> None:
         self._address = address
         self._registry = registry
@@ -74,6 +84,8 @@
         self._view_with_majority_contact = view_with_majority_contact
         self._peer_addresses = peer_addresses
         self._send = send
+        self._save_members = save_members
+        self._start_task = start_task
         self._replication_numbers = itertools.count(1)
         self._replications: dict[int, _Replication] = {}  # in progress, by number
         self._replicated: set[str] = set()  # servers whose draining state a majority has
@@ -105,7 +117,7 @@
         number = next(self._replication_numbers)
         replication = _Replication(view, set())
         self._replications[number] = replication
-        replication.acknowledge(self._address)
+        self._start_task(self._save_and_count(replication))
         message = ServerHeartbeats(records, removed, self._address, number)
         try:
             async with asyncio.timeout(REPLICATION_TIMEOUT_S):
@@ -118,10 +130,28 @@
         self._replicated.add(server_id)
         return True
 
+    async def _save_and_count(self, replication: _Replication) -> None:
+        """Count this replica as one that has the change, once its disk has it."""
+        await self._save()
+        replication.acknowledge(self._address)
+
+    async def _save_and_acknowledge(self, sender: str, announcement_id: int) -> None:
+        """Acknowledge a change to the replica that announced it, once this replica's disk has it."""
+        await self._save()
+        self._send(sender, ServerHeartbeatsAck(self._address, announcement_id))
+
+    async def _save(self) -> None:
+        """Save the members; a disk that takes too long is not waited for."""
+        try:
+            async with asyncio.timeout(SAVE_TIMEOUT_S):
+                await self._save_members()
+        except TimeoutError:
+            logging.warning("event=members_not_saved timeout_s=%.1f", SAVE_TIMEOUT_S)
+
     async def _send_round(self, replication: _Replication, message: ServerHeartbeats) -> None:
         """Send to all replicas that have not acknowledged; wait for a majority or the retry interval."""
         for member in replication.view.roster:
-            if member.address not in replication.acknowledged_by:
+            if member.address not in {self._address, *replication.acknowledged_by}:
                 self._send(member.address, message)
         try:
             async with asyncio.timeout(REPLICATION_RETRY_INTERVAL_S):
@@ -140,7 +170,7 @@
             self._registry.on_deregistration(server_id, now, relayed=True)
         self.publish_changes()
         if message.announcement_id:
-            self._send(message.sender, ServerHeartbeatsAck(self._address, message.announcement_id))
+            self._start_task(self._save_and_acknowledge(message.sender, message.announcement_id))
 
     def on_replication_acknowledged(self, message: ServerHeartbeatsAck) -> None:
         """Record that another control plane has received a replicated change."""
--- a/dunlinloft/controlplane/startup.py
+++ b/dunlinloft/controlplane/startup.py
@@ -55,7 +55,10 @@
     replica = build_replica(settings, disk.durable)
     members = await disk.read_members()
     peers = await stack.enter_async_context(PeerConnections())
-    components = build_components(live_settings, started_ms, replica, disk, peers, members)
+    acknowledgements = await stack.enter_async_context(BackgroundTasks())
+    components = build_components(
+        live_settings, started_ms, replica, disk, peers, members, acknowledgements.start
+    )
     address = settings.control_address(settings.ip_address)
     is_first_start = settings.bootstrap and counts_for_quorum and address in settings.seed_addresses()
     components.replica_host.start(initial_view(settings.seed_addresses()) if is_first_start else None)
--- a/tests/test_late_listings.py
+++ b/tests/test_late_listings.py
@@ -20,6 +20,7 @@
 OUTAGE_MS = 3_800.0
 SERVES_ON_S = 9.0
 STEP_MS = 50.0
+ACKNOWLEDGEMENT_STEP_MS = 1.0
 PROPAGATION_S = 1.0  # a change reaches all nodes in about a second
 
 Fault = Callable[[SimulatedCluster, str], None]
@@ -69,8 +70,8 @@
     def deregister(self) -> None:
         """Let the server deregister, and wait until that is acknowledged."""
         self._server.deregister_first(SERVES_ON_S)
-        for _ in range(int(1_000.0 * (HEARTBEAT_S + 3.0) / STEP_MS)):
-            self._cluster.run(STEP_MS)
+        for _ in range(int(1_000.0 * (HEARTBEAT_S + 3.0) / ACKNOWLEDGEMENT_STEP_MS)):
+            self._cluster.run(ACKNOWLEDGEMENT_STEP_MS)
             if self.instance.deregistered is not None:
                 return
         raise AssertionError("the deregistration is not acknowledged")
@@ -149,14 +150,31 @@
         assert any(pool.servers for pool in clients.servers.pools.values()), "it has been sent a listing"
 
 
-def test_a_restart_of_all_control_planes_and_nodes_does_not_bring_the_server_back() -> None:
-    """Deregistrations are kept beside the known servers in each data directory."""
+@pytest.mark.parametrize("stop", [SimulatedCluster.kill, SimulatedCluster.power_off])
+@pytest.mark.parametrize("delay_ms", [0.0, 1_200.0])
+def test_a_restart_of_everything_does_not_bring_the_server_back(stop: Fault, delay_ms: float) -> None:
+    """Every memory that has the deregistration is lost, even right after its acknowledgement."""
+    with simulated_cluster(SEED) as cluster:
+        departure = _Departure(cluster)
+        departure.deregister()
+        cluster.run(delay_ms)
+        for address in cluster.machines:
+            stop(cluster, address)
+        for address in cluster.machines:
+            cluster.start(address)
+        for name in cluster.nodes:
+            _restart_node(cluster, name)
+        departure.check_unknown_until_it_ends()
+
+
+@pytest.mark.parametrize("machine", range(3))
+def test_a_restart_of_everything_beside_an_old_disk_does_not_bring_the_server_back(machine: int) -> None:
+    """One of the disks was not written to since before the server left."""
     with simulated_cluster(SEED) as cluster:
         departure = _Departure(cluster)
-        cluster.kill(next(iter(cluster.machines)))
+        cluster.kill(list(cluster.machines)[machine])
         cluster.run(1_800.0)
         departure.deregister()
-        cluster.run(1_200.0)
         for address in cluster.machines:
             cluster.kill(address)
         for address in cluster.machines:
--- a/tests/test_server_registrar.py
+++ b/tests/test_server_registrar.py
@@ -1,11 +1,12 @@
 """`ServerRegistrar`: which requests are acknowledged, depending on contact with a majority.
 
 Without that contact a server is answered 503. Draining and deregistration are acknowledged once a majority
-has them.
+has them, in memory and on disk.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Coroutine
 from typing import Any
 
@@ -13,7 +14,7 @@
 from msgspec import Struct
 
 from dunlinloft.controlplane.node_publisher import NodePublisher
-from dunlinloft.controlplane.server_registrar import REPLICATION_TIMEOUT_S, ServerRegistrar
+from dunlinloft.controlplane.server_registrar import REPLICATION_TIMEOUT_S, SAVE_TIMEOUT_S, ServerRegistrar
 from dunlinloft.coordination.failure_detector import CONTACT_TIMEOUT_MS, FailureDetector
 from dunlinloft.coordination.heartbeat_messages import Heartbeat
 from dunlinloft.coordination.placement.directory import PlacementDirectory
@@ -33,13 +34,16 @@
 class _SimulatedPeers:
     """A registrar and its simulated peers.
 
-    Peers in `answering` acknowledge replicated changes; the first `ignored_count` messages are lost.
+    Peers in `answering` acknowledge replicated changes; the first `ignored_count` messages are lost. Saving
+    the members takes `save_s` seconds.
     """
 
     def __init__(
         self, answering: tuple[str, ...], ignored_count: int = 0, local_address: str = ADDRESSES[0]
     ) -> None:
         self.answering = answering
+        self.save_s = 0.0
+        self.saved: list[set[str]] = []  # ids of the servers in each snapshot on disk
         self.ignored_count = ignored_count
         self.view: View | None = VIEW
         self.sent_to: list[str] = []
@@ -53,8 +57,15 @@
             lambda: self.view,
             lambda: set(ADDRESSES) - {local_address},
             self._send,
+            self._save,
+            lambda coroutine: asyncio.get_running_loop().create_task(coroutine),
         )
 
+    async def _save(self) -> None:
+        if self.save_s:
+            await asyncio.sleep(self.save_s)
+        self.saved.append(set(self.registry.records))
+
     def _send(self, address: str, message: Struct) -> None:
         assert isinstance(message, ServerHeartbeats)
         if not message.announcement_id:
@@ -122,13 +133,47 @@
     _run_virtual(run_both())
 
 
-def test_replicated_change_is_applied_and_acknowledged() -> None:
+@pytest.mark.parametrize(
+    ("save_s", "saved"), [(0.0, True), (0.1, True), (10.0, False)], ids=["fast", "slow", "stalled"]
+)
+def test_replicated_change_is_applied_saved_and_acknowledged(save_s: float, saved: bool) -> None:
+    """A disk that is stalled is not waited for longer than `SAVE_TIMEOUT_S`."""
     sent: list[tuple[str, Struct]] = []
-    peers = _SimulatedPeers(())
-    peers.registrar._send = lambda address, message: sent.append((address, message))
-    peers.registrar.on_relayed_heartbeats(ServerHeartbeats((_record(1, "draining"),), (), ADDRESSES[1], 7))
-    assert (ADDRESSES[1], ServerHeartbeatsAck(ADDRESSES[0], 7)) in sent
-    assert peers.registry.records["i-1"].draining
+    acknowledgement = (ADDRESSES[1], ServerHeartbeatsAck(ADDRESSES[0], 7))
+
+    async def scenario() -> None:
+        peers = _SimulatedPeers(())
+        peers.save_s = save_s
+        peers.registrar._send = lambda address, message: sent.append((address, message))
+        message = ServerHeartbeats((_record(1, "draining"),), (), ADDRESSES[1], 7)
+        peers.registrar.on_relayed_heartbeats(message)
+        assert peers.registry.records["i-1"].draining
+        assert acknowledgement not in sent, "not saved yet"
+        await asyncio.sleep(min(save_s, SAVE_TIMEOUT_S) + 0.01)
+        assert acknowledgement in sent
+        assert peers.saved == ([{"i-1"}] if saved else [])
+
+    _run_virtual(scenario())
+
+
+def test_own_copy_counts_for_a_majority_once_it_is_saved() -> None:
+    async def scenario() -> None:
+        peers = _SimulatedPeers((ADDRESSES[2],))
+        peers.save_s = 0.1
+        assert await peers.registrar.deregister("i-1")
+        assert peers.saved == [set()]
+        assert ADDRESSES[0] not in peers.sent_to
+
+    assert _run_virtual(scenario()) == pytest.approx(0.1, abs=0.01)
+
+
+def test_a_stalled_disk_delays_an_acknowledgement_by_its_timeout_only() -> None:
+    async def scenario() -> None:
+        peers = _SimulatedPeers((ADDRESSES[2],))
+        peers.save_s = 10.0
+        assert await peers.registrar.deregister("i-1")
+
+    assert _run_virtual(scenario()) == pytest.approx(SAVE_TIMEOUT_S, abs=0.05)
 
 
 def _heartbeat(sender: Member, echoes: dict[str, float]) -> Heartbeat:
