--- a/dunlinloft/controlplane/components.py
+++ b/dunlinloft/controlplane/components.py
@@ -110,9 +110,7 @@
         random.Random(secrets.randbits(64)), 1_000.0 * settings.timing_bounds.prefix_reuse_s
     )
     placement = PlacementService(placements)
-    registry.restore(members.servers, members.deregistrations or (), now_ms())
-    nodes.merge(members.nodes, now_ms())
-    placements.update_servers(registry.records.values())
+    _restore_members(members, registry, nodes, placements)
     member_saver = MemberSaver(registry, nodes, disk)
     registrar = ServerRegistrar(
         address,
@@ -143,6 +141,16 @@
     )
 
 
+def _restore_members(
+    members: CachedMembers, registry: ServerRegistry, nodes: NodeRegistry, placements: PlacementDirectory
+) -> None:
+    """Restore the servers and nodes that were known before this start."""
+    now = now_ms()
+    registry.restore(members.servers, members.deregistrations or (), now)
+    nodes.merge(members.nodes, now)
+    placements.update_servers(registry.records.values())
+
+
 def _validate(document: Document, change: ConfigurationChange) -> Valid | Invalid:
     """Validate a change. The validation module is imported on first use to keep startup fast."""
     from dunlinloft.validation import validate
--- a/tests/test_late_listings.py
+++ b/tests/test_late_listings.py
@@ -46,6 +46,15 @@
 }
 
 
+def _restart_everything(cluster: SimulatedCluster, stop: Fault) -> None:
+    for address in cluster.machines:
+        stop(cluster, address)
+    for address in cluster.machines:
+        cluster.start(address)
+    for name in cluster.nodes:
+        _restart_node(cluster, name)
+
+
 class _Departure:
     """A server that deregisters, with the nodes' knowledge of it."""
 
@@ -76,6 +85,14 @@
                 return
         raise AssertionError("the deregistration is not acknowledged")
 
+    def deregister_while_down(self, address: str) -> None:
+        """Kill a control plane, let the server deregister, and start the control plane again."""
+        self._cluster.kill(address)
+        self._cluster.run(1_800.0)
+        self.deregister()
+        self._cluster.run(1_500.0)
+        self._cluster.start(address)
+
     def check_unknown_until_it_ends(self, after_s: float = DRAIN_S) -> None:
         """Check in small steps that no node knows the server, from `after_s` after it left to its end."""
         assert self.instance.deregistered is not None
@@ -117,13 +134,8 @@
 
 def test_a_restarted_node_does_not_take_the_server_from_a_restarted_control_plane() -> None:
     with simulated_cluster(SEED) as cluster:
-        address = list(cluster.machines)[1]
         departure = _Departure(cluster)
-        cluster.kill(address)
-        cluster.run(1_800.0)
-        departure.deregister()
-        cluster.run(1_500.0)
-        cluster.start(address)
+        departure.deregister_while_down(list(cluster.machines)[1])
         for name in cluster.nodes:
             _restart_node(cluster, name)
         departure.check_unknown_until_it_ends()
@@ -134,11 +146,7 @@
     with simulated_cluster(SEED) as cluster:
         *others, address = cluster.machines
         departure = _Departure(cluster)
-        cluster.kill(address)
-        cluster.run(1_800.0)
-        departure.deregister()
-        cluster.run(1_500.0)
-        cluster.start(address)
+        departure.deregister_while_down(address)
         cluster.run(1_000.0 * DRAIN_S)
         name = next(iter(cluster.nodes))
         for other in others:
@@ -158,12 +166,7 @@
         departure = _Departure(cluster)
         departure.deregister()
         cluster.run(delay_ms)
-        for address in cluster.machines:
-            stop(cluster, address)
-        for address in cluster.machines:
-            cluster.start(address)
-        for name in cluster.nodes:
-            _restart_node(cluster, name)
+        _restart_everything(cluster, stop)
         departure.check_unknown_until_it_ends()
 
 
@@ -175,10 +178,5 @@
         cluster.kill(list(cluster.machines)[machine])
         cluster.run(1_800.0)
         departure.deregister()
-        for address in cluster.machines:
-            cluster.kill(address)
-        for address in cluster.machines:
-            cluster.start(address)
-        for name in cluster.nodes:
-            _restart_node(cluster, name)
+        _restart_everything(cluster, SimulatedCluster.kill)
         departure.check_unknown_until_it_ends()
