Refuse numbers in a configuration that nodes can't compute with

Cause: the head's validation accepted any finite number; the arithmetic at nodes and owners overflows ("OverflowError: Numerical result out of range" in the nodes' logs).

Change: every number of a configuration is at most 2^53 in magnitude, up to which a float holds every integer; the error names the field.

--- a/dunlinloft/validation.py
+++ b/dunlinloft/validation.py
@@ -34,6 +34,9 @@
 from dunlinloft.exceptions import ConfigurationError
 
 MAX_ERRORS_SHOWN = 3
+# Bound of each number's magnitude: up to it a float holds every integer. Far larger ones overflow where nodes
+# compute with them.
+MAX_NUMBER = 2**53
 
 Value = TypeVar("Value")
 Annotation: TypeAlias = Any  # a field's type: a class, a generic alias or a union
@@ -101,7 +104,8 @@
 class _Model(BaseModel):
     """Base class of all models. Unknown fields are ignored here; the stored document keeps them.
 
-    Numbers have to be finite: JSON has no other ones, so that replicas and nodes could not read them.
+    Numbers have to be finite: JSON has no other ones, so that replicas and nodes could not read them. Their
+    magnitude is bounded by `MAX_NUMBER`.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
@@ -137,13 +141,16 @@
         return create_model(struct.__name__, __base__=_Model, __validators__=validators, **fields)
 
     def _model_annotation(self, annotation: Annotation) -> Annotation:
-        """Replace each msgspec type in an annotation by its model."""
+        """Replace each msgspec type in an annotation by its model, and bound its numbers."""
         if isinstance(annotation, type) and issubclass(annotation, Struct):
             return self.model_of(annotation)
+        if annotation in (int, float):
+            return Annotated[annotation, Field(ge=-MAX_NUMBER, le=MAX_NUMBER)]
         arguments = typing.get_args(annotation)
-        if isinstance(annotation, types.UnionType) or not arguments:
+        if not arguments:
             return annotation
-        origin: Annotation = typing.get_origin(annotation)
+        is_union = isinstance(annotation, types.UnionType)
+        origin: Annotation = typing.Union if is_union else typing.get_origin(annotation)
         return origin[tuple(map(self._model_annotation, arguments))]
 
 
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -128,6 +128,29 @@
     assert name in verdict.reason
 
 
+@pytest.mark.parametrize("number", [1e308, -1e308, 2**54, 10**400])
+@pytest.mark.parametrize(
+    ("section", "item", "name"),
+    [
+        ("routes", route(), "timeout_ms"),
+        ("routes", route(), "gap_aim_ms"),
+        ("routes", route(), "priority"),
+        ("routes", route(), "max_attempts"),
+        ("services", {"name": "s"}, "max_connections"),
+        ("tenants", {"name": "t"}, "rate_per_s"),
+        ("tenants", {"name": "t"}, "priority"),
+    ],
+)
+def test_numbers_that_overflow_where_they_are_used_are_rejected(
+    section: str, item: dict[str, Any], name: str, number: float
+) -> None:
+    """A rate of 1e308 was accepted and each request refused; a timeout of 1e308 answered each with 500."""
+    verdict = validate_body(document_with(**{section: [{**item, name: number}]}))
+    assert isinstance(verdict, Invalid)
+    assert f"{section}.0.{name}" in verdict.reason
+    assert validate_body(document_with(**{section: [{**item, name: 2**53}]})) == Valid(3)
+
+
 @pytest.mark.parametrize("name", ["header_timeout_ms", "idle_timeout_ms"])
 def test_limits_that_are_not_finite_are_rejected(name: str) -> None:
     verdict = validate_body(document_with(limits={name: math.nan}))
