Ignore numbers in clients' headers that can't be computed with or passed on

What callers saw (trials with real processes): 500 for `X-Deadline-Ms: nan`, for 400 digits in X-Token-Usage and for prompt segments that are no UTF-8. A prompt segment of 400 digits got 200, and the node's stream to the service's owner ended. A negative number of tokens was charged as such.

Cause: as with the operator's NaN, `float` and `int` accept more than the arithmetic and the messages behind them can hold. Evidence: "ValueError: cannot convert float NaN to integer", "UnicodeEncodeError" and "OverflowError: int too large to convert to float" in the node's log, the latter also in that of the control plane, followed by event=stream_ended at the node.

Change: header_numbers.py, in front of both headers' uses. A malformed header is ignored, as others were before.

--- a/dunlinloft/dataplane/client_request.py
+++ b/dunlinloft/dataplane/client_request.py
@@ -7,6 +7,7 @@
 from aiohttp.web_request import BaseRequest
 
 from dunlinloft.configuration import Tenant
+from dunlinloft.dataplane.header_numbers import token_count
 from dunlinloft.dataplane.http_headers import PROMPT_SEGMENTS_HEADER, TOKEN_USAGE_HEADER
 from dunlinloft.dataplane.routing import ActiveRoute
 from dunlinloft.dataplane.server_pool import PromptSegment, ServerRequirements
@@ -64,7 +65,9 @@
             return ServerRequirements(self.latency_target_ms)
         try:
             segments = tuple(_prompt_segment(text) for text in header.split(","))
-            max_output_tokens = int(self.http.headers.get(TOKEN_USAGE_HEADER, "0,0").partition(",")[2])
+            max_output_tokens = token_count(
+                self.http.headers.get(TOKEN_USAGE_HEADER, "0,0").partition(",")[2]
+            )
         except ValueError:
             return ServerRequirements(self.latency_target_ms)
         if len(segments) < 2:
@@ -77,5 +80,7 @@
 
 
 def _prompt_segment(text: str) -> PromptSegment:
+    """Parse one segment. Raises `ValueError`, also for a name that can't be encoded for the owner."""
     name, _, tokens = text.partition(":")
-    return name.strip(), int(tokens)
+    name.encode()
+    return name.strip(), token_count(tokens)
--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -19,6 +19,7 @@
 from dunlinloft.dataplane.exceptions import RequestRefused
 from dunlinloft.dataplane.exchange import Exchange
 from dunlinloft.dataplane.graceful_shutdown import GracefulShutdown
+from dunlinloft.dataplane.header_numbers import finite_number
 from dunlinloft.dataplane.http_headers import API_KEY_HEADER, DEADLINE_HEADER, TOKEN_USAGE_HEADER
 from dunlinloft.dataplane.metrics import Metrics
 from dunlinloft.dataplane.quota_charge import OverQuota, quota_charge
@@ -184,7 +185,10 @@
 
 def _remaining_ms(request: BaseRequest) -> float:
     """The remaining time that the client states for this attempt; infinite if it states none."""
+    stated = request.headers.get(DEADLINE_HEADER)
+    if stated is None:
+        return math.inf
     try:
-        return float(request.headers.get(DEADLINE_HEADER, "inf"))
+        return finite_number(stated)
     except ValueError:
-        return float("inf")
+        return math.inf
--- a/dunlinloft/dataplane/routing.py
+++ b/dunlinloft/dataplane/routing.py
@@ -7,6 +7,7 @@
 
 from dunlinloft.balancer.rotation import Rotation
 from dunlinloft.configuration import Backend, Configuration, Route, Service, Tenant
+from dunlinloft.dataplane.header_numbers import token_count
 
 TOKEN_BILLING = "token_based"  # value of a tenant's `billing_unit`; any other value bills by request
 
@@ -86,6 +87,6 @@
     if token_usage is None:
         return tenant.uncached_tokens
     try:
-        return float(sum(int(count) for count in token_usage.split(",")))
+        return float(sum(token_count(count) for count in token_usage.split(",")))
     except ValueError:
         return tenant.uncached_tokens
