--- a/tests/test_client_headers.py
+++ b/tests/test_client_headers.py
@@ -67,7 +67,7 @@
 
 @pytest.mark.parametrize("count", MALFORMED_COUNTS)
 def test_a_malformed_number_of_tokens_is_ignored(count: str) -> None:
-    with pytest.raises(ValueError, match="number|float"):
+    with pytest.raises(ValueError, match=r"number|float"):
         token_count(count)
     assert quota_cost(TOKEN_BILLED, f"{count},1") == TOKEN_BILLED.uncached_tokens
     without_prompt = ServerRequirements(LATENCY_TARGET_MS)
@@ -92,5 +92,5 @@
 
 @pytest.mark.parametrize("text", ["", "x", "nan", "inf", "-Infinity", "1e400"])
 def test_only_finite_numbers_are_numbers(text: str) -> None:
-    with pytest.raises(ValueError, match="number|float"):
+    with pytest.raises(ValueError, match=r"number|float"):
         finite_number(text)
