--- a/lab/processes/host.py
+++ b/lab/processes/host.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import json
-import os
-import socket
 import time
 from collections import defaultdict
 from collections.abc import Callable, Coroutine
@@ -20,10 +18,14 @@
 from lab.processes.admin import call
 from lab.processes.agent import AgentConnection, listing
 from lab.processes.block import Address, Block, text
-from lab.processes.caller import PendingRequest, Pool, expire
-from lab.processes.child import Child, environment, hog_command, node_command
+from lab.processes.child import Child, environment, node_command
+from lab.processes.cpu_hogs import CpuHogs
+from lab.processes.front_watch import READINESS_POLL_S, READY, FrontWatch
 from lab.processes.gates import HANGING, OPEN, SHUT, Gate
+from lab.processes.inherited_sockets import InheritedSockets
 from lab.processes.relay import Relay
+from lab.processes.request_sender import RequestSender
+from lab.processes.scheduling_delay import watch_core_waits, watch_event_loop
 from lab.processes.standin import Connection, acceptor
 from lab.records import Sink
 from lab.registry import Entry, told_entries
@@ -33,16 +35,10 @@
 from lab.world import World, release_query
 
 MIN_DELAY_MS = 0.5  # shorter delays are treated as none, since an event loop counts in milliseconds
-READINESS_POLL_S = 0.1  # interval at which the front polls each node
-WITHDRAWAL_DELAY_MS = 200.0  # time for which connections continue after a node's first negative readiness
 STARTUP_TIMEOUT_S = 30.0  # timeout for all nodes to become ready at the start
-DELAY_CHECK_S, REPORTED_DELAY_MS = (
-    0.05,
-    20.0,
-)  # interval of checking the lab's scheduling delay, and recording threshold
-CORE_WAIT_CHECK_S = 0.25  # interval of checking how long nodes have waited for a core
 RELEASE_RETRY_S = 0.5  # retry interval of operators while no node accepts a release
 UPGRADE_TIMEOUT_S = 6.0  # timeout for a replacement process to become ready
+UPGRADE_GRACE_S = 3.7  # from SIGTERM to SIGKILL of the replaced process
 VOTERS = 5  # number of voters: the first front nodes, if there are as many
 SEEDS = 3  # number of seed nodes, whose addresses all nodes know
 SHUTDOWN_TIMEOUT_S = 5.0  # timeout for a node to end after SIGTERM at the end of a run
@@ -67,12 +63,10 @@
         self._admins: dict[int, Address] = {}  # by pid
         self._start_counts: dict[str, int] = defaultdict(int)
         self._terminated: set[int] = set()  # pids of processes told to terminate
-        self._hogs: dict[str, list[Child]] = {}
-        self._inherited_sockets: dict[str, socket.socket] = {}
-        self._truncated: set[str] = set()
+        self._hogs = CpuHogs(loop, folder, plan.scenario.day.length_s)
+        self._inherited_sockets = InheritedSockets()
         self._attempts: dict[str, int] = {}
-        self._pools: dict[str, Pool] = {}
-        self._pending_requests: dict[str, PendingRequest] = {}
+        self._requests = RequestSender(self, plan.scenario.rules.overdue_ms)
         self._tasks: set[asyncio.Task[None]] = set()
         self._agents: list[asyncio.Server] = []
         self._closed_down = False
@@ -85,9 +79,11 @@
     # Time
 
     def now(self) -> float:
+        """Milliseconds since the run began."""
         return (self.loop.time() - self._start_s) * 1000.0
 
     def after(self, delay_ms: float, do: Callable[..., None], *args: Any) -> None:
+        """Call a function after a delay, unless the host has been closed."""
         if self._closed_down:
             return
         if delay_ms < MIN_DELAY_MS:
@@ -123,8 +119,8 @@
         for name in self.names.nodes:
             self.front.admitted[name] = True
             self.spawn(self._watch_ready(name))
-        self.spawn(self._watch_scheduling())
-        self.spawn(self._watch_core_waits())
+        self.spawn(watch_event_loop(self.loop, partial(self._report_late, "lab")))
+        self.spawn(watch_core_waits(self._children, self._report_late))
         self.begin()
         length_s = self.scenario.day.length_s + self.scenario.day.after_s
         while self.now() < 1000.0 * length_s:
@@ -186,11 +182,11 @@
         self._closed_down = True
         for task in self._tasks:
             task.cancel()
-        for children in (*self._children.values(), *self._hogs.values()):
+        for children in self._children.values():
             for child in children:
                 child.close()
-        for pool in self._pools.values():
-            pool.close()
+        self._hogs.close()
+        self._requests.close()
         for connections in self.connections.values():
             for connection in list(connections):
                 connection.abort()
@@ -200,32 +196,11 @@
             self._relay.close()
         for agent in self._agents:
             agent.close()
-        for sock in self._inherited_sockets.values():
-            sock.close()
+        self._inherited_sockets.close()
         self.block.release()
 
-    # Scheduling delays
-
-    async def _watch_scheduling(self) -> None:
-        due = self.loop.time() + DELAY_CHECK_S
-        while True:
-            await asyncio.sleep(max(0.0, due - self.loop.time()))
-            late_ms = (self.loop.time() - due) * 1000.0
-            if late_ms > REPORTED_DELAY_MS:
-                self.tell(records.Late(self.now(), "lab", late_ms))
-            due = self.loop.time() + DELAY_CHECK_S
-
-    async def _watch_core_waits(self) -> None:
-        for children in self._children.values():
-            for child in children:
-                child.waited_ms()
-        while True:
-            await asyncio.sleep(CORE_WAIT_CHECK_S)
-            for name, children in self._children.items():
-                for child in children:
-                    waited_ms = child.waited_ms() if child.alive() else 0.0
-                    if waited_ms > REPORTED_DELAY_MS:
-                        self.tell(records.Late(self.now(), name, waited_ms))
+    def _report_late(self, name: str, late_ms: float) -> None:
+        self.tell(records.Late(self.now(), name, late_ms))
 
     # Processes
 
@@ -269,6 +244,7 @@
         }
 
     def start_node(self, name: str) -> None:
+        """Start a node's process unless it is running."""
         if any(child.alive() for child in self._children[name]):
             return
         self._start_process(name)
@@ -282,7 +258,7 @@
         extra_environment = {"NODE_CONFIG": str(path), "NODE_NAME": name}
         inherited_fds: tuple[int, ...] = ()
         if self._upgrades(name):
-            inherited_fds = (self._inherited_socket(name).fileno(),)
+            inherited_fds = (self._inherited_sockets.descriptor(name, self.block.node(self.places[name])),)
             extra_environment["NODE_ACCEPT_FD"] = str(inherited_fds[0])
         logs = self._logs or self._folder
         log = logs / f"{self.scenario.name}-{self.plan.seed}-{self._file(name, '.log')}"
@@ -307,16 +283,6 @@
             for fault in self.scenario.faults
         )
 
-    def _inherited_socket(self, name: str) -> socket.socket:
-        """Return the listening socket that all processes of a node inherit."""
-        if name not in self._inherited_sockets:
-            sock = socket.socket()
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            sock.bind(self.block.node(self.places[name]))
-            sock.listen(512)
-            self._inherited_sockets[name] = sock
-        return self._inherited_sockets[name]
-
     def _ended(self, name: str, child: Child, code: int) -> None:
         self._children[name] = [other for other in self._children[name] if other is not child]
         terminated = child.pid in self._terminated
@@ -326,6 +292,7 @@
                 self.broke(name, f"it ended with {code} after SIGTERM")
 
     def signal(self, name: str, what: str) -> None:
+        """Send a signal, by its lower-case name, to all processes of a node."""
         for child in list(self._children[name]):
             if what in ("kill", "term"):
                 self._terminated.add(child.pid)
@@ -341,46 +308,26 @@
     async def _watch_ready(self, name: str) -> None:
         """Poll a node's readiness as the front does; unreachable ones are withdrawn after the notice time."""
         address = self.block.node(self.places[name])
-        unreachable_ms = not_ready_ms = -1.0
+        watch = FrontWatch(self.plan.notice_ms)
         while True:
             await asyncio.sleep(READINESS_POLL_S)
             status, _ = await call(address, "GET", "/-/ready")
             now = self.now()
-            if status == 200:
-                if not self.front.admitted[name]:
-                    self.tell(records.Process(now, name, "ready"))
-                self.front.admitted[name] = True
-                unreachable_ms = not_ready_ms = -1.0
-            elif status:
-                not_ready_ms = now if not_ready_ms < 0.0 else not_ready_ms
-                if now - not_ready_ms >= WITHDRAWAL_DELAY_MS:
-                    self.front.admitted[name] = False
-            else:
-                unreachable_ms = now if unreachable_ms < 0.0 else unreachable_ms
-                if now - unreachable_ms >= self.plan.notice_ms:
-                    self.front.admitted[name] = False
+            if status == READY and not self.front.admitted[name]:
+                self.tell(records.Process(now, name, "ready"))
+            watch.on_status(status, now)
+            self.front.admitted[name] = watch.admitted
 
     def hog(self, name: str, share: float) -> None:
-        for hog in self._hogs.pop(name, []):
-            hog.close()
-        all_cores = os.sched_getaffinity(0)
-        cores = {max(all_cores)} if share < 1.0 else all_cores
-        for child in self._children[name]:
-            if child.alive():
-                os.sched_setaffinity(child.pid, cores)
-        if share < 1.0:
-            command, log = hog_command(self.scenario.day.length_s), self._folder / "hogs.log"
-            self._hogs[name] = [
-                Child(self.loop, command, environment(self._folder), log, ())
-                for _ in range(round(1.0 / share) - 1)
-            ]
-            for hog in self._hogs[name]:
-                os.sched_setaffinity(hog.pid, cores)
+        """Leave a node's processes a share of one core."""
+        self._hogs.set_share(name, self._children[name], share)
 
     def skew(self, name: str, wall_ms: float, drift: float) -> None:
+        """Set a node's clock; not possible with real processes."""
         raise NotImplementedError("real clocks can't be set here")  # rejected before the run starts
 
     def operate(self, name: str, what: Operation) -> None:
+        """Perform an operator's action on a node."""
         child = self._children[name][-1] if self._children[name] else None
         if child is None:
             return
@@ -397,6 +344,7 @@
             self.spawn(self._upgrade(name, child))
 
     def release(self, what: Release, since_ms: float) -> None:
+        """Start a staged release of servers at the first node that accepts it."""
         self.spawn(self._release(what, self.wall_ms(since_ms)))
 
     async def _release(self, what: Release, since_ms: float) -> None:
@@ -420,50 +368,39 @@
         self._terminated.add(old.pid)
         old.signal("term")
         self.tell(records.Process(self.now(), name, "term"))
-        await asyncio.sleep(3.7)
+        await asyncio.sleep(UPGRADE_GRACE_S)
         old.signal("kill")
 
     # Requests
 
     def ask(self, node: str, order: Order, done: Done) -> None:
+        """Send a request to a node; `done` is called with its outcome."""
         if order.origin == CALLERS:
             self.tell(
                 records.Asked(
                     self.now(), order.id, node, order.name, order.budget_ms, CALLERS, order.key, order.tenant
                 )
             )
-        request = PendingRequest(node, order, done)
-        self._pending_requests[order.id] = request
-        self.after(order.budget_ms + self.scenario.rules.overdue_ms, self._expire, order.id)
-        key = f"{order.origin}>{node}"
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = self._pools[key] = Pool(self, order.origin, node)
-        pool.send(request)
-
-    def _expire(self, id: str) -> None:
-        request = self._pending_requests.pop(id, None)
-        if request is not None:
-            expire(request)
+        self._requests.send(node, order, done)
 
     def leave(self, node: str, id: str) -> None:
-        request = self._pending_requests.pop(id, None)
-        if request is not None and not request.over:
-            request.over = True
-            if request.connection is not None:
-                request.connection.close()
+        """Close the connection of a request whose caller has left."""
+        self._requests.cancel(id)
 
     def drop_attempts(self, server: str) -> None:
+        """Abort all connections to a server."""
         for connection in list(self.connections[server]):
             connection.abort()
         self.connections[server].clear()
         self._update_gates()
 
     def restart(self, server: Server) -> None:
+        """Restart a server, and update which links are open."""
         super().restart(server)
         self._update_gates()
 
     def beliefs(self) -> None:
+        """Record the figures that each node reports of itself."""
         for name, children in self._children.items():
             if children:
                 self.spawn(self._belief(name, children[-1]))
