--- a/review/rig2/servers.py
+++ b/review/rig2/servers.py
@@ -54,6 +54,12 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def release_address(self) -> None:
+        """Listen no more, so that another process can serve at the address; heartbeats go on."""
+        assert self._listener is not None
+        self._listener.close()
+        await self._listener.wait_closed()
+
     def stop_beats(self) -> None:
         """Send no more heartbeats."""
         if self._beats is not None:
