--- a/review/rig2/servers.py
+++ b/review/rig2/servers.py
@@ -12,6 +12,7 @@
 from rig2.http import Request, ask, read_request
 
 HEARTBEAT_INTERVAL_S = 1.2
+READ_AHEAD_BYTES = 2**16  # of a request, beyond what the server has asked for
 QUEUE_LENGTH = 1  # requests that wait at a server for a place; it declines any more
 
 # Answers one request on its connection; returns whether the connection is kept.
@@ -41,7 +42,7 @@
 
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
-        self._listener = await asyncio.start_server(self._serve, self._fleet.server_host, 0, limit=2**22)
+        self._listener = await asyncio.start_server(self._serve, self._fleet.server_host, 0, limit=READ_AHEAD_BYTES)
         host, port = self._listener.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         self._beats = asyncio.create_task(self._beat_forever())
