--- a/review/rig2/servers.py
+++ b/review/rig2/servers.py
@@ -42,7 +42,9 @@
 
     async def start(self) -> None:
         """Listen, and begin to send heartbeats."""
-        self._listener = await asyncio.start_server(self._serve, self._fleet.server_host, 0, limit=READ_AHEAD_BYTES)
+        self._listener = await asyncio.start_server(
+            self._serve, self._fleet.server_host, 0, limit=READ_AHEAD_BYTES
+        )
         host, port = self._listener.sockets[0].getsockname()
         self.address = f"{host}:{port}"
         self._beats = asyncio.create_task(self._beat_forever())
