--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,9 +10,9 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from rig2.fleet import CannotRun, Fleet, run_case  # noqa: E402
-from rig2.http import Request, ask  # noqa: E402
-from rig2.servers import ModelServer  # noqa: E402
+from rig2.fleet import Fleet, run_case  # noqa: E402
+from rig2.http import ask  # noqa: E402
+from rig2.processes import ServerProcess, kill_first_waiting  # noqa: E402
 
 DEADLINE_MS = 15_000
 EVENTS = 6
@@ -35,64 +35,14 @@
     }
 
 
-class ServerProcess:
-    """A server in a process of its own; its registration and heartbeats are sent from here."""
-
-    def __init__(self, fleet: Fleet, service: str, crash_in: int) -> None:
-        self._fleet = fleet
-        self._crash_in = crash_in
-        self._process: asyncio.subprocess.Process | None = None
-        self.registration = ModelServer(fleet, service, _unused)
-
-    async def start(self) -> None:
-        """Start it and register it."""
-        await self.registration.start()
-        host, port = self.registration.address.split(":")
-        await self.registration.release_address()
-        arguments = (host, port, self.registration.id, str(EVENTS), str(self._crash_in))
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-B", str(FOLDER / "server.py"), *arguments, stdout=asyncio.subprocess.PIPE
-        )
-        if await self._read() != "listening":
-            raise CannotRun("a server didn't start")
-
-    async def _read(self) -> str:
-        assert self._process is not None
-        assert self._process.stdout is not None
-        return (await self._process.stdout.readline()).decode().strip()
-
-    async def kill_when_waiting(self) -> None:
-        """Kill it in the middle of an event."""
-        assert self._process is not None
-        while (line := await self._read()) != "waiting":
-            if not line:
-                raise CannotRun("the server ended by itself")
-            self._fleet.record.note(f"server {self.registration.id} {line}")
-        self._fleet.record.note(f"SIGKILL to server {self.registration.id}, half of event {CRASH_IN} sent")
-        self.registration.stop_beats()
-        self._process.kill()
-
-    async def stop(self) -> None:
-        """End it."""
-        await self.registration.stop()
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-        if self._process is not None:
-            await self._process.wait()
-
-
-async def _unused(
-    server: ModelServer, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> bool:
-    raise CannotRun("the address belongs to the server's process")
-
-
 async def case(fleet: Fleet, trouble: bool) -> bool:
     """One stream on a route that may be resumed, and one on a route that may not; kill the server of each."""
     names = {"once": False, "again": True}
-    crash_in = CRASH_IN if trouble else 0
+    arguments = (str(EVENTS), str(CRASH_IN if trouble else 0))
+    script = FOLDER / "server.py"
     servers = {
-        name: [ServerProcess(fleet, f"pool-{name}", crash_in) for _ in range(SERVERS)] for name in names
+        name: [ServerProcess(fleet, f"pool-{name}", script, *arguments) for _ in range(SERVERS)]
+        for name in names
     }
     try:
         for server in (*servers["once"], *servers["again"]):
@@ -126,10 +76,7 @@
     fleet.record.note(f"client sends stream-{name}")
     asked = asyncio.create_task(ask(fleet.frontend(), "POST", f"/{name}/x", headers, b"hello"))
     if trouble:
-        kills = [asyncio.create_task(server.kill_when_waiting()) for server in servers]
-        await asyncio.wait(kills, return_when=asyncio.FIRST_COMPLETED)
-        for kill in kills:
-            kill.cancel()
+        await kill_first_waiting(servers)
     answer = await asked
     events = answer.body.split(b"\n\n")
     whole, rest = len(events) - 1, events[-1]
