--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,74 +1,127 @@
-"""Case 8: a stream that is resumed at another server is cut at the length that the first one stated."""
+"""Case 8: configurations that are acknowledged end the control planes, again at each start."""
 
 from __future__ import annotations
 
 import asyncio
-import re
+import contextlib
 import sys
+import time
 from pathlib import Path
+from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from rig2.fleet import Fleet, run_case  # noqa: E402
-from rig2.http import ask  # noqa: E402
-from rig2.processes import ServerProcess, kill_first_waiting  # noqa: E402
-
-DEADLINE_MS = 15_000
-EVENTS = 9
-CRASH_AFTER = 3  # events of the first run
-SERVERS = 6  # of the service; one is killed
-ROUTE = {
-    "name": "chat",
-    "hostname": "h.example",
-    "path_prefix": "/chat/",
-    "type": "streaming",
-    "timeout_ms": DEADLINE_MS,
-    "target_latency_ms": 150,
-    "service": "pool",
-    "max_attempts": 2,
-    "resumable": True,
-}
+from rig2.fleet import CannotRun, Fleet, run_case  # noqa: E402
+from rig2.http import Request  # noqa: E402
+from rig2.servers import ModelServer, signed_head  # noqa: E402
 
+CHANGES = 3
+GAP_S = 1.0
+WATCHED_S = 20.0  # from the first change
+RESTART_DELAY_S = 0.5
+ENDS = 3  # of a process, which break the rule where half of the core has them
+TOKENS = 872_000
+TOO_MANY_TOKENS = 10**309  # JSON and valid by the pages; one digit more than a float can hold
 
-async def case(fleet: Fleet, trouble: bool) -> bool:
-    """Kill the server of one stream after three events; the others can continue it."""
-    arguments = (str(EVENTS), str(CRASH_AFTER if trouble else 0))
-    servers = [ServerProcess(fleet, "pool", FOLDER / "server.py", *arguments) for _ in range(SERVERS)]
-    try:
-        for server in servers:
-            await server.start()
-        document = {"version": 1, "routes": [ROUTE], "services": [{"name": "pool", "max_connections": 180}]}
-        await fleet.configure(document, 0)
-        await fleet.wait_ready()
-        await asyncio.sleep(2.0)
-        return await _one_stream(fleet, servers, trouble)
-    finally:
-        for server in servers:
-            await server.stop()
-
-
-async def _one_stream(fleet: Fleet, servers: list[ServerProcess], trouble: bool) -> bool:
-    """Whether a stream that ended as complete had all its events."""
-    headers = {
-        "X-Attempt-Id": "stream",
-        "X-Deadline-Ms": str(DEADLINE_MS),
-        "X-Model-Name": "m",
-        "X-Token-Usage": "100,50",
-        "X-Prompt-Prefix": "aa:60,bb:40",
+
+def document(version: int, tokens: int) -> dict[str, Any]:
+    """A configuration like that of PROTOCOL.md, with this memory of a server."""
+    route = {
+        "name": "booking",
+        "hostname": "h.example",
+        "path_prefix": "/booking/",
+        "type": "unsafe",
+        "timeout_ms": 2000,
+        "target_latency_ms": 200,
+        "service": "pool",
     }
-    fleet.record.note("client sends stream")
-    asked = asyncio.create_task(ask(fleet.frontend(), "POST", "/chat/x", headers, b"hello"))
-    if trouble:
-        await kill_first_waiting(servers)
-    answer = await asked
-    ids = [int(number) for number in re.findall(rb"^id: (\d+)$", answer.body, re.MULTILINE)]
-    fleet.record.note(
-        f"client got for stream: status {answer.status}, Content-Length "
-        f"{answer.headers.get('content-length')}, ended as complete: {answer.complete}, events {ids} of "
-        f"{EVENTS}, last bytes {answer.body[-40:]!r}"
-    )
-    return not answer.complete or ids == list(range(1, EVENTS + 1))
+    runtime = {"capacity": 8, "kv_cache_tokens": tokens, "kv_bytes": 131072, "model_list": [{"name": "m"}]}
+    service = {"name": "pool", "max_connections": 180, "runtime": runtime}
+    return {"version": version, "routes": [route], "services": [service]}
+
+
+async def answer_at_once(
+    server: ModelServer, request: Request, _: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer a request."""
+    writer.write(signed_head(server, request, "Content-Length: 4") + b"done")
+    await writer.drain()
+    return True
+
+
+class Platform:
+    """Restarts processes that end, after a short delay, and counts their ends."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.ends = {process.name: 0 for process in fleet.controls}
+        self.broken = asyncio.Event()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            for process in self._fleet.controls:
+                if not process.alive:
+                    self.ends[process.name] += 1
+                    self._fleet.record.note(f"{process.name} ended by itself with {process.exit_code}")
+                    if self.rule_broken:
+                        self.broken.set()
+                    await asyncio.sleep(RESTART_DELAY_S)
+                    process.start()
+            await asyncio.sleep(0.1)
+
+    @property
+    def rule_broken(self) -> bool:
+        """Whether half of the core has ended by itself three times."""
+        return 2 * sum(count >= ENDS for count in self.ends.values()) >= len(self.ends)
+
+
+async def send(fleet: Fleet, version: int, base: int, tokens: int, until: float) -> bool:
+    """Send one change to machine after machine until it has a clear answer; whether it was taken."""
+    while time.monotonic() < until:
+        for address in fleet.control_addresses():
+            answer = await fleet.call(address, "/configuration/replace", document(version, tokens), base)
+            fleet.record.note(
+                f"version {version} at {address[0]}: {answer.status} {answer.body[:60]!r} {answer.error}"
+            )
+            if answer.status == 200 or 400 <= answer.status < 500:
+                return answer.status == 200
+        await asyncio.sleep(0.3)
+    return False
+
+
+async def case(fleet: Fleet, trouble: bool) -> bool:
+    """Send three configurations a second apart, and restart control planes that end."""
+    servers = [ModelServer(fleet, "pool", answer_at_once) for _ in range(2)]
+    for server in servers:
+        await server.start()
+    await fleet.configure(document(1, TOKENS), 0)
+    await fleet.wait_ready()
+    await asyncio.sleep(2.0)
+    platform = Platform(fleet)
+    watch = asyncio.create_task(platform.run())
+    until = time.monotonic() + WATCHED_S
+    version = taken = 1
+    for _ in range(CHANGES):
+        version += 1
+        tokens = TOO_MANY_TOKENS if trouble else version * TOKENS
+        if await send(fleet, version, taken, tokens, until):
+            taken = version
+        await asyncio.sleep(GAP_S)
+    if not trouble and taken != 1 + CHANGES:
+        raise CannotRun("a usual configuration was not acknowledged")
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(max(0.0, until - time.monotonic())):
+            await platform.broken.wait()
+    watch.cancel()
+    fleet.record.note(f"acknowledged up to version {taken}; ends by itself: {platform.ends}")
+    for process in fleet.controls:
+        lines = [line for line in process.log.splitlines() if "Error:" in line]
+        fleet.record.note(f"{process.name} wrote {lines[-1:]}")
+    for server in servers:
+        await server.stop()
+    return not platform.rule_broken
 
 
 if __name__ == "__main__":
