--- a/review/4/case.py
+++ b/review/4/case.py
@@ -71,18 +71,18 @@
             self.lost.append(name)
         return answer
 
-    async def request(self, name: str, node: int, seconds: float) -> None:
-        """Ask, and once more after the stated wait if the first try was refused."""
+    async def request(self, name: str, seconds: float) -> None:
+        """Ask at node 2, and if that is refused at node 1 after the stated wait, as retries do."""
         started = time.monotonic()
-        answer = await self.attempt(f"{name}-1", node, seconds, DEADLINE_MS)
+        answer = await self.attempt(f"{name}-1", 1, seconds, DEADLINE_MS)
         if answer.status in (429, 503):
             await asyncio.sleep(float(answer.headers.get("retry-after", "0.1")))
             left_ms = DEADLINE_MS - 1_000.0 * (time.monotonic() - started)
-            await self.attempt(f"{name}-2", node, seconds, left_ms)
+            await self.attempt(f"{name}-2", 0, seconds, left_ms)
 
 
 async def case(fleet: Fleet, trouble: bool) -> bool:
-    """Fill all places by way of node 2, stop node 1, and ask at node 1 while the platform still may."""
+    """Fill all places by way of node 2, stop node 1, and have retries reach it while they still may."""
     servers = [ModelServer(fleet, "pool", work, capacity=2) for _ in range(2)]
     for server in servers:
         await server.start()
@@ -104,7 +104,7 @@
     asked = []
     for number, at_s in enumerate(ASK_AT_S):
         await asyncio.sleep(max(0.0, stopped + at_s - time.monotonic()))
-        asked.append(asyncio.create_task(clients.request(f"ask-{number}", 0, SHORT_S)))
+        asked.append(asyncio.create_task(clients.request(f"ask-{number}", SHORT_S)))
     await asyncio.gather(*asked)
     fleet.record.note(
         f"node-1 alive: {fleet.nodes[0].alive}, {time.monotonic() - stopped:.2f} s after SIGTERM"
