--- a/review/4/case.py
+++ b/review/4/case.py
@@ -122,4 +122,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, case, nodes=2)
+    run_case(FOLDER, case, nodes=3)
