Respond to every request that a stopping node still holds when it exits

Cause: DataPlane._drain ended the process at the shutdown's deadline with requests in flight, and nothing gave these a final response. It showed in AttemptSequence._request_placement, whose wait for a free slot knew nothing of the shutdown. The same held for requests at a server that had not responded, and for bodies still arriving.

Change: at the deadline the frontend ends the wait of each request in flight and responds: 503 if no server was sent it, 502 if one may have executed it; a stream that has begun is aborted as before. A wait for a slot counts the shutdown's deadline as the end of the time left, and a request that may outlast the shutdown is refused after it instead of queueing at a full server. A cancelled attempt whose connection stood counts as possibly executed.

Why it works: each admitted or arriving request is inside Frontend._serve, which owns the time limit, and Exchange, the one place that knows whether a server was sent the request, chooses the status.

--- a/dunlinloft/dataplane/attempts.py
+++ b/dunlinloft/dataplane/attempts.py
@@ -12,6 +12,7 @@
 from dunlinloft.dataplane.causes import Cause
 from dunlinloft.dataplane.client_request import ClientRequest
 from dunlinloft.dataplane.client_wait import effective_priority
+from dunlinloft.dataplane.graceful_shutdown import GracefulShutdown
 from dunlinloft.dataplane.http_headers import (
     API_KEY_HEADER,
     ATTEMPT_ID_HEADER,
@@ -61,9 +62,12 @@
 class AttemptSequence:
     """Sends one request and retries it if the retry policy allows; owned by its `Exchange`."""
 
-    def __init__(self, client_request: ClientRequest, context: ServiceContext) -> None:
+    def __init__(
+        self, client_request: ClientRequest, context: ServiceContext, shutdown: GracefulShutdown
+    ) -> None:
         self._request = client_request
         self._context = context
+        self._shutdown = shutdown
         self._id = client_request.http.headers.get(ATTEMPT_ID_HEADER, "")
         self._requirements = client_request.requirements()
         self._tried: list[str] = []  # ids of the servers that the request was sent to
@@ -95,8 +99,8 @@
             if now_ms() >= self._request.deadline_ms:
                 return AttemptFailure(Verdict.NOT_EXECUTED, Cause.NO_TIME, "no time left")
             server = await self._choose_server()
-            if server is None:
-                return AttemptFailure(Verdict.NOT_EXECUTED, Cause.NO_SERVER, "no server has a place")
+            if isinstance(server, AttemptFailure):
+                return server
             result = await self._send(server, last_event_id)
             if not isinstance(result, AttemptFailure):
                 return OpenResponse(server, result)
@@ -150,7 +154,7 @@
 
     # Server selection.
 
-    async def _choose_server(self) -> Server | None:
+    async def _choose_server(self) -> Server | AttemptFailure:
         """The server that the service's owner chooses; without one, a server chosen locally."""
         context = self._context
         excluded = context.pool.excluded_ids(
@@ -164,7 +168,12 @@
                 context.metrics.placements[PlacementSource.OWNER] += 1
                 return server
             placement.finish(False)
-        return self._choose_locally()
+        elif isinstance(placement, AttemptFailure):
+            return placement
+        server = self._choose_locally()
+        if server is None:
+            return AttemptFailure(Verdict.NOT_EXECUTED, Cause.NO_SERVER, "no server has a place")
+        return server
 
     def _choose_locally(self) -> Server | None:
         """Choose a server locally and report it to the owner, which tracks all requests in flight."""
@@ -179,16 +188,16 @@
             self._placements[server.record.id] = placement
         return server
 
-    async def _request_placement(self, excluded: set[str]) -> PlacedRequest | NoPlacement:
+    async def _request_placement(self, excluded: set[str]) -> PlacedRequest | NoPlacement | AttemptFailure:
         """Request a server from the service's owner.
 
         A request past its latency target waits for a free slot for at most `SLOT_WAIT_REMAINING_SHARE` of its
-        remaining time; after that it accepts a full server.
+        remaining time, which a shutdown of this node shortens. After that it accepts a full server, unless it
+        may outlast the shutdown: it could be abandoned in that server's queue; another node has more time.
         """
         context = self._context
         started_ms = now_ms()
         wait_for_capacity = self._request.waited_ms(started_ms) >= self._request.latency_target_ms
-        wait_until_ms = started_ms + SLOT_WAIT_REMAINING_SHARE * (self._request.deadline_ms - started_ms)
         while True:
             placement = await context.placement.request(
                 context.service, self._requirements, excluded, wait_for_capacity, now_ms()
@@ -196,7 +205,14 @@
             if not isinstance(placement, RetryPlacementLater):
                 return placement
             await asyncio.sleep(placement.wait_ms * (0.5 + context.rng.random()) / 1_000.0)
-            wait_for_capacity = now_ms() < wait_until_ms
+            wait_for_capacity = now_ms() < self._slot_wait_end_ms(started_ms)
+            if not wait_for_capacity and self._shutdown.is_outlasted_by(self._request.deadline_ms):
+                return AttemptFailure(Verdict.NOT_EXECUTED, Cause.CLOSING, "this node ends")
+
+    def _slot_wait_end_ms(self, started_ms: float) -> float:
+        """When a wait for a free slot ends; earlier once the node shuts down."""
+        deadline_ms = min(self._request.deadline_ms, self._shutdown.deadline_ms)
+        return started_ms + SLOT_WAIT_REMAINING_SHARE * (deadline_ms - started_ms)
 
     # Sending one attempt.
 
@@ -224,6 +240,7 @@
         try:
             result = await self._send_within_deadline(server, last_event_id, trace)
         except asyncio.CancelledError:
+            self.may_have_executed |= trace.connected
             self._finish(server)
             raise
         self._connected_attempts += trace.connected
--- a/dunlinloft/dataplane/exchange.py
+++ b/dunlinloft/dataplane/exchange.py
@@ -31,7 +31,7 @@
         self, client_request: ClientRequest, context: ServiceContext, shutdown: GracefulShutdown
     ) -> None:
         self._request = client_request
-        self._attempts = AttemptSequence(client_request, context)
+        self._attempts = AttemptSequence(client_request, context, shutdown)
         self._shutdown = shutdown
         self._response: StreamResponse | None = None  # to the client; set when its head is sent
 
@@ -40,23 +40,29 @@
         while True:
             opened = await self._attempts.open()
             if isinstance(opened, AttemptFailure):
-                return self._refusal(opened)
+                return self._refusal(opened.cause, opened.reason)
             response = await self._relay(opened)
             if not isinstance(response, AttemptFailure):
                 return response
             if not await self._attempts.may_retry(response):
-                return self._refusal(response)
+                return self._refusal(response.cause, response.reason)
 
-    def _refusal(self, failure: AttemptFailure) -> Response:
-        """The final response to an abandoned request.
+    def abandon(self) -> StreamResponse:
+        """The final response after `run` was cancelled because the node shuts down."""
+        if self._response is not None:
+            return self._abort(self._response)
+        return self._refusal(Cause.CLOSING, "this node ends")
+
+    def _refusal(self, cause: Cause, reason: str) -> Response:
+        """The final response to a request that failed or was abandoned.
 
         503 guarantees that the request was not executed, so it is sent only if that is known.
         """
         if not self._attempts.may_have_executed:
-            return Refusal(503, failure.cause, failure.reason, NOT_EXECUTED_RETRY_AFTER_S)
+            return Refusal(503, cause, reason, NOT_EXECUTED_RETRY_AFTER_S)
         if now_ms() >= self._request.deadline_ms:
-            return Refusal(504, failure.cause, failure.reason)
-        return Refusal(502, failure.cause, failure.reason)
+            return Refusal(504, cause, reason)
+        return Refusal(502, cause, reason)
 
     async def _relay(self, opened: OpenResponse) -> StreamResponse | AttemptFailure:
         """Relay a response; returns a failure if the attempt broke before anything was sent to the client."""
--- a/dunlinloft/dataplane/frontend.py
+++ b/dunlinloft/dataplane/frontend.py
@@ -37,6 +37,11 @@
 STARTUP_DELAY_S = 0.6
 STARTUP_DELAY_DEADLINE_SHARE = 0.25
 
+DRAIN_POLL_INTERVAL_S = 0.05
+# For the responses to requests that the shutdown abandons; they need no server.
+ABANDON_TIMEOUT_S = 0.2
+ABANDON_POLL_INTERVAL_S = 0.005
+
 CreateExchange = Callable[[ClientRequest], Exchange]
 
 
@@ -60,6 +65,7 @@
         self._client_wait = ClientWaitEstimator()
         self._metrics = metrics
         self._active_connections: set[RequestHandler] = set()  # connections with a request in flight
+        self._timeouts: set[asyncio.Timeout] = set()  # of the requests in flight; set by `finish_requests`
 
     def close_connections(self, connections: Iterable[RequestHandler]) -> None:
         """Close connections: idle ones at once, the others after their response.
@@ -95,8 +101,40 @@
         """Number of requests in flight."""
         return self._metrics.in_flight
 
+    async def finish_requests(self) -> None:
+        """Complete the requests in flight until the deadline of the shutdown, then respond to the others.
+
+        Without that response, the client of a request that still waits here would learn only from the end of
+        its connection that the request failed, and not whether it may be sent again.
+        """
+        while self.in_flight and now_ms() < self._shutdown.deadline_ms:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        loop = asyncio.get_running_loop()
+        for timeout in self._timeouts:
+            timeout.reschedule(loop.time())
+        give_up_s = loop.time() + ABANDON_TIMEOUT_S
+        while self.in_flight and loop.time() < give_up_s:
+            await asyncio.sleep(ABANDON_POLL_INTERVAL_S)
+
     async def _serve(self, request: BaseRequest) -> StreamResponse:
-        """Admit a request and forward it. Raises `RequestRefused`."""
+        """Admit a request and forward it, until the shutdown abandons it. Raises `RequestRefused`."""
+        exchange: Exchange | None = None
+        timeout = asyncio.timeout(None)
+        self._timeouts.add(timeout)
+        try:
+            async with timeout:
+                client_request = await self._admit(request)
+                exchange = self._create_exchange(client_request)
+                return await exchange.run()
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            return _closing_refusal() if exchange is None else exchange.abandon()
+        finally:
+            self._timeouts.discard(timeout)
+
+    async def _admit(self, request: BaseRequest) -> ClientRequest:
+        """Read a request, match it to a route and charge its quota. Raises `RequestRefused`."""
         arrived_ms = now_ms()
         table = self._active_table()
         limits = Limits() if table is None else table.limits
@@ -106,12 +144,12 @@
         # Use a configuration that was activated while the body was read: it may have added the route or key.
         table = self._active_table()
         if table is None:
-            return Refusal(503, Cause.STARTING, "no configuration yet", STARTING_RETRY_AFTER_S)
+            raise RequestRefused(Refusal(503, Cause.STARTING, "no configuration yet", STARTING_RETRY_AFTER_S))
         active, tenant = self._match(table, request)
         remaining_ms = _remaining_ms(request)
         deadline_ms = arrived_ms + min(remaining_ms, active.route.timeout_ms)
         if self._shutdown.refuses(deadline_ms, now_ms()):
-            return Refusal(503, Cause.CLOSING, "this node ends", CLOSING_RETRY_AFTER_S)
+            raise RequestRefused(_closing_refusal())
         waited_ms = 0.0
         if remaining_ms < math.inf:
             waited_ms = self._client_wait.waited_ms(active.route.name, remaining_ms)
@@ -126,8 +164,10 @@
             )
             result = await self._quotas.charge(charge)
             if isinstance(result, OverQuota):
-                return Refusal(429, result.cause, "over the tenant's quota", result.wait_ms / 1_000.0)
-        client_request = ClientRequest(
+                raise RequestRefused(
+                    Refusal(429, result.cause, "over the tenant's quota", result.wait_ms / 1_000.0)
+                )
+        return ClientRequest(
             request,
             request.method,
             request.raw_path,
@@ -138,7 +178,6 @@
             deadline_ms,
             waited_ms,
         )
-        return await self._create_exchange(client_request).run()
 
     async def _await_serving(self, request: BaseRequest) -> None:
         """Wait until the node can serve, for a limited time."""
@@ -183,6 +222,11 @@
     return RequestRefused(refusal)
 
 
+def _closing_refusal() -> Refusal:
+    """The response to a request that was not sent to any server because this node ends."""
+    return Refusal(503, Cause.CLOSING, "this node ends", CLOSING_RETRY_AFTER_S)
+
+
 def _remaining_ms(request: BaseRequest) -> float:
     """The remaining time that the client states for this attempt; infinite if it states none."""
     stated = request.headers.get(DEADLINE_HEADER)
--- a/dunlinloft/dataplane/graceful_shutdown.py
+++ b/dunlinloft/dataplane/graceful_shutdown.py
@@ -37,7 +37,7 @@
 
     @property
     def deadline_ms(self) -> float:
-        """Time at which requests in flight are abandoned; infinite before SIGTERM."""
+        """Time at which requests in flight are abandoned and responded to; infinite before SIGTERM."""
         return (
             float("inf")
             if self.started_ms is None
@@ -52,4 +52,8 @@
         """
         if self.started_ms is None or now_ms < self.started_ms + self.readiness_propagation_ms:
             return False
+        return self.is_outlasted_by(request_deadline_ms)
+
+    def is_outlasted_by(self, request_deadline_ms: float) -> bool:
+        """Whether a request with this deadline may still be in flight when the shutdown abandons it."""
         return request_deadline_ms > self.deadline_ms
--- a/dunlinloft/dataplane/process.py
+++ b/dunlinloft/dataplane/process.py
@@ -29,7 +29,6 @@
 MAX_HEADER_BYTES = 65_536  # limit for one header line of a client
 LISTEN_BACKLOG = 1_024  # connections
 METRICS_PORT = 9464  # as in `deploy/system.toml`
-DRAIN_POLL_INTERVAL_S = 0.05
 SHUTDOWN_MESSAGE_FLUSH_S = 0.05  # time for sending the shutdown message to the control plane
 
 
@@ -109,7 +108,7 @@
         return frontend_listener
 
     async def _drain(self, frontend_server: Server, frontend_listener: asyncio.Server) -> None:
-        """Report unready, stop listening once the platform has noticed, and complete the requests in flight.
+        """Report unready, stop listening once the platform has noticed, and finish the requests in flight.
 
         The control plane is notified of the shutdown only after the last response, because it tracks this
         node's requests.
@@ -119,8 +118,7 @@
         await asyncio.sleep(self._shutdown.readiness_propagation_ms / 1_000.0)
         frontend_listener.close()
         self._frontend.close_connections(frontend_server.connections)
-        while self._frontend.in_flight and now_ms() < self._shutdown.deadline_ms:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self._frontend.finish_requests()
         self._clients.subscriptions.stop()
         await asyncio.sleep(SHUTDOWN_MESSAGE_FLUSH_S)
 
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+import pytest
+
 from dunlinloft.dataplane.graceful_shutdown import EXIT_MARGIN_MS, READINESS_PROPAGATION_MS, GracefulShutdown
 from lab.router.raw_server import Arrival, Connection
-from tests.raw_servers import HOST, Harness, run_scenario, valid_response
+from tests.raw_servers import HOST, ROUTE_KINDS, Harness, run_scenario, valid_response
 
 
 def test_request_that_would_outlast_the_shutdown_is_refused() -> None:
@@ -62,6 +64,58 @@
     run_scenario(respond_when_released, scenario)
 
 
+@pytest.mark.parametrize("kind", ROUTE_KINDS)
+@pytest.mark.parametrize("started", [False, True], ids=["silent", "head sent"])
+def test_request_at_a_server_is_responded_to_at_the_deadline(kind: str, started: bool) -> None:
+    """A request that may have executed must not be refused with 503, nor a partial response look complete."""
+    arrived = asyncio.Event()
+
+    async def hang(connection: Connection, arrival: Arrival) -> None:
+        if started:
+            connection.send(valid_response(arrival)[:-1])
+        arrived.set()
+        await connection.closed()
+
+    async def scenario(harness: Harness) -> None:
+        request = asyncio.create_task(harness.send(kind, deadline_ms=60_000))
+        await arrived.wait()
+        await asyncio.sleep(0.05)
+        await _reach_deadline(harness)
+        result = await request
+        relayed = started and kind in ("once", "resumable")
+        assert result.status == (0 if relayed else 502)
+        assert harness.executions(result) == 1
+        assert harness.node.frontend.in_flight == 0
+
+    run_scenario(hang, scenario)
+
+
+@pytest.mark.parametrize("kind", ROUTE_KINDS)
+def test_request_whose_body_is_incomplete_is_refused_at_the_deadline(kind: str) -> None:
+    async def respond(connection: Connection, arrival: Arrival) -> None:
+        connection.send(valid_response(arrival))
+
+    async def scenario(harness: Harness) -> None:
+        host, port = harness.node.url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"POST /{kind}/a HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a\r\nContent-Length: 9\r\n\r\n"
+        writer.write(head.encode() + b"half")
+        while not harness.node.frontend.in_flight:
+            await asyncio.sleep(0.01)
+        await _reach_deadline(harness)
+        assert (await reader.read()).startswith(b"HTTP/1.1 503 ")
+        writer.close()
+        assert not any(server.runs for server in harness.servers)
+
+    run_scenario(respond, scenario)
+
+
+async def _reach_deadline(harness: Harness) -> None:
+    """Let the shutdown reach its deadline."""
+    harness.node.shutdown.started_ms = asyncio.get_running_loop().time() * 1_000.0 - 10_000.0
+    await harness.node.frontend.finish_requests()
+
+
 def test_refused_request_on_a_persistent_connection_is_not_executed() -> None:
     async def respond(connection: Connection, arrival: Arrival) -> None:
         connection.send(valid_response(arrival))
--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -20,6 +20,7 @@
 
 HOST = "fleet.example"
 API_KEY_HEADERS = {"Api-Key": "key of the tenant"}
+SERVER_CAPACITY = 8  # concurrent requests; the default of `ModelServer`
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 _networks = itertools.count(40 + 20 * (WORKER % 10))  # loopback networks; each worker uses its own
 
@@ -279,6 +280,42 @@
     run_scenario(scenario)
 
 
+def test_stopped_node_responds_to_requests_that_it_still_holds_when_it_exits(
+    run_scenario: Callable[..., None],
+) -> None:
+    """Guards against closed connections: a request that waited for a place got no response (review/4).
+
+    A request that never reached a server gets 503, one that a server may have executed 502.
+    """
+
+    async def scenario(running: RunningFleet) -> None:
+        patient = _route("patient", "/patient/", "unsafe", timeout_ms=15_000)
+        change = {"version": 2, "upsert": {"routes": [patient]}}
+        assert await running.fleet.put(running.session, change, 1, "update") == 200
+        deadline = {"X-Deadline-Ms": "15000"}
+        async with asyncio.timeout(5.0):
+            while (await running.send("/patient/a", 1, deadline))[0] != 200:
+                pass
+        running.set_behaviour(lambda: Behaviour(slow_s=10.0))
+        executing = [
+            asyncio.create_task(running.send("/patient/a", 1, deadline)) for _ in range(2 * SERVER_CAPACITY)
+        ]
+        async with asyncio.timeout(2.0):
+            await asyncio.gather(*(server.wait_executed(SERVER_CAPACITY) for server in running.servers))
+        running.fleet.data[1].send(signal.SIGTERM)
+        # A deadline this much earlier tells the node that the client has waited longer than its target.
+        waiting = [
+            asyncio.create_task(running.send("/patient/a", 1, {"X-Deadline-Ms": "14000"})) for _ in range(3)
+        ]
+        statuses = [status for status, _, _ in await asyncio.gather(*executing, *waiting)]
+        assert statuses == [502] * len(executing) + [503] * len(waiting)
+        process = running.fleet.data[1].process
+        assert process is not None
+        assert await asyncio.to_thread(process.wait, 8.0) == 0
+
+    run_scenario(scenario)
+
+
 def test_draining_server_gets_no_more_requests(run_scenario: Callable[..., None]) -> None:
     async def scenario(running: RunningFleet) -> None:
         draining = running.servers[0]
