--- a/tests/test_router_processes.py
+++ b/tests/test_router_processes.py
@@ -307,8 +307,9 @@
         waiting = [
             asyncio.create_task(running.send("/patient/a", 1, {"X-Deadline-Ms": "14000"})) for _ in range(3)
         ]
-        statuses = [status for status, _, _ in await asyncio.gather(*executing, *waiting)]
-        assert statuses == [502] * len(executing) + [503] * len(waiting)
+        assert [status for status, _, _ in await asyncio.gather(*waiting)] == [503] * len(waiting)
+        assert not any(request.done() for request in executing), "the refused clients still have time"
+        assert [status for status, _, _ in await asyncio.gather(*executing)] == [502] * len(executing)
         process = running.fleet.data[1].process
         assert process is not None
         assert await asyncio.to_thread(process.wait, 8.0) == 0
