Take a stream that its connection ends inside an event for broken

The client got three of six events, a part of another and the regular end of the stream, with status 200. The same on a route where another server could have sent the rest.

Cause: the kernel closes a killed process's connections with FIN. Exchange._relay_events took the end of the connection for the end of the stream and relayed what the framer still held; ServerConnection.connection_lost covers resets alone.

The rest was in EventFramer.flush, which nobody compared with the end of an event.

Change: a stream that states no end of its own (no length, not chunked) is broken if it ends inside an event, and is resumed, aborted or answered with 502 like any broken stream.

Why it works: an event ends with a blank line, by the standard; what follows the last one is an event that isn't complete. A stream with a length or chunks states its end itself and is relayed to its last byte.

--- a/dunlinloft/dataplane/exchange.py
+++ b/dunlinloft/dataplane/exchange.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 
 import aiohttp
+from aiohttp.http_writer import HttpVersion11
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
@@ -15,7 +18,7 @@
 from dunlinloft.dataplane.graceful_shutdown import GracefulShutdown
 from dunlinloft.dataplane.http_headers import end_to_end_headers
 from dunlinloft.dataplane.refusal import Refusal
-from dunlinloft.dataplane.server_response import read_chunk
+from dunlinloft.dataplane.server_response import ends_with_connection, read_chunk
 from dunlinloft.dataplane.service_context import ServiceContext
 from dunlinloft.dataplane.verdict import AttemptFailure, Verdict
 from dunlinloft.transport.clock import now_ms
@@ -92,10 +95,16 @@
         return self._response
 
     def _abort(self, response: StreamResponse) -> StreamResponse:
-        """Close the client's connection, so that the client can't take a partial response for complete."""
+        """Close the client's connection, so that the client can't take a partial response for complete.
+
+        In HTTP/1.0 the end of the connection may mark the end of the response, so that it has to be reset.
+        """
         transport = self._request.http.transport
-        if transport is not None:
-            transport.close()
+        if transport is None:
+            return response
+        if self._request.http.version < HttpVersion11:
+            _reset_on_close(transport)
+        transport.close()
         return response
 
     # Bodies.
@@ -155,11 +164,19 @@
         return self._response
 
     async def _relay_events(self, opened: OpenResponse, framer: EventFramer) -> AttemptFailure | None:
-        """Relay one server's events until its stream ends; returns the failure if the stream breaks."""
+        """Relay one server's events until its stream ends; returns the failure if the stream breaks.
+
+        A stream whose end is only marked by the end of its connection is broken if it ends inside an event:
+        the connection of a server that crashes is closed like any other.
+        """
         while True:
             chunk = await read_chunk(opened.response)
             if isinstance(chunk, AttemptFailure):
                 return chunk
+            if not chunk and framer.inside_event and ends_with_connection(opened.response):
+                return AttemptFailure(
+                    Verdict.MAY_HAVE_EXECUTED, Cause.BROKEN, "the stream ended inside an event"
+                )
             events = framer.feed(chunk) if chunk else framer.flush()
             if self._response is None and (events or not chunk):
                 self._attempts.on_response_started()
@@ -172,10 +189,13 @@
     async def _resume(self, framer: EventFramer, failure: AttemptFailure) -> OpenResponse | None:
         """Resume a broken stream after its last event at another server; None if that isn't possible.
 
-        The client has already received the first server's head, including its signature.
+        The client has already received the first server's head, including its signature. It must not have
+        received a part of an event, which the next server would send again.
         """
         if framer.last_event_id is None or not self._request.idempotent:
             return None
+        if framer.event_partly_forwarded:
+            return None
         if not await self._attempts.may_retry(failure):
             return None
         resumed = await self._attempts.open(framer.last_event_id)
@@ -186,3 +206,9 @@
             return None
         framer.discard_incomplete()
         return resumed
+
+
+def _reset_on_close(transport: asyncio.Transport) -> None:
+    """Have the connection reset when it is closed; unsent data is discarded."""
+    connection: socket.socket = transport.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/dunlinloft/dataplane/server_response.py
+++ b/dunlinloft/dataplane/server_response.py
@@ -40,6 +40,12 @@
     return None
 
 
+def ends_with_connection(response: aiohttp.ClientResponse) -> bool:
+    """Whether nothing but the end of the connection marks the end of a response's body."""
+    headers = response.headers
+    return "Content-Length" not in headers and "chunked" not in headers.get("Transfer-Encoding", "").lower()
+
+
 async def read_chunk(response: aiohttp.ClientResponse) -> bytes | AttemptFailure:
     """The next bytes of a response's body; empty at the regular end of the body."""
     try:
