Bound the one runtime option that the control plane computes with

Cause: the validation bounds every number that has a field of its own, but runtime is a map that is passed through, and _cache_tokens_by_service took any whole number from it, which ServerLoad multiplies by a float. An exception while a committed configuration is applied reached the essential loops, and a restart repeats it.

Change: kv_cache_tokens has the bound of all other numbers, and a change beyond it gets 400 with the place. Service.kv_cache_tokens alone reads the option and ignores what can't be used, as disks may hold what an earlier release acknowledged. CommitHandler logs a failure to apply a committed configuration and goes on. The same cause in heartbeats: capacity and warmup_remaining_ms have the bound too (a capacity of 10**400 made nodes answer 500).

Why it works: a value beyond the bound no longer gets in, one that is in already is not computed with, and a fault of the same kind elsewhere in applying a configuration can't end the process.

--- a/dunlinloft/configuration.py
+++ b/dunlinloft/configuration.py
@@ -14,8 +14,14 @@
 from dunlinloft.coordination.state import Document
 from dunlinloft.exceptions import ConfigurationError
 
-# Options that a service's model servers are started with; passed through uninterpreted.
+# Bound of the magnitude of each number that the programs compute with: up to it a float holds every integer.
+# Far larger ones overflow.
+MAX_NUMBER = 2**53
+
+# Options that a service's model servers are started with; passed through, and only `KV_CACHE_TOKENS_OPTION`
+# is interpreted.
 RuntimeOptions: TypeAlias = dict[str, Any]
+KV_CACHE_TOKENS_OPTION = "kv_cache_tokens"
 
 
 class Backend(Struct, frozen=True):
@@ -56,6 +62,17 @@
     max_connections: int = 64
     runtime: RuntimeOptions | None = None
 
+    @property
+    def kv_cache_tokens(self) -> int | None:
+        """KV cache memory of each server, in tokens; None if the runtime options state no usable size.
+
+        A configuration that an earlier release accepted may hold any value here.
+        """
+        stated = (self.runtime or {}).get(KV_CACHE_TOKENS_OPTION)
+        if not isinstance(stated, int | float) or isinstance(stated, bool):
+            return None
+        return int(stated) if 1 <= stated <= MAX_NUMBER else None
+
 
 class Limits(Struct, frozen=True):
     """Limits on the size of client requests and on the time to receive them."""
--- a/dunlinloft/controlplane/commit_handler.py
+++ b/dunlinloft/controlplane/commit_handler.py
@@ -11,6 +11,9 @@
 from dunlinloft.coordination.state import ChainState, LogEntry
 from dunlinloft.exceptions import ConfigurationError
 
+# Raised by computing with a value that the validation should not have accepted.
+CONFIGURE_ERRORS = (ArithmeticError, LookupError, TypeError, ValueError)
+
 
 class CommitHandler:
     """Publishes committed configurations to the nodes and applies them locally."""
@@ -25,6 +28,9 @@
 
         A configuration that is invalid for this program version is logged and not applied here. It is still
         published, because nodes may run another version that accepts it.
+
+        A failure to apply it doesn't reach the caller either. It would end the process, and again at each
+        start, because the configuration is committed and on disk.
         """
         self._publisher.publish_state(state, entry)
         try:
@@ -32,6 +38,9 @@
         except ConfigurationError as error:
             logging.error("event=configuration_refused version=%d error=%s", state.version, error)
         else:
-            self._quotas.configure(configuration)
-            self._placement.configure(configuration)
+            for service in (self._quotas, self._placement):
+                try:
+                    service.configure(configuration)
+                except CONFIGURE_ERRORS:
+                    logging.exception("event=configuration_not_applied version=%d", state.version)
         logging.info("event=committed sequence=%d version=%d", state.sequence, state.version)
--- a/dunlinloft/controlplane/http_api.py
+++ b/dunlinloft/controlplane/http_api.py
@@ -12,11 +12,13 @@
 
 import hashlib
 from collections.abc import Awaitable, Callable
+from typing import Annotated
 
 import msgspec
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 
+from dunlinloft.configuration import MAX_NUMBER
 from dunlinloft.controlplane.exceptions import BodyTooLargeError, InvalidJsonError
 from dunlinloft.controlplane.json_input import check_nesting, decode_document, is_encodable
 from dunlinloft.coordination.actions import Reply
@@ -31,15 +33,19 @@
 MAX_VERSION_DIGITS = 30
 
 
+# A number that this program and the nodes compute with.
+_BOUNDED = msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)
+
+
 class Heartbeat(msgspec.Struct):
     """The body of a heartbeat request; unknown fields are ignored."""
 
     service: str
     address: str
     zone: str = ""
-    capacity: int = 1
+    capacity: Annotated[int, _BOUNDED] = 1
     state: str = "ready"
-    warmup_remaining_ms: float = 0.0
+    warmup_remaining_ms: Annotated[float, _BOUNDED] = 0.0
     sequence: int = 0
     phase: str = ""
     model_list: list[object] = []
--- a/dunlinloft/controlplane/placement_service.py
+++ b/dunlinloft/controlplane/placement_service.py
@@ -72,5 +72,5 @@
 
 def _cache_tokens_by_service(services: tuple[Service, ...]) -> dict[str, int]:
     """KV cache size in tokens per server of each service whose runtime settings state it."""
-    stated = {service.name: (service.runtime or {}).get("kv_cache_tokens") for service in services}
-    return {name: tokens for name, tokens in stated.items() if isinstance(tokens, int) and tokens > 0}
+    stated = {service.name: service.kv_cache_tokens for service in services}
+    return {name: tokens for name, tokens in stated.items() if tokens is not None}
--- a/dunlinloft/validation.py
+++ b/dunlinloft/validation.py
@@ -27,16 +27,22 @@
 )
 from pydantic_core import ErrorDetails
 
-from dunlinloft.configuration import Backend, Configuration, Route, Tenant, to_configuration
+from dunlinloft.configuration import (
+    KV_CACHE_TOKENS_OPTION,
+    MAX_NUMBER,
+    Backend,
+    Configuration,
+    Route,
+    Service,
+    Tenant,
+    to_configuration,
+)
 from dunlinloft.coordination.document_changes import apply_change
 from dunlinloft.coordination.state import ChangeKind, ConfigurationChange, Document
 from dunlinloft.coordination.verdicts import Invalid, Valid
 from dunlinloft.exceptions import ConfigurationError
 
 MAX_ERRORS_SHOWN = 3
-# Bound of each number's magnitude: up to it a float holds every integer. Far larger ones overflow where nodes
-# compute with them.
-MAX_NUMBER = 2**53
 
 Value = TypeVar("Value")
 Annotation: TypeAlias = Any  # a field's type: a class, a generic alias or a union
@@ -66,6 +72,13 @@
         raise ValueError("backends whose weights have a finite sum expected")
 
 
+def _check_runtime(service: Service) -> None:
+    """Check the one runtime option that the control plane computes with; the others are only passed on."""
+    stated = (service.runtime or {}).get(KV_CACHE_TOKENS_OPTION)
+    if isinstance(stated, int | float) and not -MAX_NUMBER <= stated <= MAX_NUMBER:
+        raise ValueError(f"runtime.{KV_CACHE_TOKENS_OPTION}: a number of at most {MAX_NUMBER} expected")
+
+
 def _check_consistency(configuration: Configuration) -> None:
     """Check that routes name known services and don't collide, and that tenants share no API key."""
     services = {service.name for service in configuration.services}
@@ -98,7 +111,11 @@
 }
 # Fields that are checked before the other fields of their type, because only the first errors are reported.
 CHECKED_FIRST: dict[type[Struct], tuple[str, ...]] = {Route: ("name", "hostname", "path_prefix", "type")}
-MODEL_RULES: dict[type[Struct], ModelRule] = {Route: _check_target, Configuration: _check_consistency}
+MODEL_RULES: dict[type[Struct], ModelRule] = {
+    Route: _check_target,
+    Service: _check_runtime,
+    Configuration: _check_consistency,
+}
 
 
 class _Model(BaseModel):
--- a/tests/test_http_api_input.py
+++ b/tests/test_http_api_input.py
@@ -157,6 +157,17 @@
     assert not received.records
 
 
+@pytest.mark.parametrize("name", ["capacity", "warmup_remaining_ms"])
+@pytest.mark.parametrize("number", ["1" + 400 * "0", "-1" + 400 * "0", str(2**54)], ids=len)
+def test_a_heartbeat_with_a_number_that_nodes_can_not_compute_with_is_refused(name: str, number: str) -> None:
+    """A node answered each request to the service of a server with such a capacity with 500."""
+    body = json.dumps(HEARTBEAT).encode()[:-1] + f',"{name}":{number}}}'.encode()
+    response, received = _post(b"/instances/i-1/heartbeat", body)
+    assert response.status == 400
+    assert name in json.loads(response.body)["reason"]
+    assert not received.records
+
+
 def test_a_heartbeat_is_passed_on_as_sent() -> None:
     models = [{"name": "m", "version": 1, "loras": []}]
     response, received = _post(
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -151,6 +151,30 @@
     assert validate_body(document_with(**{section: [{**item, name: 2**53}]})) == Valid(3)
 
 
+@pytest.mark.parametrize("number", [10**309, -(10**309), 1e308, 2**53 + 1, math.inf])
+def test_a_kv_cache_size_that_the_control_plane_can_not_compute_with_is_rejected(number: float) -> None:
+    """10**309 was accepted, and ended the control planes at the commit and at each start (review/8)."""
+    service = {"name": "s", "runtime": {"kv_cache_tokens": number}}
+    verdict = validate_body(document_with(services=[service]))
+    assert isinstance(verdict, Invalid)
+    assert "services.0: Value error, runtime.kv_cache_tokens: " in verdict.reason
+
+
+@pytest.mark.parametrize(
+    "runtime",
+    [
+        {"kv_cache_tokens": 2**53},
+        {"kv_cache_tokens": 0},
+        {"kv_cache_tokens": "all"},
+        {"kv_cache_tokens": None, "seed": 2**64},
+    ],
+    ids=str,
+)
+def test_runtime_options_that_are_only_passed_on_are_accepted(runtime: dict[str, Any]) -> None:
+    services = [{"name": "s", "runtime": runtime}]
+    assert validate_body(document_with(services=services)) == Valid(3)
+
+
 @pytest.mark.parametrize("name", ["header_timeout_ms", "idle_timeout_ms"])
 def test_limits_that_are_not_finite_are_rejected(name: str) -> None:
     verdict = validate_body(document_with(limits={name: math.nan}))
